--- /dev/null
+++ b/src/main/java/org/gooseberryhill/configuration/ConfigurationReader.java
@@ -0,0 +1,57 @@
+package org.gooseberryhill.configuration;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Reads and checks the operators' text. Thread-safe, keeps no state.
+ *
+ * <p>All findings of a text are reported together. Example: {@code ConfigurationReader.read("fleet.yaml", text)}.
+ */
+public final class ConfigurationReader {
+    /** The largest text in bytes; the key-value service holds values up to a megabyte (brief). */
+    public static final int MAX_BYTES = 900_000;
+
+    private static final Place START = new Place(1, 1);
+    private static final List<ConfigurationRule> RULES =
+            List.of(new ReferencesRule(), new ServiceHasEndpointRule(), new UniqueAddressRule(), new UniqueKeyRule());
+
+    private ConfigurationReader() {}
+
+    /** The configuration, or every finding in the order of the text. */
+    public static Either<List<Finding>, Configuration> read(String file, String text) {
+        Findings findings = new Findings(file);
+        int bytes = text.getBytes(StandardCharsets.UTF_8).length;
+        if (bytes > MAX_BYTES) {
+            findings.add(START, "", "yaml.too-large", Integer.toString(bytes), Integer.toString(MAX_BYTES));
+            return Either.left(findings.sorted());
+        }
+        Optional<PlacedNode> tree = PlacedYamlReader.read(text, findings);
+        if (tree.isEmpty()) {
+            return Either.left(findings.sorted());
+        }
+        Configuration configuration = readSections(tree.get(), findings);
+        if (tree.get() instanceof PlacedNode.Mapping root) {
+            RULES.forEach(rule -> rule.check(configuration, root, findings));
+        }
+        return findings.isEmpty() ? Either.right(configuration) : Either.left(findings.sorted());
+    }
+
+    private static Configuration readSections(PlacedNode tree, Findings findings) {
+        PropertyReader root = new PropertyReader(tree, "", findings)
+                .allow(ModelsSection.KEY, ServicesSection.KEY, EndpointsSection.KEY, CallersSection.KEY);
+        return new Configuration(
+                frozen(new ModelsSection().read(root, findings)),
+                frozen(new ServicesSection(findings).read(root, findings)),
+                frozen(new EndpointsSection().read(root, findings)),
+                frozen(new CallersSection(findings).read(root, findings)));
+    }
+
+    private static <T> Map<String, T> frozen(Map<String, T> map) {
+        return Collections.unmodifiableMap(map);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/configuration/ModelsSection.java
@@ -0,0 +1,20 @@
+package org.gooseberryhill.configuration;
+
+/** The section {@code models}. Stateless. */
+final class ModelsSection implements ConfigurationSection<ModelSettings> {
+    static final String KEY = "models";
+
+    @Override
+    public String key() {
+        return KEY;
+    }
+
+    @Override
+    public ModelSettings readEntry(String name, PropertyReader entry) {
+        entry.allow("version", "adapters");
+        return new ModelSettings(
+                name,
+                entry.requiredText("version"),
+                entry.texts("adapters").stream().map(PlacedNode.Scalar::text).toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/configuration/PropertyReader.java
@@ -0,0 +1,177 @@
+package org.gooseberryhill.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import org.gooseberryhill.link.Address;
+
+/**
+ * Reads the properties of one mapping, checks each and adds a finding for each mistake. Not thread-safe.
+ *
+ * <p>A getter always returns a usable value, so that reading goes on and all mistakes are found in one run.
+ */
+final class PropertyReader {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_.-]{0,63}");
+    private static final Address NO_ADDRESS = new Address("0.0.0.0", 1);
+
+    private final PlacedNode.Mapping mapping;
+    private final String path;
+    private final Findings findings;
+
+    PropertyReader(PlacedNode node, String path, Findings findings) {
+        this.path = path;
+        this.findings = findings;
+        if (node instanceof PlacedNode.Mapping found) {
+            this.mapping = found;
+        } else {
+            this.mapping = new PlacedNode.Mapping(node.place(), Map.of(), Map.of());
+            if (!isBlank(node)) {
+                findings.add(node.place(), path, "value.mapping");
+            }
+        }
+    }
+
+    /** Adds a finding for each key that is not in the set. */
+    PropertyReader allow(String... keys) {
+        Set<String> known = Set.of(keys);
+        for (String key : mapping.entries().keySet()) {
+            if (!known.contains(key)) {
+                findings.add(mapping.keyPlaces().get(key), pathOf(key), "key.unknown", sortedList(known));
+            }
+        }
+        return this;
+    }
+
+    /** Where the key's value stands, or the mapping itself if the key is missing. */
+    Place placeOf(String key) {
+        PlacedNode node = mapping.entries().get(key);
+        return node == null ? mapping.place() : node.place();
+    }
+
+    String pathOf(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    /** Calls the consumer for each entry of a mapping of names. */
+    void forEachNamed(String key, BiConsumer<String, PlacedNode> consumer) {
+        PlacedNode node = mapping.entries().get(key);
+        if (node == null || isBlank(node)) {
+            return;
+        }
+        if (!(node instanceof PlacedNode.Mapping named)) {
+            findings.add(node.place(), pathOf(key), "value.mapping");
+            return;
+        }
+        named.entries().forEach((name, value) -> {
+            if (!NAME.matcher(name).matches()) {
+                findings.add(named.keyPlaces().get(name), pathOf(key) + "." + name, "value.name", name);
+            }
+            consumer.accept(name, value);
+        });
+    }
+
+    Optional<String> optionalText(String key) {
+        PlacedNode node = mapping.entries().get(key);
+        if (node == null) {
+            return Optional.empty();
+        }
+        if (node instanceof PlacedNode.Scalar scalar) {
+            return Optional.of(scalar.text());
+        }
+        findings.add(node.place(), pathOf(key), "value.text");
+        return Optional.empty();
+    }
+
+    String requiredText(String key) {
+        if (!mapping.entries().containsKey(key)) {
+            findings.add(mapping.place(), pathOf(key), "key.missing", key);
+        }
+        return optionalText(key).orElse("");
+    }
+
+    String choice(String key, String defaultValue, String... choices) {
+        String value = optionalText(key).orElse(defaultValue);
+        if (!Set.of(choices).contains(value)) {
+            findings.add(placeOf(key), pathOf(key), "value.choice", value, String.join(", ", choices));
+            return defaultValue;
+        }
+        return value;
+    }
+
+    int number(String key, int defaultValue, int min, int max) {
+        Optional<String> text = optionalText(key);
+        if (text.isEmpty()) {
+            return defaultValue;
+        }
+        try {
+            int value = Integer.parseInt(text.get().trim());
+            if (value >= min && value <= max) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // falls through to the finding below, which names the text and the range
+            text = Optional.of(text.get().trim());
+        }
+        findings.add(
+                placeOf(key), pathOf(key), "value.number", text.get(), Integer.toString(min), Integer.toString(max));
+        return defaultValue;
+    }
+
+    boolean flag(String key, boolean defaultValue) {
+        Optional<String> text = optionalText(key);
+        if (text.isEmpty()) {
+            return defaultValue;
+        }
+        if (text.get().equals("true") || text.get().equals("false")) {
+            return Boolean.parseBoolean(text.get());
+        }
+        findings.add(placeOf(key), pathOf(key), "value.boolean", text.get());
+        return defaultValue;
+    }
+
+    Address requiredAddress(String key) {
+        String text = requiredText(key);
+        if (text.isEmpty()) {
+            return NO_ADDRESS;
+        }
+        Optional<Address> address = Address.parse(text);
+        if (address.isEmpty()) {
+            findings.add(placeOf(key), pathOf(key), "value.address", text);
+        }
+        return address.orElse(NO_ADDRESS);
+    }
+
+    /** The texts of a list with their places; empty if the key is missing. */
+    List<PlacedNode.Scalar> texts(String key) {
+        PlacedNode node = mapping.entries().get(key);
+        if (node == null || isBlank(node)) {
+            return List.of();
+        }
+        if (!(node instanceof PlacedNode.Sequence sequence)) {
+            findings.add(node.place(), pathOf(key), "value.list");
+            return List.of();
+        }
+        List<PlacedNode.Scalar> texts = new ArrayList<>();
+        for (PlacedNode item : sequence.items()) {
+            if (item instanceof PlacedNode.Scalar scalar) {
+                texts.add(scalar);
+            } else {
+                findings.add(item.place(), pathOf(key), "value.text");
+            }
+        }
+        return texts;
+    }
+
+    static String sortedList(Set<String> names) {
+        return names.stream().sorted().collect(Collectors.joining(", "));
+    }
+
+    private static boolean isBlank(PlacedNode node) {
+        return node instanceof PlacedNode.Scalar scalar && scalar.text().isBlank();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/configuration/ServiceHasEndpointRule.java
@@ -0,0 +1,14 @@
+package org.gooseberryhill.configuration;
+
+/** The rule that each service has an endpoint, since its callers would only ever be refused. Stateless. */
+final class ServiceHasEndpointRule implements ConfigurationRule {
+    @Override
+    public void check(Configuration configuration, PlacedNode.Mapping root, Findings findings) {
+        for (String service : configuration.services().keySet()) {
+            if (configuration.endpointsOf(service).isEmpty()) {
+                Place place = ConfigurationRule.placeOf(root, ServicesSection.KEY, service, "kind");
+                findings.add(place, ServicesSection.KEY + "." + service, "service.no-endpoint", service);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/configuration/UniqueKeyRule.java
@@ -0,0 +1,20 @@
+package org.gooseberryhill.configuration;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The rule that no two callers share a key, since a caller sees only its own jobs. Stateless. */
+final class UniqueKeyRule implements ConfigurationRule {
+    @Override
+    public void check(Configuration configuration, PlacedNode.Mapping root, Findings findings) {
+        Map<String, String> owners = new HashMap<>();
+        for (CallerSettings caller : configuration.callers().values()) {
+            String owner = owners.putIfAbsent(caller.keySha256(), caller.name());
+            if (owner != null && !caller.keySha256().isEmpty()) {
+                Place place = ConfigurationRule.placeOf(root, CallersSection.KEY, caller.name(), "key-sha256");
+                findings.add(
+                        place, CallersSection.KEY + "." + caller.name() + ".key-sha256", "caller.key-taken", owner);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/contract/Fingerprint.java
@@ -0,0 +1,37 @@
+package org.gooseberryhill.contract;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * A digest that is equal for equal requests, on every host. Immutable.
+ *
+ * @param value the first 16 bytes of a SHA-256, in hexadecimal
+ */
+public record Fingerprint(String value) {
+    private static final int BYTES = 16;
+
+    /** The fingerprint of a request to a service or model. */
+    public static Fingerprint of(String service, byte[] body) {
+        MessageDigest digest = sha256();
+        digest.update(service.getBytes(StandardCharsets.UTF_8));
+        digest.update((byte) 0);
+        byte[] hash = digest.digest(body);
+        return new Fingerprint(HexFormat.of().formatHex(hash, 0, BYTES));
+    }
+
+    /** The full SHA-256 of some bytes, in hexadecimal. */
+    public static String sha256Hex(byte[] bytes) {
+        return HexFormat.of().formatHex(sha256().digest(bytes));
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/control/ControlLoop.java
@@ -0,0 +1,120 @@
+package org.gooseberryhill.control;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.io.Closeable;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Runs tasks one after the other on one thread, fed through a Disruptor ring. Thread-safe.
+ *
+ * <p>Invariant: all control state of a process is touched only by tasks of its loop, so the decision core needs no
+ * locks. A task that throws is logged and does not end the loop.
+ */
+public final class ControlLoop implements Executor, Closeable {
+    /** Events that may wait; a full ring holds traffic threads back instead of growing without bound. */
+    private static final int RING_SIZE = 1 << 14;
+
+    private static final long SHUTDOWN_TIMEOUT_SECONDS = 2;
+    private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
+
+    private final Disruptor<TaskEvent> disruptor;
+    private final ScheduledExecutorService timer;
+    private final Queue<Runnable> ownTasks = new ArrayDeque<>();
+    private volatile Thread loopThread;
+    private volatile boolean closed;
+
+    /** Starts a loop whose threads carry a name. */
+    public ControlLoop(String name) {
+        ThreadFactory loopFactory = task -> {
+            loopThread = daemon(task, name + "-control");
+            return loopThread;
+        };
+        disruptor =
+                new Disruptor<>(TaskEvent::new, RING_SIZE, loopFactory, ProducerType.MULTI, new BlockingWaitStrategy());
+        disruptor.handleEventsWith((event, sequence, endOfBatch) -> runEvent(event));
+        disruptor.start();
+        timer = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, name + "-timer"));
+    }
+
+    /** The monotonic time in nanoseconds that all decisions of this process use. */
+    public long nowNanos() {
+        return System.nanoTime();
+    }
+
+    /** Runs a task on the loop's thread, after the tasks before it. A closed loop drops it. */
+    @Override
+    public void execute(Runnable task) {
+        if (closed) {
+            return;
+        }
+        // A task of the loop itself must not wait for room in the ring that only the loop can make: it would wait
+        // for ever. Such tasks wait in a queue of the loop's own and run right after the present one.
+        if (Thread.currentThread() == loopThread) {
+            ownTasks.add(task);
+            return;
+        }
+        disruptor.publishEvent((event, sequence) -> event.task = task);
+    }
+
+    /** Runs a task on the loop's thread after a delay in milliseconds. */
+    public void after(long delayMillis, Runnable task) {
+        if (!closed) {
+            timer.schedule(() -> execute(task), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Runs a task on the loop's thread again and again, with a period in milliseconds. */
+    public void every(long periodMillis, Runnable task) {
+        timer.scheduleWithFixedDelay(() -> execute(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        timer.shutdownNow();
+        try {
+            disruptor.shutdown(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (com.lmax.disruptor.TimeoutException e) {
+            LOG.warn("the control thread was still busy at the end");
+            disruptor.halt();
+        }
+    }
+
+    private void runEvent(TaskEvent event) {
+        Runnable task = event.task;
+        event.task = null;
+        runGuarded(task);
+        while (!ownTasks.isEmpty()) {
+            runGuarded(ownTasks.poll());
+        }
+    }
+
+    private static void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.error("a control task failed", e);
+        }
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** A slot of the ring. */
+    private static final class TaskEvent {
+        private Runnable task;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Leaving: endpoints that get no new work, and this process's own planned stop. */
+package org.gooseberryhill.decision.drain;
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/job/FirstComeOrder.java
@@ -0,0 +1,13 @@
+package org.gooseberryhill.decision.job;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** The baseline: the job that was accepted first. Stateless. */
+public final class FirstComeOrder implements DispatchOrder {
+    @Override
+    public Optional<OwnedJob> pick(List<OwnedJob> jobs, DispatchContext context) {
+        return jobs.stream().min(Comparator.comparingLong(job -> job.record().acceptedMillis()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/job/JobBoard.java
@@ -0,0 +1,103 @@
+package org.gooseberryhill.decision.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.host.HostId;
+
+/** All jobs that one host owns, and which of their items runs next. Not thread-safe. */
+public final class JobBoard {
+    private static final double INITIAL_ITEM_MILLIS = 1000;
+
+    private final DispatchOrder order;
+    private final Map<JobKey, OwnedJob> jobs = new LinkedHashMap<>();
+    private double meanItemMillis = INITIAL_ITEM_MILLIS;
+
+    /** An empty board. */
+    public JobBoard(DispatchOrder order) {
+        this.order = order;
+    }
+
+    /** Adds a job that this host claimed. */
+    public void add(OwnedJob job) {
+        jobs.put(job.key(), job);
+    }
+
+    /** Stops a job and forgets it. */
+    public Optional<OwnedJob> remove(JobKey key) {
+        Optional<OwnedJob> removed = Optional.ofNullable(jobs.remove(key));
+        removed.ifPresent(OwnedJob::stop);
+        return removed;
+    }
+
+    /** A job by key. */
+    public Optional<OwnedJob> find(JobKey key) {
+        return Optional.ofNullable(jobs.get(key));
+    }
+
+    /** All jobs. */
+    public Collection<OwnedJob> jobs() {
+        return List.copyOf(jobs.values());
+    }
+
+    /** Hands out up to a number of items of a service to a steward. */
+    public List<WorkItem> take(String service, int max, HostId steward, long nowNanos, long nowMillis) {
+        List<WorkItem> items = new ArrayList<>();
+        while (items.size() < max) {
+            List<OwnedJob> ready = ready(service, nowNanos);
+            Optional<OwnedJob> chosen =
+                    order.pick(ready, new DispatchContext(nowMillis, runningByCaller(), meanItemMillis));
+            Optional<WorkItem> item = chosen.flatMap(job -> job.take(steward, nowNanos));
+            if (item.isEmpty()) {
+                break;
+            }
+            items.add(item.get());
+        }
+        return items;
+    }
+
+    /** The services with a waiting item, each with its earliest due time in epoch milliseconds. */
+    public Map<String, Long> waitingWork(long nowNanos) {
+        Map<String, Long> work = new HashMap<>();
+        for (OwnedJob job : jobs.values()) {
+            if (job.hasWaiting(nowNanos)) {
+                work.merge(job.record().service(), job.record().dueMillis(), Math::min);
+            }
+        }
+        return work;
+    }
+
+    /** The earliest due time of the waiting items of a service. */
+    public OptionalLong earliestDueMillis(String service, long nowNanos) {
+        Long due = waitingWork(nowNanos).get(service);
+        return due == null ? OptionalLong.empty() : OptionalLong.of(due);
+    }
+
+    /** A steward is lost: what it had waits again. */
+    public void stewardLost(HostId steward) {
+        jobs.values().forEach(job -> job.stewardLost(steward));
+    }
+
+    /** Learns how long an item ran, in milliseconds. */
+    public void itemRan(double millis) {
+        meanItemMillis += (millis - meanItemMillis) / 16;
+    }
+
+    private List<OwnedJob> ready(String service, long nowNanos) {
+        return jobs.values().stream()
+                .filter(job -> job.record().service().equals(service) && job.hasWaiting(nowNanos))
+                .toList();
+    }
+
+    private Map<String, Integer> runningByCaller() {
+        Map<String, Integer> running = new HashMap<>();
+        jobs.values().forEach(job -> running.merge(job.key().caller(), job.running(), Integer::sum));
+        return running;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/membership/Membership.java
@@ -0,0 +1,287 @@
+package org.gooseberryhill.decision.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.host.Role;
+
+/**
+ * One host's view of the others, after the SWIM protocol (Das, Gupta and Motivala, 2002).
+ *
+ * <p>Candidates come from the platform's host list, which lags; who is alive is decided by heartbeats alone. A host
+ * that the list no longer names is forgotten only once it is also silent. Invariants: this host never thinks itself
+ * dead; a state is overridden only by a greater incarnation or, within one, by a later state. Not thread-safe.
+ */
+public final class Membership {
+    private static final int RUMOR_REPEATS_PER_DOUBLING = 3;
+
+    private final HostId self;
+    private final MembershipSettings settings;
+    private final Random random;
+    private final Map<HostId, Peer> peers = new TreeMap<>();
+    private final Map<HostId, PendingRumor> rumors = new LinkedHashMap<>();
+    private final List<HostId> probeOrder = new ArrayList<>();
+    private long incarnation;
+    private long nextProbeNanos = Long.MIN_VALUE;
+    private long version;
+
+    /** A view that knows nobody yet. */
+    public Membership(HostId self, MembershipSettings settings, Random random) {
+        this.self = self;
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /** Takes in the host list; new hosts count as alive until they fail to answer. */
+    public void candidates(Collection<Host> hosts, long nowNanos) {
+        List<HostId> listed = new ArrayList<>();
+        for (Host host : hosts) {
+            listed.add(host.id());
+            if (host.id().equals(self)) {
+                continue;
+            }
+            Peer known = peers.get(host.id());
+            if (known == null) {
+                peers.put(host.id(), new Peer(host, nowNanos));
+                version++;
+            } else if (!known.host.equals(host)) {
+                known.refresh(host);
+                version++;
+            }
+        }
+        boolean removed =
+                peers.values().removeIf(peer -> peer.state == HostState.DEAD && !listed.contains(peer.host.id()));
+        if (removed) {
+            version++;
+        }
+    }
+
+    /** Advances the time: probes one peer a period, turns silence into suspicion and suspicion into death. */
+    public void tick(long nowNanos, MembershipCommands commands) {
+        peers.values().forEach(peer -> advance(peer, nowNanos, commands));
+        if (nowNanos < nextProbeNanos) {
+            return;
+        }
+        nextProbeNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(settings.heartbeatPeriodMillis());
+        nextToProbe().ifPresent(peer -> {
+            peer.probeSentNanos = nowNanos;
+            peer.probeOpen = true;
+            peer.askedOthers = false;
+            commands.probe(peer.host, incarnation, rumorsFor(peer.host.id()));
+        });
+    }
+
+    /** A sign of life came from a host: its own heartbeat, its reply, or another host's word for it. */
+    public void heard(HostId from, long fromIncarnation, boolean leaving, List<Rumor> heardRumors, long nowNanos) {
+        Peer peer = peers.get(from);
+        if (peer != null) {
+            peer.probeOpen = false;
+            if (peer.leaving != leaving) {
+                peer.leaving = leaving;
+                version++;
+            }
+            // A reply proves more than a rumor: the host is alive even if others still call it dead.
+            if (peer.state != HostState.ALIVE || fromIncarnation > peer.incarnation) {
+                peer.incarnation = Math.max(peer.incarnation, fromIncarnation);
+                changeState(peer, HostState.ALIVE, nowNanos);
+            }
+        }
+        heardRumors.forEach(rumor -> hear(rumor, nowNanos));
+    }
+
+    /** Another host reached the target on this host's behalf. */
+    public void reachedThrough(HostId target, long nowNanos) {
+        Peer peer = peers.get(target);
+        if (peer != null) {
+            heard(target, peer.incarnation, peer.leaving, List.of(), nowNanos);
+        }
+    }
+
+    /**
+     * What rides on the next message to a host, least told first and each a bounded number of times. A host that is
+     * thought suspect or dead is always told so: only it can refute, by a greater incarnation.
+     */
+    public List<Rumor> rumorsFor(HostId target) {
+        List<Rumor> chosen = rumorsToSend();
+        Peer peer = peers.get(target);
+        if (peer != null && peer.state != HostState.ALIVE) {
+            chosen.add(new Rumor(target, peer.state, peer.incarnation));
+        }
+        return chosen;
+    }
+
+    /** This host's incarnation. */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /** Grows with each change of the view. */
+    public long version() {
+        return version;
+    }
+
+    /** The state of a host; empty if it is not known. */
+    public Optional<HostState> stateOf(HostId host) {
+        return Optional.ofNullable(peers.get(host)).map(peer -> peer.state);
+    }
+
+    /** The other hosts of a role that are not dead; a suspect still counts, since it may refute. */
+    public List<Host> present(Role role) {
+        return peers.values().stream()
+                .filter(peer -> peer.state != HostState.DEAD && peer.host.role() == role)
+                .map(Peer::view)
+                .toList();
+    }
+
+    /** All other hosts that are not dead. */
+    public List<Host> present() {
+        return peers.values().stream()
+                .filter(peer -> peer.state != HostState.DEAD)
+                .map(Peer::view)
+                .toList();
+    }
+
+    /** A host by its identity, dead or not. */
+    public Optional<Host> find(HostId host) {
+        return Optional.ofNullable(peers.get(host)).map(Peer::view);
+    }
+
+    private List<Rumor> rumorsToSend() {
+        int repeats = RUMOR_REPEATS_PER_DOUBLING * (Integer.SIZE - Integer.numberOfLeadingZeros(peers.size() + 1));
+        List<Rumor> chosen = new ArrayList<>();
+        List<PendingRumor> fresh = new ArrayList<>(rumors.values());
+        fresh.sort((one, other) -> Integer.compare(one.sent, other.sent));
+        for (PendingRumor pending : fresh) {
+            if (chosen.size() == settings.rumorsPerMessage()) {
+                break;
+            }
+            chosen.add(pending.rumor);
+            pending.sent++;
+            if (pending.sent >= repeats) {
+                rumors.remove(pending.rumor.host());
+            }
+        }
+        return chosen;
+    }
+
+    private void advance(Peer peer, long nowNanos, MembershipCommands commands) {
+        long silentNanos = nowNanos - peer.probeSentNanos;
+        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(settings.replyTimeoutMillis());
+        if (peer.probeOpen && !peer.askedOthers && silentNanos > timeoutNanos) {
+            // One lost message or one cut link between two hosts must not look like a lost host.
+            peer.askedOthers = true;
+            helpers(peer).forEach(helper -> commands.probeThrough(helper, peer.host));
+        }
+        if (peer.probeOpen && peer.state == HostState.ALIVE && silentNanos > 2 * timeoutNanos) {
+            changeState(peer, HostState.SUSPECT, nowNanos);
+        }
+        long suspicionNanos = TimeUnit.MILLISECONDS.toNanos(settings.suspicionMillis());
+        if (peer.state == HostState.SUSPECT && nowNanos - peer.stateSinceNanos > suspicionNanos) {
+            changeState(peer, HostState.DEAD, nowNanos);
+        }
+    }
+
+    private void hear(Rumor rumor, long nowNanos) {
+        if (rumor.host().equals(self)) {
+            if (rumor.state() != HostState.ALIVE && rumor.incarnation() >= incarnation) {
+                incarnation = rumor.incarnation() + 1;
+                spread(new Rumor(self, HostState.ALIVE, incarnation));
+            }
+            return;
+        }
+        Peer peer = peers.get(rumor.host());
+        if (peer == null) {
+            return;
+        }
+        boolean newer = rumor.incarnation() > peer.incarnation;
+        boolean overrides =
+                rumor.incarnation() == peer.incarnation && rumor.state().compareTo(peer.state) > 0;
+        if (newer || overrides) {
+            peer.incarnation = rumor.incarnation();
+            changeState(peer, rumor.state(), nowNanos);
+        }
+    }
+
+    private void changeState(Peer peer, HostState state, long nowNanos) {
+        if (peer.state != state) {
+            version++;
+        }
+        peer.state = state;
+        peer.stateSinceNanos = nowNanos;
+        spread(new Rumor(peer.host.id(), state, peer.incarnation));
+    }
+
+    private void spread(Rumor rumor) {
+        rumors.put(rumor.host(), new PendingRumor(rumor));
+    }
+
+    private List<Host> helpers(Peer target) {
+        List<Host> others = new ArrayList<>(present());
+        others.removeIf(host -> host.id().equals(target.host.id()));
+        Collections.shuffle(others, random);
+        return others.subList(0, Math.min(settings.indirectProbes(), others.size()));
+    }
+
+    private Optional<Peer> nextToProbe() {
+        if (peers.isEmpty()) {
+            return Optional.empty();
+        }
+        // Round robin over a shuffled list: each peer is probed within one round, none is left out by bad luck.
+        // Dead peers stay in it, since one that comes back may be listed under its old name.
+        if (probeOrder.isEmpty()) {
+            probeOrder.addAll(peers.keySet());
+            Collections.shuffle(probeOrder, random);
+        }
+        return Optional.ofNullable(peers.get(probeOrder.remove(probeOrder.size() - 1)));
+    }
+
+    /** What is known of one other host. */
+    private static final class Peer {
+        private Host host;
+        private HostState state = HostState.ALIVE;
+        private long incarnation;
+        private long stateSinceNanos;
+        private long probeSentNanos;
+        private boolean probeOpen;
+        private boolean askedOthers;
+        private boolean leaving;
+
+        Peer(Host host, long nowNanos) {
+            this.host = host;
+            this.stateSinceNanos = nowNanos;
+        }
+
+        void refresh(Host newHost) {
+            boolean replaced = !newHost.address().equals(host.address());
+            host = newHost;
+            if (replaced) {
+                state = HostState.ALIVE;
+                probeOpen = false;
+                leaving = false;
+            }
+        }
+
+        Host view() {
+            return leaving ? host.asLeaving() : host;
+        }
+    }
+
+    /** A rumor and how often it was sent. */
+    private static final class PendingRumor {
+        private final Rumor rumor;
+        private int sent;
+
+        PendingRumor(Rumor rumor) {
+            this.rumor = rumor;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/online/OnlineCore.java
@@ -0,0 +1,213 @@
+package org.gooseberryhill.decision.online;
+
+import io.vavr.control.Either;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.configuration.CallerSettings;
+import org.gooseberryhill.configuration.Configuration;
+import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.admission.AdmissionCase;
+import org.gooseberryhill.decision.quarantine.CrashSuspects;
+import org.gooseberryhill.decision.quarantine.CrashSuspects.Verdict;
+import org.gooseberryhill.decision.retry.AttemptFailure;
+import org.gooseberryhill.decision.retry.RetryCase;
+import org.gooseberryhill.decision.routing.EndpointState;
+import org.gooseberryhill.decision.routing.EndpointTable;
+import org.gooseberryhill.decision.routing.RouteRequest;
+import org.gooseberryhill.decision.routing.ServicePool;
+import org.gooseberryhill.zone.AvailabilityZone;
+
+/**
+ * Decides about the online requests of one entry host. Not thread-safe.
+ *
+ * <p>Invariants: each request taken in is finished exactly once; a request that is given up gets its refusal from the
+ * very call that gives it up, never later; a request that may not be repeated is sent again only if no byte of it
+ * reached an endpoint.
+ */
+public final class OnlineCore {
+    private static final long NO_ENDPOINT_RETRY_AFTER_MILLIS = 2000;
+    private static final long SUSPECT_RETRY_AFTER_MILLIS = 1000;
+
+    private final AvailabilityZone zone;
+    private final OnlinePolicies policies;
+    private final EndpointTable endpoints = new EndpointTable();
+    private final CrashSuspects suspects;
+    private final Map<String, Integer> inFlightByCaller = new HashMap<>();
+    private Configuration configuration = Configuration.EMPTY;
+
+    /** A core without a configuration: it refuses everything until {@link #configure}. */
+    public OnlineCore(AvailabilityZone zone, OnlinePolicies policies, CrashSuspects suspects) {
+        this.zone = zone;
+        this.policies = policies;
+        this.suspects = suspects;
+    }
+
+    /** Takes a configuration into force. */
+    public void configure(Configuration newConfiguration) {
+        configuration = newConfiguration;
+        endpoints.configure(newConfiguration);
+    }
+
+    /** The endpoints, for reports that come in and go out. */
+    public EndpointTable endpoints() {
+        return endpoints;
+    }
+
+    /** What is known of crashes. */
+    public CrashSuspects suspects() {
+        return suspects;
+    }
+
+    /** Takes a request in, or refuses it. A request taken in must end with {@link #finished}. */
+    public Either<Refusal, OnlineRequest> admit(OnlineIntake intake, long nowNanos) {
+        Optional<Refusal> quarantined = refuseQuarantined(intake, Outcome.NOT_RUN, nowNanos);
+        if (quarantined.isPresent()) {
+            return Either.left(quarantined.get());
+        }
+        OnlineRequest request = new OnlineRequest(intake);
+        Optional<EndpointState> best = choose(request, nowNanos);
+        if (best.isEmpty()) {
+            return Either.left(noEndpoint(Outcome.NOT_RUN));
+        }
+        int inFlight = inFlightByCaller.getOrDefault(intake.caller(), 0);
+        AdmissionCase admission = new AdmissionCase(
+                best.get().predictedWaitMillis(),
+                request.remainingMillis(nowNanos),
+                inFlight,
+                callerLimit(intake.caller()));
+        Optional<Refusal> refusal = policies.admission().refuse(admission);
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
+        inFlightByCaller.put(intake.caller(), inFlight + 1);
+        policies.retry().firstAttempt();
+        return Either.right(request);
+    }
+
+    /** Where to send a request that has no attempt in progress. */
+    public OnlineDecision next(OnlineRequest request, long nowNanos) {
+        Optional<Refusal> quarantined = refuseQuarantined(request.intake(), request.outcome(), nowNanos);
+        if (quarantined.isPresent()) {
+            return new OnlineDecision.Refuse(quarantined.get());
+        }
+        if (suspects.verdict(request.intake().fingerprint(), nowNanos) == Verdict.SUSPECT) {
+            return askPermit(request, nowNanos);
+        }
+        Optional<EndpointState> chosen = choose(request, nowNanos);
+        if (chosen.isEmpty()) {
+            return new OnlineDecision.Refuse(noEndpoint(request.outcome()));
+        }
+        return send(request, chosen.get(), nowNanos);
+    }
+
+    /** The arbiter's answer to {@link OnlineDecision.AskPermit}; empty if the suspect has to wait. */
+    public OnlineDecision permitted(OnlineRequest request, Optional<String> endpoint, long nowNanos) {
+        Optional<EndpointState> granted = endpoint.flatMap(endpoints::find);
+        if (granted.isPresent()) {
+            request.permit(true);
+            return send(request, granted.get(), nowNanos);
+        }
+        // Waiting here for the other suspects would hold the caller's answer back; it is told when to come back.
+        return new OnlineDecision.Refuse(new Refusal(
+                ErrorCode.OVERLOADED,
+                request.outcome(),
+                "the request was cut by a crash and can't be run apart now",
+                Optional.of(SUSPECT_RETRY_AFTER_MILLIS)));
+    }
+
+    /** An attempt failed: another endpoint, or the final answer. */
+    public OnlineDecision attemptFailed(OnlineRequest request, AttemptFailure failure, long nowNanos) {
+        boolean unreachable = failure.outcome() == Outcome.NOT_RUN;
+        request.endpoint().ifPresent(name -> endpoints.failed(name, unreachable, nowNanos));
+        request.failed(failure.outcome());
+        request.permit(false);
+        RetryCase retryCase = new RetryCase(
+                request.intake().idempotent(),
+                request.isAnswerStarted(),
+                request.attempts(),
+                request.remainingMillis(nowNanos));
+        AttemptFailure overall = new AttemptFailure(request.outcome(), failure.cutInside(), failure.detail());
+        Optional<Refusal> refusal = policies.retry().giveUp(retryCase, overall);
+        if (refusal.isPresent()) {
+            return new OnlineDecision.Refuse(refusal.get());
+        }
+        return next(request, nowNanos);
+    }
+
+    /** An attempt brought the whole answer. */
+    public void attemptSucceeded(OnlineRequest request, long nowNanos) {
+        request.endpoint().ifPresent(name -> endpoints.succeeded(name, request.runNanos(nowNanos)));
+        request.ended();
+        suspects.completed(request.intake().fingerprint());
+    }
+
+    /** The caller went away, or its deadline passed, while an attempt was in progress. */
+    public void attemptAbandoned(OnlineRequest request) {
+        request.endpoint().ifPresent(endpoints::abandoned);
+        request.ended();
+    }
+
+    /** The caller has its final answer, or has gone. */
+    public void finished(OnlineRequest request) {
+        inFlightByCaller.computeIfPresent(
+                request.intake().caller(), (caller, inFlight) -> inFlight <= 1 ? null : inFlight - 1);
+    }
+
+    private OnlineDecision send(OnlineRequest request, EndpointState endpoint, long nowNanos) {
+        endpoints.started(endpoint.name());
+        request.started(endpoint.name(), nowNanos);
+        return new OnlineDecision.Send(endpoint.settings());
+    }
+
+    private OnlineDecision askPermit(OnlineRequest request, long nowNanos) {
+        Optional<ServicePool> pool = endpoints.pool(request.intake().service());
+        List<String> candidates = pool.map(ServicePool::endpoints).orElse(List.of()).stream()
+                .filter(endpoint ->
+                        endpoint.isEligible(nowNanos) && !request.tried().contains(endpoint.name()))
+                .sorted(Comparator.comparingDouble(EndpointState::load))
+                .map(EndpointState::name)
+                .toList();
+        if (candidates.isEmpty()) {
+            return new OnlineDecision.Refuse(noEndpoint(request.outcome()));
+        }
+        return new OnlineDecision.AskPermit(candidates);
+    }
+
+    private Optional<EndpointState> choose(OnlineRequest request, long nowNanos) {
+        RouteRequest route = new RouteRequest(zone, request.intake().prefixHash(), request.tried());
+        return endpoints
+                .pool(request.intake().service())
+                .flatMap(pool -> policies.route().choose(pool, route, nowNanos));
+    }
+
+    private Optional<Refusal> refuseQuarantined(OnlineIntake intake, Outcome outcome, long nowNanos) {
+        if (suspects.verdict(intake.fingerprint(), nowNanos) != Verdict.QUARANTINED) {
+            return Optional.empty();
+        }
+        long millis = suspects.remainingMillis(intake.fingerprint(), nowNanos);
+        return Optional.of(new Refusal(
+                ErrorCode.QUARANTINED,
+                outcome,
+                "the same request crashed endpoints twice; it is held apart",
+                Optional.of(Math.max(TimeUnit.SECONDS.toMillis(1), millis))));
+    }
+
+    private int callerLimit(String caller) {
+        CallerSettings settings = configuration.callers().get(caller);
+        return settings == null ? Integer.MAX_VALUE : settings.maxInFlight();
+    }
+
+    private static Refusal noEndpoint(Outcome outcome) {
+        return new Refusal(
+                ErrorCode.NO_ENDPOINT,
+                outcome,
+                "no endpoint of the service can be reached",
+                Optional.of(NO_ENDPOINT_RETRY_AFTER_MILLIS));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/online/OnlinePolicies.java
@@ -0,0 +1,44 @@
+package org.gooseberryhill.decision.online;
+
+import java.util.Random;
+import org.gooseberryhill.decision.admission.AdmissionPolicy;
+import org.gooseberryhill.decision.admission.DeadlineAdmissionPolicy;
+import org.gooseberryhill.decision.admission.UnlimitedAdmissionPolicy;
+import org.gooseberryhill.decision.retry.BudgetedRetryPolicy;
+import org.gooseberryhill.decision.retry.NoRetryPolicy;
+import org.gooseberryhill.decision.retry.RetryBudget;
+import org.gooseberryhill.decision.retry.RetryPolicy;
+import org.gooseberryhill.decision.routing.PrefixAffinityPolicy;
+import org.gooseberryhill.decision.routing.RoundRobinPolicy;
+import org.gooseberryhill.decision.routing.RoutePolicy;
+import org.gooseberryhill.decision.routing.TwoChoicesPolicy;
+
+/**
+ * The decisions that an entry host makes about online requests, as one set.
+ *
+ * @param route chooses the endpoint
+ * @param admission takes in or refuses
+ * @param retry tries again or gives up
+ */
+public record OnlinePolicies(RoutePolicy route, AdmissionPolicy admission, RetryPolicy retry) {
+    private static final double RETRY_SHARE = 0.2;
+    private static final double RETRY_RESERVE = 24;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long MIN_REMAINING_MILLIS = 20;
+    private static final double WAIT_SHARE_OF_DEADLINE = 0.5;
+    private static final double AFFINITY_MAX_LOAD = 0.6;
+
+    /** The product's decisions. */
+    public static OnlinePolicies product(Random random) {
+        RetryBudget budget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE);
+        return new OnlinePolicies(
+                new PrefixAffinityPolicy(new TwoChoicesPolicy(random), AFFINITY_MAX_LOAD),
+                new DeadlineAdmissionPolicy(WAIT_SHARE_OF_DEADLINE),
+                new BudgetedRetryPolicy(budget, MAX_ATTEMPTS, MIN_REMAINING_MILLIS));
+    }
+
+    /** The baseline's: each endpoint in turn, no limits, no retries. */
+    public static OnlinePolicies baseline() {
+        return new OnlinePolicies(new RoundRobinPolicy(), new UnlimitedAdmissionPolicy(), new NoRetryPolicy());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/routing/RoundRobinPolicy.java
@@ -0,0 +1,22 @@
+package org.gooseberryhill.decision.routing;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The baseline: each eligible endpoint in turn. Not thread-safe. */
+public final class RoundRobinPolicy implements RoutePolicy {
+    private int next;
+
+    @Override
+    public Optional<EndpointState> choose(ServicePool pool, RouteRequest request, long nowNanos) {
+        List<EndpointState> endpoints = pool.endpoints();
+        for (int i = 0; i < endpoints.size(); i++) {
+            next = (next + 1) % endpoints.size();
+            EndpointState candidate = endpoints.get(next);
+            if (candidate.isEligible(nowNanos) && !request.tried().contains(candidate.name())) {
+                return Optional.of(candidate);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Which endpoint an online request goes to. */
+package org.gooseberryhill.decision.routing;
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/AccessControl.java
@@ -0,0 +1,41 @@
+package org.gooseberryhill.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhill.configuration.CallerSettings;
+import org.gooseberryhill.configuration.Configuration;
+import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.http.HttpCall;
+
+/** Tells callers by their bearer keys. Thread-safe: traffic threads read a snapshot that configurations replace. */
+final class AccessControl {
+    private static final String BEARER = "Bearer ";
+
+    private volatile Snapshot snapshot = new Snapshot(Configuration.EMPTY, Map.of());
+
+    /** Takes in a configuration. */
+    void configure(Configuration configuration) {
+        Map<String, CallerSettings> byHash = new HashMap<>();
+        configuration.callers().values().forEach(caller -> byHash.put(caller.keySha256(), caller));
+        snapshot = new Snapshot(configuration, byHash);
+    }
+
+    Configuration configuration() {
+        return snapshot.configuration;
+    }
+
+    /** The caller whose key the request carries; only the key's hash is compared, so no key is kept. */
+    Optional<CallerSettings> caller(HttpCall call) {
+        String header = call.headers().get("authorization");
+        if (header == null || !header.startsWith(BEARER)) {
+            return Optional.empty();
+        }
+        byte[] key = header.substring(BEARER.length()).trim().getBytes(StandardCharsets.UTF_8);
+        return Optional.ofNullable(snapshot.byHash.get(Fingerprint.sha256Hex(key)));
+    }
+
+    /** A configuration with its index. */
+    private record Snapshot(Configuration configuration, Map<String, CallerSettings> byHash) {}
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/CallRouter.java
@@ -0,0 +1,230 @@
+package org.gooseberryhill.entry;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.vavr.control.Try;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.gooseberryhill.configuration.CallerSettings;
+import org.gooseberryhill.configuration.Configuration;
+import org.gooseberryhill.configuration.ServiceSettings;
+import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.drain.PlannedStop;
+import org.gooseberryhill.decision.online.OnlineIntake;
+import org.gooseberryhill.http.HttpBody;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.WholeBody;
+import org.gooseberryhill.link.Json;
+
+/** Sends each call of the callers' interface to what answers it. Thread-safe. */
+final class CallRouter {
+    private static final String SERVICES = "/services/";
+    private static final String DEADLINE_HEADER = "x-deadline-millis";
+    private static final String IDEMPOTENCY_HEADER = "idempotency-key";
+    private static final int PREFIX_CHARACTERS = 64;
+    private static final int MAX_IDEMPOTENCY_KEY_CHARACTERS = 255;
+    private static final int MAX_DROPPED_BODY_BYTES = 1024 * 1024;
+    private static final Map<String, String> JSON = Map.of("content-type", "application/json");
+
+    private final EntryContext context;
+    private final JobCalls jobs;
+
+    CallRouter(EntryContext context) {
+        this.context = context;
+        this.jobs = new JobCalls(context);
+    }
+
+    /** Looks at a call's head and returns what takes in its body. */
+    HttpBody route(HttpCall call) {
+        String path = call.path();
+        switch (path) {
+            case "/healthz":
+                return afterBody(call, () -> call.reply(200, JSON, Json.bytes(Map.of("alive", true))));
+            case "/readyz":
+                return afterBody(call, () -> ready(call));
+            case "/metrics":
+                return afterBody(call, () -> metrics(call));
+            default:
+                return authenticated(call);
+        }
+    }
+
+    private HttpBody authenticated(HttpCall call) {
+        String requestId = requestId(call);
+        Optional<CallerSettings> caller = context.access().caller(call);
+        if (caller.isEmpty()) {
+            return refusing(call, requestId, ErrorCode.UNAUTHENTICATED, "the bearer key is missing or not known");
+        }
+        String path = call.path();
+        boolean post = call.method().equals("POST");
+        if (post && (path.equals("/v1/chat/completions") || path.equals("/v1/completions"))) {
+            return whole(call, requestId, body -> modelCall(call, requestId, caller.get(), body));
+        }
+        if (path.equals("/v1/models") && call.method().equals("GET")) {
+            return afterBody(call, () -> models(call, caller.get()));
+        }
+        if (path.startsWith(SERVICES)) {
+            return whole(call, requestId, body -> plainCall(call, requestId, caller.get(), body));
+        }
+        if (path.equals(JobCalls.PATH) || path.startsWith(JobCalls.PATH + "/")) {
+            return jobs.route(call, requestId, caller.get());
+        }
+        return refusing(call, requestId, ErrorCode.NOT_FOUND, "there is no " + call.method() + " " + path);
+    }
+
+    private void modelCall(HttpCall call, String requestId, CallerSettings caller, byte[] body) {
+        Try<JsonNode> json = Json.tree(body);
+        if (json.isFailure() || !json.get().isObject()) {
+            refuse(call, requestId, ErrorCode.INVALID_REQUEST, "the body is not a JSON object");
+            return;
+        }
+        String model = json.get().path("model").asText("");
+        Optional<ServiceSettings> service = serviceOf(caller, model);
+        if (service.isEmpty()) {
+            refuse(call, requestId, ErrorCode.NOT_FOUND, "there is no model \"" + model + "\" for this caller");
+            return;
+        }
+        if (!json.get().has("messages") && !json.get().has("prompt")) {
+            refuse(call, requestId, ErrorCode.INVALID_REQUEST, "neither \"messages\" nor \"prompt\" is there");
+            return;
+        }
+        OnlineIntake intake = new OnlineIntake(
+                requestId,
+                caller.name(),
+                service.get().name(),
+                Fingerprint.of(service.get().name(), body),
+                prefixHash(json.get()),
+                true,
+                deadlineNanos(call));
+        new ModelCall(context, call, intake, service.get(), body).begin();
+    }
+
+    private void plainCall(HttpCall call, String requestId, CallerSettings caller, byte[] body) {
+        String rest = call.target().substring(SERVICES.length());
+        int end = indexOfAny(rest);
+        String name = rest.substring(0, end);
+        String target =
+                rest.length() == end || rest.charAt(end) == '?' ? "/" + rest.substring(end) : rest.substring(end);
+        Configuration configuration = context.access().configuration();
+        Optional<ServiceSettings> service = Optional.ofNullable(
+                        configuration.services().get(name))
+                .filter(found -> found.model().isEmpty() && caller.services().contains(name));
+        if (service.isEmpty()) {
+            refuse(call, requestId, ErrorCode.NOT_FOUND, "there is no service \"" + name + "\" for this caller");
+            return;
+        }
+        boolean idempotent = !service.get().isNonIdempotent(call.method(), target);
+        Fingerprint fingerprint = Fingerprint.of(name + " " + call.method() + " " + target, body);
+        Optional<String> key = Optional.ofNullable(call.headers().get(IDEMPOTENCY_HEADER));
+        if (key.isPresent() && key.get().length() > MAX_IDEMPOTENCY_KEY_CHARACTERS) {
+            refuse(call, requestId, ErrorCode.INVALID_REQUEST, "the idempotency key is too long");
+            return;
+        }
+        Optional<ClaimDriver> claim = key.filter(found -> !idempotent)
+                .map(found ->
+                        new ClaimDriver(context.process(), caller.name(), name + "\n" + found, fingerprint.value()));
+        OnlineIntake intake =
+                new OnlineIntake(requestId, caller.name(), name, fingerprint, 0, idempotent, deadlineNanos(call));
+        new PlainCall(context, call, intake, target, body, claim).begin();
+    }
+
+    private Optional<ServiceSettings> serviceOf(CallerSettings caller, String model) {
+        return context.access()
+                .configuration()
+                .serviceOfModel(model)
+                .filter(service -> caller.services().contains(service.name()));
+    }
+
+    private void models(HttpCall call, CallerSettings caller) {
+        ObjectNode answer = Json.object().put("object", "list");
+        ArrayNode data = answer.putArray("data");
+        for (ServiceSettings service :
+                context.access().configuration().services().values()) {
+            if (caller.services().contains(service.name())) {
+                service.model()
+                        .ifPresent(model -> data.addObject().put("id", model).put("object", "model"));
+            }
+        }
+        call.reply(200, JSON, Json.bytes(answer));
+    }
+
+    private void ready(HttpCall call) {
+        context.process().loop().execute(() -> {
+            boolean serving = context.process().stop().phase() == PlannedStop.Phase.SERVING;
+            long revision = context.process().configuration().revision();
+            boolean ready = serving && revision > 0;
+            call.reply(
+                    ready ? 200 : 503,
+                    JSON,
+                    Json.bytes(Json.object().put("ready", ready).put("configuration", revision)));
+        });
+    }
+
+    private void metrics(HttpCall call) {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        Try.run(() -> PrometheusTextFormatWriter.create()
+                        .write(text, context.metrics().registry().scrape()))
+                .onSuccess(done -> call.reply(
+                        200, Map.of("content-type", PrometheusTextFormatWriter.CONTENT_TYPE), text.toByteArray()))
+                .onFailure(failure -> call.reply(500, JSON, new byte[0]));
+    }
+
+    private long deadlineNanos(HttpCall call) {
+        long millis = Try.of(() -> Long.parseLong(call.headers().get(DEADLINE_HEADER, "")))
+                .getOrElse(context.settings().defaultDeadlineMillis());
+        return context.process().loop().nowNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private HttpBody whole(HttpCall call, String requestId, Consumer<byte[]> onWhole) {
+        int maxBytes = context.settings().maxBodyBytes();
+        return new WholeBody(
+                maxBytes,
+                onWhole,
+                () -> refuse(call, requestId, ErrorCode.TOO_LARGE, "the body has more than " + maxBytes + " bytes"));
+    }
+
+    private static HttpBody afterBody(HttpCall call, Runnable action) {
+        return new WholeBody(MAX_DROPPED_BODY_BYTES, body -> action.run(), () -> call.reply(413, JSON, new byte[0]));
+    }
+
+    private static HttpBody refusing(HttpCall call, String requestId, ErrorCode code, String message) {
+        return afterBody(call, () -> refuse(call, requestId, code, message));
+    }
+
+    private static void refuse(HttpCall call, String requestId, ErrorCode code, String message) {
+        ErrorForm.reply(call, requestId, Refusal.notRun(code, message));
+    }
+
+    private static String requestId(HttpCall call) {
+        return Optional.ofNullable(call.headers().get("x-request-id"))
+                .filter(id -> id.matches("[A-Za-z0-9_-]{1,64}"))
+                .orElseGet(() -> UUID.randomUUID().toString());
+    }
+
+    private static int indexOfAny(String rest) {
+        for (int i = 0; i < rest.length(); i++) {
+            if (rest.charAt(i) == '/' || rest.charAt(i) == '?') {
+                return i;
+            }
+        }
+        return rest.length();
+    }
+
+    private static long prefixHash(JsonNode request) {
+        String prompt = request.has("prompt")
+                ? request.path("prompt").asText()
+                : request.path("messages").path(0).path("content").asText();
+        String prefix = prompt.substring(0, Math.min(PREFIX_CHARACTERS, prompt.length()));
+        return prefix.isEmpty() ? 0 : Hashing.komihash5_0().hashBytesToLong(prefix.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/EntryProcess.java
@@ -0,0 +1,67 @@
+package org.gooseberryhill.entry;
+
+import java.io.Closeable;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.process.HostSettings;
+import org.gooseberryhill.process.MessageHandler;
+
+/** The program {@code gooseberry-entry}. Thread-safe. */
+public final class EntryProcess implements Closeable {
+    private static final long STOP_CHECK_MILLIS = 50;
+
+    private final HostProcess process;
+    private final EntryContext context;
+    private final EntrySettings settings;
+    private Optional<HttpServer> server = Optional.empty();
+
+    /** A process that is not started yet. */
+    public EntryProcess(HostSettings hostSettings, EntrySettings settings, long seed) {
+        this.settings = settings;
+        this.process = new HostProcess(hostSettings, seed);
+        OnlineTraffic traffic = new OnlineTraffic(process, settings);
+        AccessControl access = new AccessControl();
+        process.configuration().onChange(access::configure);
+        this.context = new EntryContext(process, settings, traffic, access, new EntryMetrics());
+        process.roleHandler(this::handle);
+    }
+
+    /** Starts serving. */
+    public void start() {
+        process.start();
+        CallRouter router = new CallRouter(context);
+        server = Optional.of(
+                HttpServer.start(process.group(), settings.httpAddress(), settings.httpLimits(), router::route));
+        process.loop()
+                .every(
+                        STOP_CHECK_MILLIS,
+                        () -> process.advanceStop(context.traffic().inProgress()));
+    }
+
+    /** The common part of the process. */
+    public HostProcess process() {
+        return process;
+    }
+
+    @Override
+    public void close() {
+        server.ifPresent(HttpServer::close);
+        process.close();
+    }
+
+    private CompletableFuture<PeerMessage> handle(HostId from, PeerMessage message) {
+        if (message instanceof PeerMessage.CrashNotice notice) {
+            context.traffic().heardCrash(notice);
+        } else if (message instanceof PeerMessage.LeavingNotice notice) {
+            context.traffic().heardLeaving(notice);
+        } else if (message instanceof PeerMessage.SuspectRelease release && release.completed()) {
+            context.traffic().core().suspects().completed(new Fingerprint(release.fingerprint()));
+        }
+        return MessageHandler.reply(new PeerMessage.Ack());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/JobIntakeBody.java
@@ -0,0 +1,204 @@
+package org.gooseberryhill.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.job.Intake;
+import org.gooseberryhill.decision.job.JobRecord;
+import org.gooseberryhill.decision.job.JobState;
+import org.gooseberryhill.http.HttpBody;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.platform.KeyValueStore;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.platform.Transaction;
+import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.store.SegmentNames;
+
+/**
+ * Takes in a job while its body comes. Body methods run on the connection's traffic thread.
+ *
+ * <p>Invariant: the caller gets a success only when all items are on the disks of two zones and the job's record is in
+ * the key-value service. A body with a mistake leaves no record: nothing of it is accepted.
+ */
+final class JobIntakeBody implements HttpBody {
+    /** Items a chunk: the unit of storing and committing (docs/CAPACITY.md). */
+    static final int CHUNK_ITEMS = 256;
+
+    private static final long RETRY_AFTER_MILLIS = 2000;
+
+    private final EntryContext context;
+    private final HttpCall call;
+    private final JobRequest request;
+    private final Runnable onEnded;
+    private final JobLineSplitter splitter;
+    private final MessageDigest digest;
+    private final List<String> chunk = new ArrayList<>();
+    private final List<String> segmentNames = new ArrayList<>();
+    private CompletableFuture<Void> stored = CompletableFuture.completedFuture(null);
+    private boolean rejected;
+
+    JobIntakeBody(EntryContext context, HttpCall call, JobRequest request, Runnable onEnded) {
+        this.context = context;
+        this.call = call;
+        this.request = request;
+        this.onEnded = onEnded;
+        EntrySettings settings = context.settings();
+        this.splitter = new JobLineSplitter(settings.maxItems(), settings.maxItemBytes());
+        this.digest = newDigest(request);
+    }
+
+    @Override
+    public void onBytes(byte[] bytes) {
+        take(splitter.read(bytes));
+    }
+
+    @Override
+    public void onEnd() {
+        take(splitter.end());
+        if (!splitter.findings().isEmpty()) {
+            rejectFindings();
+            return;
+        }
+        if (splitter.items() == 0) {
+            reject(Refusal.notRun(ErrorCode.INVALID_REQUEST, "the job has no items"));
+            return;
+        }
+        closeChunk();
+        stored.whenComplete((done, failure) -> {
+            if (failure == null) {
+                record();
+            } else {
+                reject(Refusal.notRun(
+                        ErrorCode.PLATFORM_UNAVAILABLE, "too few stores answer to keep the job", RETRY_AFTER_MILLIS));
+            }
+        });
+    }
+
+    @Override
+    public void onAborted() {
+        rejected = true;
+        onEnded.run();
+    }
+
+    private void take(List<String> items) {
+        for (String item : items) {
+            digest.update(item.getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) '\n');
+            chunk.add(item);
+            if (chunk.size() == CHUNK_ITEMS) {
+                closeChunk();
+            }
+        }
+    }
+
+    private void closeChunk() {
+        if (chunk.isEmpty()) {
+            return;
+        }
+        byte[] content = String.join("\n", chunk).getBytes(StandardCharsets.UTF_8);
+        chunk.clear();
+        String name = SegmentNames.items(request.key(), segmentNames.size(), content);
+        segmentNames.add(name);
+        // One chunk at a time, and no reading meanwhile: a fast sender must not fill this host's memory.
+        call.readBody(false);
+        stored = stored.thenCompose(done -> context.process().segments().put(name, content));
+        stored.whenComplete((done, failure) -> call.readBody(true));
+    }
+
+    private void record() {
+        JobRecord record = new JobRecord(
+                JobState.RUNNING,
+                HexFormat.of().formatHex(digest.digest()),
+                request.service(),
+                request.model(),
+                request.dueMillis(),
+                System.currentTimeMillis(),
+                splitter.items(),
+                CHUNK_ITEMS,
+                List.copyOf(segmentNames));
+        Intake intake = new Intake(record.bodyHash());
+        follow(intake, intake.begin(), record);
+    }
+
+    private void follow(Intake intake, Intake.Step step, JobRecord record) {
+        KeyValueStore keyValue = context.process().keyValue();
+        switch (step) {
+            case CREATE ->
+                keyValue.write(creation(record))
+                        .whenComplete((result, failure) -> follow(
+                                intake,
+                                failure == null ? intake.created(result.succeeded()) : intake.unanswered(),
+                                record));
+            case READ ->
+                keyValue.read(Keys.job(request.key()))
+                        .whenComplete((result, failure) -> follow(
+                                intake, failure == null ? intake.read(found(result)) : intake.unanswered(), record));
+            case ACCEPTED, SAME_JOB -> accept(step == Intake.Step.ACCEPTED, record);
+            default -> reject(Intake.refusal(step).orElseThrow());
+        }
+    }
+
+    private Transaction creation(JobRecord record) {
+        return Transaction.builder()
+                .ifAbsent(Keys.job(request.key()))
+                .put(Keys.job(request.key()), Json.bytes(record))
+                .put(Keys.openJob(request.key()), new byte[0])
+                .build();
+    }
+
+    private static Optional<JobRecord> found(KeyValueStore.ReadResult result) {
+        return result.first()
+                .flatMap(entry -> Json.read(entry.value(), JobRecord.class).toJavaOptional());
+    }
+
+    private void accept(boolean created, JobRecord record) {
+        ObjectNode answer = Json.object()
+                .put("id", request.key().id())
+                .put("items", record.items())
+                .put("due", Instant.ofEpochMilli(record.dueMillis()).toString())
+                .put("accepted", true)
+                .put("resent", !created);
+        call.reply(created ? 201 : 200, Map.of("content-type", "application/json"), Json.bytes(answer));
+        HostProcess process = context.process();
+        process.loop().execute(() -> {
+            process.timeline().job("job.accepted", request.key().path(), Optional.empty(), record.items() + " items");
+            JobNotices.tellOwner(process, request.key(), false);
+            onEnded.run();
+        });
+    }
+
+    private void rejectFindings() {
+        reject(Refusal.notRun(
+                ErrorCode.INVALID_REQUEST, "nothing was accepted; " + String.join("; ", splitter.findings())));
+    }
+
+    private void reject(Refusal refusal) {
+        if (rejected) {
+            return;
+        }
+        rejected = true;
+        ErrorForm.reply(call, request.requestId(), refusal);
+        context.process().loop().execute(onEnded);
+    }
+
+    private static MessageDigest newDigest(JobRequest request) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update((request.model() + "\n").getBytes(StandardCharsets.UTF_8));
+            return digest;
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/JobLineSplitter.java
@@ -0,0 +1,112 @@
+package org.gooseberryhill.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Try;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.gooseberryhill.link.Json;
+
+/**
+ * Cuts a job's body into items, one JSON object a line, and collects what is wrong with its line. Used by one thread.
+ *
+ * <p>Blank lines are passed over but counted. After the first mistake no item is handed on, only further mistakes are
+ * collected, up to a number.
+ */
+final class JobLineSplitter {
+    private static final int MAX_FINDINGS = 20;
+
+    private final int maxItems;
+    private final int maxItemBytes;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final List<String> findings = new ArrayList<>();
+    private boolean lineTooLong;
+    private int lineNumber;
+    private int items;
+
+    JobLineSplitter(int maxItems, int maxItemBytes) {
+        this.maxItems = maxItems;
+        this.maxItemBytes = maxItemBytes;
+    }
+
+    /** Takes in bytes; returns the whole items in them. */
+    List<String> read(byte[] bytes) {
+        List<String> whole = new ArrayList<>();
+        for (byte next : bytes) {
+            if (next == '\n') {
+                endLine(whole);
+            } else if (line.size() < maxItemBytes) {
+                line.write(next);
+            } else {
+                lineTooLong = true;
+            }
+        }
+        return whole;
+    }
+
+    /** The body is whole; returns the item of an unended last line, if there is one. */
+    List<String> end() {
+        List<String> whole = new ArrayList<>();
+        if (line.size() > 0) {
+            endLine(whole);
+        }
+        return whole;
+    }
+
+    /** What is wrong, with the lines; empty if nothing is. */
+    List<String> findings() {
+        return findings;
+    }
+
+    int items() {
+        return items;
+    }
+
+    private void endLine(List<String> whole) {
+        lineNumber++;
+        byte[] bytes = line.toByteArray();
+        boolean tooLong = lineTooLong;
+        line.reset();
+        lineTooLong = false;
+        if (tooLong) {
+            found("longer than " + maxItemBytes + " bytes");
+            return;
+        }
+        String text = new String(bytes, StandardCharsets.UTF_8).strip();
+        if (text.isEmpty()) {
+            return;
+        }
+        items++;
+        if (items > maxItems) {
+            found("more than " + maxItems + " items");
+            return;
+        }
+        check(bytes);
+        if (findings.isEmpty()) {
+            whole.add(text);
+        }
+    }
+
+    private void check(byte[] bytes) {
+        Try<JsonNode> json = Json.tree(bytes);
+        if (json.isFailure()) {
+            found("not valid JSON: " + firstLine(json.getCause().getMessage()));
+        } else if (!json.get().isObject()) {
+            found("a JSON object is expected");
+        } else if (!json.get().has("messages") && !json.get().has("prompt")) {
+            found("neither \"messages\" nor \"prompt\" is there");
+        }
+    }
+
+    private void found(String what) {
+        if (findings.size() < MAX_FINDINGS) {
+            findings.add("line " + lineNumber + ": " + what);
+        }
+    }
+
+    private static String firstLine(String message) {
+        int end = message.indexOf('\n');
+        return end < 0 ? message : message.substring(0, end);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/JobNotices.java
@@ -0,0 +1,19 @@
+package org.gooseberryhill.entry;
+
+import java.util.Optional;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.decision.ownership.Ownership;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.HostProcess;
+
+/** Tells a job's owner at once what it would find out by itself later. For the control thread. */
+final class JobNotices {
+    private JobNotices() {}
+
+    static void tellOwner(HostProcess process, JobKey job, boolean cancelled) {
+        Optional<Host> owner = Ownership.ownerOfJob(job, process.present(Role.STEWARD));
+        owner.ifPresent(host -> process.tell(host, new PeerMessage.JobNotice(job.path(), cancelled)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/ModelCall.java
@@ -0,0 +1,185 @@
+package org.gooseberryhill.entry;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.configuration.EndpointSettings;
+import org.gooseberryhill.configuration.ServiceSettings;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.online.OnlineIntake;
+import org.gooseberryhill.http.EventStreamReader;
+import org.gooseberryhill.http.Exchange;
+import org.gooseberryhill.http.ExchangeFailure;
+import org.gooseberryhill.http.ExchangeListener;
+import org.gooseberryhill.http.ExchangeRequest;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.link.Json;
+
+/**
+ * A request to a model. An answer that an endpoint breaks off is continued by another from the last whole token.
+ *
+ * <p>Invariant: a streamed answer ends normally only after the endpoint's end mark; else it ends with an error event
+ * and a cut connection, so that the caller can't take a part for the whole.
+ */
+final class ModelCall extends OnlineCall {
+    private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int OK = 200;
+
+    private final byte[] body;
+    private final ServiceSettings service;
+    private volatile boolean streamBegun;
+    private volatile int tokensPassedOn;
+    private volatile long lastTokenNanos;
+
+    ModelCall(EntryContext context, HttpCall call, OnlineIntake intake, ServiceSettings service, byte[] body) {
+        super(context, call, intake);
+        this.service = service;
+        this.body = body;
+        this.lastTokenNanos = startNanos;
+    }
+
+    @Override
+    Exchange startExchange(EndpointSettings endpoint, long attempt) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("content-type", "application/json");
+        headers.put("x-request-id", intake.id());
+        if (tokensPassedOn > 0) {
+            headers.put("x-resume-from", Integer.toString(tokensPassedOn));
+        }
+        ExchangeRequest request = new ExchangeRequest(
+                endpoint.address(),
+                call.method(),
+                call.path(),
+                headers,
+                body,
+                context.settings().endpointSilenceMillis(),
+                false);
+        return process().http().start(request, new Attempt(endpoint, attempt));
+    }
+
+    @Override
+    void refuse(Refusal refusal) {
+        if (!streamBegun) {
+            ErrorForm.reply(call, intake.id(), refusal);
+            return;
+        }
+        String event = "data: " + Json.text(ErrorForm.body(intake.id(), refusal)) + "\n\n";
+        call.write(event.getBytes(StandardCharsets.UTF_8)).whenComplete((done, failure) -> call.abortStream());
+    }
+
+    private Map<String, String> answerHeaders(String contentType, String endpoint) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("content-type", contentType);
+        headers.put("x-request-id", intake.id());
+        headers.put("x-endpoint", endpoint);
+        return headers;
+    }
+
+    /** Follows one attempt; used by one traffic thread. */
+    private final class Attempt implements ExchangeListener {
+        private final EndpointSettings endpoint;
+        private final long number;
+        private final EventStreamReader events = new EventStreamReader();
+        private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+        private int status;
+        private String contentType = "application/json";
+        private boolean streamed;
+        private boolean doneSeen;
+        private byte[] doneEvent = new byte[0];
+        private int samples;
+        private int samplesBeyond;
+
+        Attempt(EndpointSettings endpoint, long number) {
+            this.endpoint = endpoint;
+            this.number = number;
+        }
+
+        @Override
+        public void onHead(int newStatus, HttpHeaders headers) {
+            status = newStatus;
+            contentType = headers.get("content-type", contentType);
+            streamed = status == OK && contentType.startsWith("text/event-stream");
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            if (streamed) {
+                events.read(bytes, this::passOn);
+            } else if (buffer.size() + bytes.length <= MAX_BUFFERED_BYTES) {
+                buffer.writeBytes(bytes);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            flushSamples();
+            if (streamed && doneSeen) {
+                attemptSucceeded(number, () -> {
+                    call.write(doneEvent);
+                    call.endStream();
+                });
+                return;
+            }
+            boolean unusable = streamed || status >= FIRST_SERVER_ERROR || streamBegun;
+            if (unusable) {
+                String detail = streamed ? "the stream ended without its end mark" : "status " + status;
+                ExchangeFailure.Kind kind = ExchangeFailure.Kind.MALFORMED;
+                attemptFailed(number, new ExchangeFailure(kind, Outcome.MAY_HAVE_RUN, detail));
+                return;
+            }
+            byte[] answer = buffer.toByteArray();
+            attemptSucceeded(number, () -> call.reply(status, answerHeaders(contentType, endpoint.name()), answer));
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            flushSamples();
+            attemptFailed(number, failure);
+        }
+
+        private void passOn(byte[] event, String token, boolean done) {
+            if (done) {
+                doneSeen = true;
+                doneEvent = event;
+                return;
+            }
+            if (!streamBegun) {
+                streamBegun = true;
+                call.beginStream(OK, answerHeaders(contentType, endpoint.name()));
+                context.metrics()
+                        .firstByte(intake.service(), (nowNanos() - startNanos) / (double) TimeUnit.SECONDS.toNanos(1));
+            }
+            call.write(event);
+            if (!token.isEmpty()) {
+                sample();
+                tokensPassedOn++;
+            }
+        }
+
+        private void sample() {
+            long now = nowNanos();
+            long targetMillis =
+                    tokensPassedOn == 0 ? service.firstTokenTargetMillis() : service.betweenTokensTargetMillis();
+            samples++;
+            if (now - lastTokenNanos > TimeUnit.MILLISECONDS.toNanos(targetMillis)) {
+                samplesBeyond++;
+            }
+            lastTokenNanos = now;
+        }
+
+        private void flushSamples() {
+            int taken = samples;
+            int beyond = samplesBeyond;
+            samples = 0;
+            samplesBeyond = 0;
+            if (taken > 0) {
+                process().loop().execute(() -> context.traffic().tail().samples(endpoint.name(), taken, beyond));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/OnlineCall.java
@@ -0,0 +1,248 @@
+package org.gooseberryhill.entry;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.configuration.EndpointSettings;
+import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.online.OnlineDecision;
+import org.gooseberryhill.decision.online.OnlineIntake;
+import org.gooseberryhill.decision.online.OnlineRequest;
+import org.gooseberryhill.decision.retry.AttemptFailure;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.http.Exchange;
+import org.gooseberryhill.http.ExchangeFailure;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.HostProcess;
+
+/**
+ * One online request on its way through this host. Decisions run on the control thread, answers on traffic threads.
+ *
+ * <p>Invariant: the caller gets one final answer; a caller that goes away or a deadline that passes cancels the
+ * attempt, so that no late answer is waited for.
+ */
+abstract class OnlineCall {
+    final EntryContext context;
+    final HttpCall call;
+    final OnlineIntake intake;
+    final long startNanos;
+    private OnlineRequest request;
+    private Exchange exchange;
+    private boolean finished;
+    private long attemptNumber;
+
+    OnlineCall(EntryContext context, HttpCall call, OnlineIntake intake) {
+        this.context = context;
+        this.call = call;
+        this.intake = intake;
+        this.startNanos = process().loop().nowNanos();
+    }
+
+    /** Starts the exchange with an endpoint; its end must be told to one of the attempt methods below. */
+    abstract Exchange startExchange(EndpointSettings endpoint, long attempt);
+
+    /** Gives the caller its refusal. */
+    abstract void refuse(Refusal refusal);
+
+    /** Runs before the first attempt; calls {@link #proceed} or {@link #giveUp}. */
+    void prepare() {
+        proceed();
+    }
+
+    /** Takes the request in; from any thread. */
+    final void begin() {
+        process().loop().execute(this::admit);
+    }
+
+    final HostProcess process() {
+        return context.process();
+    }
+
+    /** Goes on with the first attempt. Control thread. */
+    final void proceed() {
+        if (!finished) {
+            follow(context.traffic().core().next(request, nowNanos()));
+        }
+    }
+
+    /** An attempt brought the whole answer; the action gives it to the caller. From any thread. */
+    final void attemptSucceeded(long attempt, Runnable action) {
+        process().loop().execute(() -> {
+            if (finished || attempt != attemptNumber) {
+                return;
+            }
+            releasePermit(true);
+            context.traffic().core().attemptSucceeded(request, nowNanos());
+            action.run();
+            finish("answered");
+        });
+    }
+
+    /** The request was answered without an attempt, from what an earlier call left. Control thread. */
+    final void attemptReplayed(Runnable action) {
+        if (!finished) {
+            action.run();
+            finish("replayed");
+        }
+    }
+
+    /** An attempt failed. From any thread. */
+    final void attemptFailed(long attempt, ExchangeFailure failure) {
+        process().loop().execute(() -> {
+            if (finished || attempt != attemptNumber) {
+                return;
+            }
+            boolean cut =
+                    failure.kind() == ExchangeFailure.Kind.CONNECTION_LOST && failure.outcome() == Outcome.MAY_HAVE_RUN;
+            String endpoint = request.endpoint().orElse("");
+            process().timeline().request("attempt.failed", intake.id(), Optional.of(endpoint), failure.detail());
+            if (cut) {
+                context.traffic().crashed(endpoint, intake.fingerprint());
+            }
+            releasePermit(false);
+            AttemptFailure attemptFailure = new AttemptFailure(failure.outcome(), cut, failure.detail());
+            follow(context.traffic().core().attemptFailed(request, attemptFailure, nowNanos()));
+        });
+    }
+
+    /** The caller has a part of the answer that no other endpoint can continue. From any thread. */
+    final void answerStarted() {
+        process().loop().execute(() -> request.answerStarted());
+    }
+
+    /** Gives the request up. Control thread. */
+    final void giveUp(Refusal refusal) {
+        if (finished) {
+            return;
+        }
+        refuse(refusal);
+        finish(refusal.code().wireName());
+    }
+
+    final long nowNanos() {
+        return process().loop().nowNanos();
+    }
+
+    private void admit() {
+        if (!process().stop().takesNew()) {
+            reject(Refusal.notRun(ErrorCode.STOPPING, "this host is stopping", 1));
+            return;
+        }
+        Either<Refusal, OnlineRequest> admitted = context.traffic().core().admit(intake, nowNanos());
+        if (admitted.isLeft()) {
+            reject(admitted.getLeft());
+            return;
+        }
+        request = admitted.get();
+        context.traffic().requestBegan();
+        context.metrics().started();
+        call.onDisconnect(() -> process().loop().execute(this::callerGone));
+        long leftMillis = TimeUnit.NANOSECONDS.toMillis(intake.deadlineNanos() - nowNanos());
+        process().loop().after(leftMillis, this::deadlinePassed);
+        prepare();
+    }
+
+    private void reject(Refusal refusal) {
+        finished = true;
+        context.metrics().refused(intake.service(), refusal.code().wireName());
+        process()
+                .timeline()
+                .request(
+                        "request.refused",
+                        intake.id(),
+                        Optional.empty(),
+                        refusal.code().wireName());
+        refuse(refusal);
+    }
+
+    private void follow(OnlineDecision decision) {
+        if (decision instanceof OnlineDecision.Send send) {
+            send(send.endpoint());
+        } else if (decision instanceof OnlineDecision.AskPermit question) {
+            askPermit(question);
+        } else if (decision instanceof OnlineDecision.Refuse refuse) {
+            giveUp(refuse.refusal());
+        }
+    }
+
+    private void send(EndpointSettings endpoint) {
+        attemptNumber++;
+        context.metrics().attempt(endpoint.name());
+        context.traffic().attemptStarted(endpoint.name());
+        process().timeline().request("attempt.sent", intake.id(), Optional.of(endpoint.name()), "");
+        exchange = startExchange(endpoint, attemptNumber);
+    }
+
+    private void askPermit(OnlineDecision.AskPermit question) {
+        Optional<Host> arbiter = context.traffic().arbiter(intake.service());
+        if (arbiter.isEmpty()) {
+            permitAnswered(Optional.empty());
+            return;
+        }
+        PeerMessage message = new PeerMessage.SuspectPermitAsk(
+                intake.service(), intake.fingerprint().value(), question.endpoints());
+        process()
+                .ask(arbiter.get(), message)
+                .whenComplete((reply, failure) -> process()
+                        .loop()
+                        .execute(() -> permitAnswered(
+                                reply instanceof PeerMessage.SuspectPermit permit
+                                        ? permit.endpoint()
+                                        : Optional.empty())));
+    }
+
+    private void permitAnswered(Optional<String> endpoint) {
+        if (finished) {
+            endpoint.ifPresent(name -> sendRelease(false));
+            return;
+        }
+        follow(context.traffic().core().permitted(request, endpoint, nowNanos()));
+    }
+
+    private void releasePermit(boolean completed) {
+        if (request.holdsPermit()) {
+            sendRelease(completed);
+        }
+    }
+
+    private void sendRelease(boolean completed) {
+        PeerMessage release = new PeerMessage.SuspectRelease(
+                intake.service(), intake.fingerprint().value(), completed);
+        context.traffic().arbiter(intake.service()).ifPresent(host -> process().tell(host, release));
+    }
+
+    private void callerGone() {
+        if (!finished) {
+            abandon();
+            finish("caller-gone");
+        }
+    }
+
+    private void deadlinePassed() {
+        if (!finished) {
+            Outcome outcome = request.endpoint().isPresent() ? Outcome.MAY_HAVE_RUN : request.outcome();
+            abandon();
+            giveUp(new Refusal(
+                    ErrorCode.DEADLINE_EXCEEDED, outcome, "the deadline passed before the answer", Optional.empty()));
+        }
+    }
+
+    private void abandon() {
+        if (exchange != null) {
+            exchange.cancel();
+        }
+        releasePermit(false);
+        context.traffic().core().attemptAbandoned(request);
+    }
+
+    private void finish(String end) {
+        finished = true;
+        context.traffic().core().finished(request);
+        context.traffic().requestEnded();
+        context.metrics().ended(intake.service(), end);
+        process().timeline().request("request.ended", intake.id(), Optional.empty(), end);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/entry/OnlineTraffic.java
@@ -0,0 +1,120 @@
+package org.gooseberryhill.entry;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.decision.batch.TailWatch;
+import org.gooseberryhill.decision.drain.LeavingEndpoints;
+import org.gooseberryhill.decision.drain.LeavingSource;
+import org.gooseberryhill.decision.online.OnlineCore;
+import org.gooseberryhill.decision.ownership.Ownership;
+import org.gooseberryhill.decision.quarantine.CrashSuspects;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.HostProcess;
+
+/**
+ * What an entry host shares with the others about online work: loads, crashes, leaving endpoints. Used by the control
+ * thread only.
+ *
+ * <p>The start of a request is told to the endpoint's steward at once, since batch has to yield to it; its end may
+ * wait for the next round.
+ */
+final class OnlineTraffic {
+    private static final long SUSPECT_MEMORY_MILLIS = TimeUnit.MINUTES.toMillis(10);
+    private static final int MAX_SUSPECTS = 10_000;
+    private static final long REPORT_PERIOD_MILLIS = 250;
+
+    private final HostProcess process;
+    private final OnlineCore core;
+    private final TailWatch tail = new TailWatch();
+    private final LeavingEndpoints leaving = new LeavingEndpoints();
+    private final LoadReports reports;
+    private int inProgress;
+
+    OnlineTraffic(HostProcess process, EntrySettings settings) {
+        this.process = process;
+        this.core = new OnlineCore(
+                process.settings().self().zone(),
+                settings.policies(),
+                new CrashSuspects(SUSPECT_MEMORY_MILLIS, MAX_SUSPECTS));
+        this.reports = new LoadReports(process, this::takeLoads);
+        process.configuration().onChange(core::configure);
+        process.onHostList(listing -> {
+            leaving.replace(LeavingSource.HOST_LIST, listing.leavingEndpoints());
+            core.endpoints().leaving(leaving.all());
+        });
+        process.loop().every(REPORT_PERIOD_MILLIS, this::reportLoads);
+    }
+
+    OnlineCore core() {
+        return core;
+    }
+
+    TailWatch tail() {
+        return tail;
+    }
+
+    int inProgress() {
+        return inProgress;
+    }
+
+    void requestBegan() {
+        inProgress++;
+    }
+
+    void requestEnded() {
+        inProgress--;
+    }
+
+    /** An attempt starts: the endpoint's steward has to know before the endpoint slows down. */
+    void attemptStarted(String endpoint) {
+        core.endpoints().find(endpoint).ifPresent(state -> reports.reportNow(state.settings(), state.ownInFlight()));
+    }
+
+    /** An endpoint broke off requests: all hosts have to know before the caller sends them again elsewhere. */
+    void crashed(String endpoint, Fingerprint fingerprint) {
+        core.suspects().crashed(endpoint, List.of(fingerprint), process.loop().nowNanos());
+        process.timeline().endpoint("endpoint.crashed", endpoint, "with " + fingerprint.value());
+        PeerMessage notice = new PeerMessage.CrashNotice(endpoint, List.of(fingerprint.value()));
+        process.present(Role.ENTRY).stream()
+                .filter(host -> !process.isSelf(host))
+                .forEach(host -> process.tell(host, notice));
+        process.present(Role.STEWARD).forEach(host -> process.tell(host, notice));
+    }
+
+    /** Another host tells of a crash. */
+    void heardCrash(PeerMessage.CrashNotice notice) {
+        List<Fingerprint> fingerprints =
+                notice.fingerprints().stream().map(Fingerprint::new).toList();
+        core.suspects().crashed(notice.endpoint(), fingerprints, process.loop().nowNanos());
+    }
+
+    /** A steward tells of one of its endpoints. */
+    void heardLeaving(PeerMessage.LeavingNotice notice) {
+        leaving.update(LeavingSource.PEER, notice.endpoint(), notice.leaving());
+        core.endpoints().leaving(leaving.all());
+    }
+
+    /** The host that arbitrates the suspects of a service. */
+    Optional<Host> arbiter(String service) {
+        return Ownership.ownerOfSuspects(service, process.present(Role.STEWARD));
+    }
+
+    private void reportLoads() {
+        reports.reportAll(core.endpoints().all(), tail.takeSlow());
+    }
+
+    private void takeLoads(Set<String> asked, PeerMessage.EndpointLoads loads) {
+        for (String endpoint : asked) {
+            int online = loads.online().getOrDefault(endpoint, 0);
+            int batch = loads.batch().getOrDefault(endpoint, 0);
+            core.endpoints().reported(endpoint, online, batch);
+            leaving.update(LeavingSource.PEER, endpoint, loads.leaving().contains(endpoint));
+        }
+        core.endpoints().leaving(leaving.all());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/host/package-info.java
@@ -0,0 +1,2 @@
+/** The system's own hosts: identity, role, address. */
+package org.gooseberryhill.host;
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -0,0 +1,94 @@
+package org.gooseberryhill.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Hands what comes on a client connection to the exchange that has it. Runs on the connection's event loop only. */
+final class ClientConnectionHandler extends SimpleChannelInboundHandler<HttpObject> {
+    private ClientExchange exchange;
+    private boolean keepAlive;
+
+    void attach(ClientExchange newExchange) {
+        exchange = newExchange;
+    }
+
+    void detach() {
+        exchange = null;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (exchange == null) {
+            // Bytes that nobody asked for: the next exchange must never take them for its own answer.
+            context.close();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            exchange.lost(
+                    ExchangeFailure.Kind.MALFORMED,
+                    String.valueOf(message.decoderResult().cause()));
+            return;
+        }
+        if (message instanceof HttpResponse response && !head(response)) {
+            return;
+        }
+        if (message instanceof HttpContent content) {
+            if (content.content().isReadable()) {
+                exchange.bytes(ByteBufUtil.getBytes(content.content()));
+            }
+            if (content instanceof LastHttpContent && exchange != null) {
+                exchange.end(keepAlive);
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        lost("the connection closed inside the answer");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        lost(String.valueOf(cause));
+        context.close();
+    }
+
+    private boolean head(HttpResponse response) {
+        boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (interim) {
+            return false;
+        }
+        boolean framed = HttpUtil.isTransferEncodingChunked(response)
+                || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || isBodyless(response);
+        if (!framed) {
+            // An answer that ends with its connection can't be told from one that was cut.
+            exchange.lost(ExchangeFailure.Kind.MALFORMED, "the answer has neither a length nor an end mark");
+            return false;
+        }
+        keepAlive = HttpUtil.isKeepAlive(response);
+        exchange.head(response.status().code(), response.headers());
+        return true;
+    }
+
+    private static boolean isBodyless(HttpResponse response) {
+        int code = response.status().code();
+        return code == 204 || code == 304;
+    }
+
+    private void lost(String detail) {
+        ClientExchange current = exchange;
+        exchange = null;
+        if (current != null) {
+            current.lost(ExchangeFailure.Kind.CONNECTION_LOST, detail);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -0,0 +1,177 @@
+package org.gooseberryhill.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.contract.Outcome;
+
+/**
+ * One exchange on one connection. Thread-safe: everything but {@link #cancel} runs on the connection's event loop.
+ *
+ * <p>Invariant: the outcome turns to may-have-run before the first byte is handed to the connection, never after, so
+ * not-run can't be said of a request that some byte of reached the endpoint.
+ */
+final class ClientExchange implements Exchange {
+    private final HttpClient client;
+    private final ExchangeRequest request;
+    private final ExchangeListener listener;
+    private volatile boolean cancelled;
+    private volatile Channel channel;
+    private volatile boolean paused;
+    private Outcome outcome = Outcome.NOT_RUN;
+    private boolean ended;
+    private ScheduledFuture<?> silenceTimer;
+    private long lastHeardNanos;
+
+    ClientExchange(HttpClient client, ExchangeRequest request, ExchangeListener listener) {
+        this.client = client;
+        this.request = request;
+        this.listener = listener;
+    }
+
+    @Override
+    public void cancel() {
+        cancelled = true;
+        Channel current = channel;
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    @Override
+    public void readAnswer(boolean reading) {
+        Channel current = channel;
+        if (current != null) {
+            paused = !reading;
+            current.config().setAutoRead(reading);
+        }
+    }
+
+    /** Sends the request on a connection. */
+    void begin(Channel connection) {
+        channel = connection;
+        connection.eventLoop().execute(() -> send(connection));
+    }
+
+    void head(int status, HttpHeaders headers) {
+        heard();
+        if (!cancelled) {
+            listener.onHead(status, headers);
+        }
+    }
+
+    void bytes(byte[] bytes) {
+        heard();
+        if (!cancelled && !ended) {
+            listener.onBytes(bytes);
+        }
+    }
+
+    /** The whole answer has come. */
+    void end(boolean keepAlive) {
+        if (!finish()) {
+            return;
+        }
+        Channel connection = channel;
+        connection.pipeline().get(ClientConnectionHandler.class).detach();
+        if (keepAlive && !cancelled) {
+            client.keep(request.address(), connection);
+        } else {
+            connection.close();
+        }
+        if (!cancelled) {
+            listener.onEnd();
+        }
+    }
+
+    void lost(ExchangeFailure.Kind kind, String detail) {
+        fail(new ExchangeFailure(kind, outcome, detail));
+    }
+
+    void fail(ExchangeFailure failure) {
+        if (!finish()) {
+            return;
+        }
+        if (channel != null) {
+            channel.close();
+        }
+        if (!cancelled) {
+            listener.onFailure(failure);
+        }
+    }
+
+    private void send(Channel connection) {
+        if (cancelled) {
+            connection.close();
+            return;
+        }
+        if (!connection.isActive()) {
+            lost(ExchangeFailure.Kind.CONNECTION_LOST, "the connection closed before anything was sent");
+            return;
+        }
+        connection.pipeline().get(ClientConnectionHandler.class).attach(this);
+        outcome = Outcome.MAY_HAVE_RUN;
+        connection.writeAndFlush(httpRequest()).addListener(done -> {
+            if (!done.isSuccess()) {
+                lost(
+                        ExchangeFailure.Kind.CONNECTION_LOST,
+                        String.valueOf(done.cause().getMessage()));
+            }
+        });
+        lastHeardNanos = System.nanoTime();
+        armSilenceTimer(TimeUnit.MILLISECONDS.toNanos(request.silenceMillis()));
+    }
+
+    private FullHttpRequest httpRequest() {
+        ByteBuf body = Unpooled.wrappedBuffer(request.body());
+        FullHttpRequest message = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.target(), body);
+        request.headers().forEach(message.headers()::set);
+        message.headers().set(HttpHeaderNames.HOST, request.address().toString());
+        boolean bodyless = request.body().length == 0 && HttpMethod.GET.name().equals(request.method());
+        if (!bodyless) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        }
+        return message;
+    }
+
+    private void heard() {
+        lastHeardNanos = System.nanoTime();
+    }
+
+    private void armSilenceTimer(long delayNanos) {
+        silenceTimer = channel.eventLoop().schedule(this::checkSilence, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void checkSilence() {
+        long limitNanos = TimeUnit.MILLISECONDS.toNanos(request.silenceMillis());
+        long leftNanos = limitNanos - (System.nanoTime() - lastHeardNanos);
+        if (paused) {
+            // The endpoint is not silent: this side has stopped listening for a while.
+            armSilenceTimer(limitNanos);
+        } else if (leftNanos <= 0) {
+            lost(ExchangeFailure.Kind.SILENT, "no byte for " + request.silenceMillis() + " ms");
+        } else {
+            armSilenceTimer(leftNanos);
+        }
+    }
+
+    private boolean finish() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        if (silenceTimer != null) {
+            silenceTimer.cancel(false);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/http/HttpClient.java
@@ -0,0 +1,158 @@
+package org.gooseberryhill.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.link.Address;
+
+/**
+ * An HTTP/1.1 client with kept connections. Thread-safe.
+ *
+ * <p>Invariant: a connection carries one exchange at a time and is kept only after a whole answer.
+ */
+public final class HttpClient implements Closeable {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_KEPT_PER_ADDRESS = 64;
+
+    private final Bootstrap bootstrap;
+    private final Map<Address, ConcurrentLinkedDeque<Channel>> kept = new ConcurrentHashMap<>();
+    private volatile boolean closed;
+
+    /** A client on the process's traffic threads. */
+    public HttpClient(EventLoopGroup group) {
+        bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(newCodec()).addLast(new ClientConnectionHandler());
+                    }
+                });
+    }
+
+    /** Starts an exchange; the listener follows it. */
+    public Exchange start(ExchangeRequest request, ExchangeListener listener) {
+        ClientExchange exchange = new ClientExchange(this, request, listener);
+        if (!request.freshConnection()) {
+            Channel channel = takeKept(request.address());
+            if (channel != null) {
+                exchange.begin(channel);
+                return exchange;
+            }
+        }
+        Address address = request.address();
+        ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(address.ip(), address.port()));
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                exchange.begin(connecting.channel());
+            } else {
+                exchange.fail(new ExchangeFailure(
+                        ExchangeFailure.Kind.CONNECT_FAILED,
+                        Outcome.NOT_RUN,
+                        String.valueOf(done.cause().getMessage())));
+            }
+        });
+        return exchange;
+    }
+
+    /** Runs an exchange whose answer is collected whole, up to a bound in bytes. */
+    public CompletableFuture<HttpResult> call(ExchangeRequest request, int maxAnswerBytes) {
+        CompletableFuture<HttpResult> future = new CompletableFuture<>();
+        start(request, new CollectingListener(maxAnswerBytes, future));
+        return future;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        kept.values().forEach(channels -> channels.forEach(Channel::close));
+    }
+
+    /** Keeps a connection whose answer was whole. */
+    void keep(Address address, Channel channel) {
+        ConcurrentLinkedDeque<Channel> channels = kept.computeIfAbsent(address, key -> new ConcurrentLinkedDeque<>());
+        if (closed || channels.size() >= MAX_KEPT_PER_ADDRESS) {
+            channel.close();
+            return;
+        }
+        channels.addFirst(channel);
+    }
+
+    private Channel takeKept(Address address) {
+        ConcurrentLinkedDeque<Channel> channels = kept.get(address);
+        if (channels == null) {
+            return null;
+        }
+        Channel channel = channels.pollFirst();
+        while (channel != null && !channel.isActive()) {
+            channel = channels.pollFirst();
+        }
+        return channel;
+    }
+
+    private static HttpClientCodec newCodec() {
+        HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+        // Without the second argument a connection that ends inside an answer would look like the answer's end.
+        return new HttpClientCodec(decoder, false, true);
+    }
+
+    /** Collects an answer. Used by one traffic thread. */
+    private static final class CollectingListener implements ExchangeListener {
+        private final int maxBytes;
+        private final CompletableFuture<HttpResult> future;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int status;
+        private HttpHeaders headers;
+
+        CollectingListener(int maxBytes, CompletableFuture<HttpResult> future) {
+            this.maxBytes = maxBytes;
+            this.future = future;
+        }
+
+        @Override
+        public void onHead(int newStatus, HttpHeaders newHeaders) {
+            status = newStatus;
+            headers = newHeaders;
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            if (body.size() + bytes.length > maxBytes) {
+                onFailure(new ExchangeFailure(
+                        ExchangeFailure.Kind.MALFORMED, Outcome.MAY_HAVE_RUN, "the answer is too large"));
+                return;
+            }
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            future.complete(new HttpResult(status, headers, body.toByteArray()));
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            future.completeExceptionally(new ExchangeException(failure));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -0,0 +1,72 @@
+package org.gooseberryhill.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import org.gooseberryhill.link.Address;
+
+/** An HTTP/1.1 server. Thread-safe. */
+public final class HttpServer implements Closeable {
+    private static final int BACKLOG = 1024;
+    private static final int LOW_WATER_BYTES = 64 * 1024;
+
+    private final Channel listener;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
+    private HttpServer(EventLoopGroup group, Address address, HttpLimits limits, HttpHandler handler) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(LOW_WATER_BYTES, limits.maxPendingWriteBytes()))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        connections.add(channel);
+                        HttpDecoderConfig decoder = new HttpDecoderConfig()
+                                .setMaxInitialLineLength(limits.maxRequestLineBytes())
+                                .setMaxHeaderSize(limits.maxHeaderBytes());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(decoder))
+                                .addLast(new ServerConnectionHandler(handler, limits));
+                    }
+                });
+        listener = bootstrap
+                .bind(new InetSocketAddress(address.ip(), address.port()))
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Starts listening; throws the bind's failure if the address is taken. */
+    public static HttpServer start(EventLoopGroup group, Address address, HttpLimits limits, HttpHandler handler) {
+        return new HttpServer(group, address, limits, handler);
+    }
+
+    /** Closes the listening socket; connections in progress go on. */
+    public void stopListening() {
+        listener.close().syncUninterruptibly();
+    }
+
+    /** Closes the listening socket and cuts all connections. */
+    @Override
+    public void close() {
+        stopListening();
+        connections.close().awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/http/ServerCall.java
@@ -0,0 +1,199 @@
+package org.gooseberryhill.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.channels.ClosedChannelException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The server's side of one request. Thread-safe: everything that touches the connection runs on its event loop.
+ *
+ * <p>Invariant: exactly one answer; what comes after its end is dropped.
+ */
+final class ServerCall implements HttpCall {
+    private final ChannelHandlerContext context;
+    private final ServerConnectionHandler connection;
+    private final HttpMethod method;
+    private final QueryStringDecoder target;
+    private final HttpHeaders headers;
+    private final boolean keepAlive;
+    private Runnable disconnectCallback;
+    private boolean disconnected;
+    private boolean ended;
+
+    ServerCall(ChannelHandlerContext context, ServerConnectionHandler connection, HttpRequest request) {
+        this.context = context;
+        this.connection = connection;
+        this.method = request.method();
+        this.target = new QueryStringDecoder(request.uri());
+        this.headers = request.headers();
+        this.keepAlive = HttpUtil.isKeepAlive(request);
+    }
+
+    @Override
+    public String method() {
+        return method.name();
+    }
+
+    @Override
+    public String target() {
+        return target.uri();
+    }
+
+    @Override
+    public String path() {
+        return target.path();
+    }
+
+    @Override
+    public Optional<String> parameter(String name) {
+        List<String> values = target.parameters().get(name);
+        return values == null || values.isEmpty() ? Optional.empty() : Optional.of(values.get(0));
+    }
+
+    @Override
+    public HttpHeaders headers() {
+        return headers;
+    }
+
+    @Override
+    public void reply(int status, Map<String, String> replyHeaders, byte[] body) {
+        onLoop(() -> {
+            if (ended) {
+                return;
+            }
+            boolean bodyless = method.equals(HttpMethod.HEAD);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    bodyless ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
+            replyHeaders.forEach(response.headers()::set);
+            if (!bodyless || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            }
+            setConnectionHeader(response);
+            context.writeAndFlush(response);
+            end(keepAlive);
+        });
+    }
+
+    @Override
+    public void beginStream(int status, Map<String, String> replyHeaders) {
+        onLoop(() -> {
+            if (ended) {
+                return;
+            }
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            replyHeaders.forEach(response.headers()::set);
+            if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            setConnectionHeader(response);
+            context.writeAndFlush(response);
+        });
+    }
+
+    @Override
+    public CompletableFuture<Void> write(byte[] bytes) {
+        CompletableFuture<Void> taken = new CompletableFuture<>();
+        onLoop(() -> {
+            if (ended) {
+                taken.completeExceptionally(new ClosedChannelException());
+                return;
+            }
+            context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+                    .addListener(done -> complete(taken, done.cause()));
+        });
+        return taken;
+    }
+
+    @Override
+    public void endStream() {
+        onLoop(() -> {
+            if (!ended) {
+                context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+                end(keepAlive);
+            }
+        });
+    }
+
+    @Override
+    public void abortStream() {
+        onLoop(() -> {
+            if (!ended) {
+                ended = true;
+                context.close();
+            }
+        });
+    }
+
+    @Override
+    public void readBody(boolean reading) {
+        onLoop(() -> context.channel().config().setAutoRead(reading));
+    }
+
+    @Override
+    public void onDisconnect(Runnable callback) {
+        onLoop(() -> {
+            if (disconnected) {
+                callback.run();
+                return;
+            }
+            disconnectCallback = callback;
+        });
+    }
+
+    /** The connection ended; runs on the event loop. */
+    void disconnected() {
+        disconnected = true;
+        if (!ended && disconnectCallback != null) {
+            disconnectCallback.run();
+        }
+        ended = true;
+    }
+
+    private static void complete(CompletableFuture<Void> future, Throwable cause) {
+        if (cause == null) {
+            future.complete(null);
+        } else {
+            future.completeExceptionally(cause);
+        }
+    }
+
+    private void end(boolean keepConnection) {
+        ended = true;
+        context.channel().config().setAutoRead(true);
+        connection.callEnded(context, keepConnection);
+    }
+
+    private void setConnectionHeader(HttpResponse response) {
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void onLoop(Runnable task) {
+        if (context.executor().inEventLoop()) {
+            task.run();
+        } else {
+            context.executor().execute(task);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -0,0 +1,188 @@
+package org.gooseberryhill.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Serves the requests of one connection, one after the other. Runs on the connection's event loop only.
+ *
+ * <p>Invariant: the next request is looked at only after the answer before it is complete, so an answer can never go
+ * to another request of the same connection.
+ */
+final class ServerConnectionHandler extends ChannelDuplexHandler {
+    /** Messages of pipelined requests that may wait; more closes the connection. */
+    private static final int MAX_WAITING_MESSAGES = 64;
+
+    private static final Logger LOG = LogManager.getLogger(ServerConnectionHandler.class);
+
+    private final HttpHandler handler;
+    private final HttpLimits limits;
+    private final Queue<HttpObject> waiting = new ArrayDeque<>();
+    private ServerCall call;
+    private HttpBody body;
+    private boolean bodyDone;
+    private ScheduledFuture<?> idleTimer;
+
+    ServerConnectionHandler(HttpHandler handler, HttpLimits limits) {
+        this.handler = handler;
+        this.limits = limits;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        armIdleTimer(context);
+        context.fireChannelActive();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        HttpObject object = (HttpObject) message;
+        boolean belongsToNext = call != null && bodyDone;
+        if (belongsToNext || !waiting.isEmpty()) {
+            enqueue(context, object);
+            return;
+        }
+        process(context, object);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        cancelIdleTimer();
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        if (call != null) {
+            if (body != null && !bodyDone) {
+                body.onAborted();
+            }
+            call.disconnected();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        // A reader that takes nothing would make the answer pile up in memory; closing shows it the cut.
+        if (!context.channel().isWritable()) {
+            LOG.warn("closing a connection whose reader is too slow");
+            context.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOG.debug("connection failed: {}", cause.toString());
+        context.close();
+    }
+
+    /** The present answer is complete: looks at the next request, or closes. */
+    void callEnded(ChannelHandlerContext context, boolean keepAlive) {
+        boolean unreadBody = !bodyDone;
+        call = null;
+        if (!keepAlive || unreadBody) {
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        armIdleTimer(context);
+        while (!waiting.isEmpty() && (call == null || !bodyDone)) {
+            process(context, waiting.poll());
+        }
+    }
+
+    private void process(ChannelHandlerContext context, HttpObject object) {
+        try {
+            if (object.decoderResult().isFailure()) {
+                rejectMalformed(context, object.decoderResult().cause());
+                return;
+            }
+            if (object instanceof HttpRequest request) {
+                begin(context, request);
+            }
+            if (object instanceof HttpContent content) {
+                takeBody(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(object);
+        }
+    }
+
+    private void begin(ChannelHandlerContext context, HttpRequest request) {
+        cancelIdleTimer();
+        bodyDone = false;
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+        ServerCall started = new ServerCall(context, this, request);
+        call = started;
+        body = handler.handle(started);
+    }
+
+    private void takeBody(HttpContent content) {
+        if (body == null) {
+            return;
+        }
+        if (content.content().isReadable()) {
+            body.onBytes(ByteBufUtil.getBytes(content.content()));
+        }
+        if (content instanceof LastHttpContent) {
+            HttpBody whole = body;
+            body = null;
+            bodyDone = true;
+            whole.onEnd();
+        }
+    }
+
+    private void rejectMalformed(ChannelHandlerContext context, Throwable cause) {
+        String detail = cause == null ? "malformed" : String.valueOf(cause.getMessage());
+        byte[] text = ("{\"error\":{\"code\":\"invalid-request\",\"outcome\":\"not-run\",\"message\":\"malformed HTTP: "
+                        + detail.replaceAll("[^ -~]|[\"\\\\]", "?") + "\"}}")
+                .getBytes(StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.wrappedBuffer(text));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
+        response.headers().set(HttpHeaderNames.CONNECTION, "close");
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void enqueue(ChannelHandlerContext context, HttpObject object) {
+        if (waiting.size() >= MAX_WAITING_MESSAGES) {
+            ReferenceCountUtil.release(object);
+            context.close();
+            return;
+        }
+        waiting.add(object);
+    }
+
+    private void armIdleTimer(ChannelHandlerContext context) {
+        cancelIdleTimer();
+        idleTimer = context.executor().schedule(() -> context.close(), limits.idleMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void cancelIdleTimer() {
+        if (idleTimer != null) {
+            idleTimer.cancel(false);
+            idleTimer = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/link/Address.java
@@ -0,0 +1,44 @@
+package org.gooseberryhill.link;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Optional;
+
+/**
+ * An IP number and a port. Immutable.
+ *
+ * @param ip the IP number as text
+ * @param port 1 to 65535
+ */
+public record Address(String ip, int port) {
+    private static final int MAX_PORT = 65535;
+
+    /** Reads {@code ip:port} from a trusted message. */
+    @JsonCreator
+    public static Address of(String text) {
+        return parse(text).orElseThrow(() -> new IllegalArgumentException("not ip:port: " + text));
+    }
+
+    /** Reads {@code ip:port}; empty if the text is not of that form. */
+    public static Optional<Address> parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            return Optional.empty();
+        }
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (port < 1 || port > MAX_PORT) {
+                return Optional.empty();
+            }
+            return Optional.of(new Address(text.substring(0, colon), port));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    @JsonValue
+    public String toString() {
+        return ip + ":" + port;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/link/package-info.java
@@ -0,0 +1,2 @@
+/** Links between processes: addresses and the clock that orders events over all processes. */
+package org.gooseberryhill.link;
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/PeerClient.java
@@ -0,0 +1,72 @@
+package org.gooseberryhill.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.Closeable;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.HybridClock;
+
+/** Speaks to other processes over one connection for each address and lane. Thread-safe. */
+public final class PeerClient implements Closeable {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+    private final HostId self;
+    private final HybridClock clock;
+    private final Bootstrap bootstrap;
+    private final Map<Target, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final LongAdder sentMessages = new LongAdder();
+
+    /** A client on the process's traffic threads. */
+    public PeerClient(EventLoopGroup group, HostId self, HybridClock clock) {
+        this.self = self;
+        this.clock = clock;
+        this.bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Sends a message and returns the reply; fails with {@link PeerException} when none comes in time.
+     *
+     * @param timeoutMillis how long to wait for the reply, in milliseconds
+     */
+    public CompletableFuture<PeerMessage> ask(Address address, PeerLane lane, PeerMessage message, long timeoutMillis) {
+        sentMessages.increment();
+        PeerConnection connection = connections.computeIfAbsent(
+                new Target(address, lane), target -> new PeerConnection(bootstrap, address, self, clock));
+        return connection
+                .ask(message)
+                .orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .thenApply(PeerClient::requireServed);
+    }
+
+    /** How many messages were sent so far. */
+    public long sentMessages() {
+        return sentMessages.sum();
+    }
+
+    @Override
+    public void close() {
+        connections.values().forEach(PeerConnection::close);
+    }
+
+    private static PeerMessage requireServed(PeerMessage reply) {
+        if (reply instanceof PeerMessage.Failed failed) {
+            throw new PeerException(failed.reason());
+        }
+        return reply;
+    }
+
+    /** A connection's key. */
+    private record Target(Address address, PeerLane lane) {}
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/PeerConnection.java
@@ -0,0 +1,114 @@
+package org.gooseberryhill.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.HybridClock;
+
+/**
+ * A connection to one process, made again when it was lost. Thread-safe.
+ *
+ * <p>Invariant: each question is answered, or failed when its connection ends; none waits on a lost connection.
+ */
+final class PeerConnection {
+    private final Bootstrap bootstrap;
+    private final Address address;
+    private final HostId self;
+    private final HybridClock clock;
+    private final AtomicLong numbers = new AtomicLong();
+    private ChannelFuture connecting;
+
+    PeerConnection(Bootstrap bootstrap, Address address, HostId self, HybridClock clock) {
+        this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                PeerCodec.addTo(channel.pipeline());
+                channel.pipeline().addLast(new ReplyHandler());
+            }
+        });
+        this.address = address;
+        this.self = self;
+        this.clock = clock;
+    }
+
+    CompletableFuture<PeerMessage> ask(PeerMessage message) {
+        CompletableFuture<PeerMessage> future = new CompletableFuture<>();
+        ChannelFuture current = currentConnection();
+        current.addListener(done -> {
+            if (!done.isSuccess()) {
+                future.completeExceptionally(new PeerException("no connection to " + address));
+                return;
+            }
+            send(current.channel(), message, future);
+        });
+        return future;
+    }
+
+    synchronized void close() {
+        if (connecting != null) {
+            connecting.channel().close();
+        }
+    }
+
+    private void send(Channel channel, PeerMessage message, CompletableFuture<PeerMessage> future) {
+        ReplyHandler replies = channel.pipeline().get(ReplyHandler.class);
+        if (replies == null) {
+            future.completeExceptionally(new PeerException("lost the connection to " + address));
+            return;
+        }
+        long number = numbers.incrementAndGet();
+        replies.waiting.put(number, future);
+        future.whenComplete((reply, failure) -> replies.waiting.remove(number));
+        channel.writeAndFlush(new PeerFrame(number, false, clock.now(), self, message))
+                .addListener(written -> {
+                    if (!written.isSuccess()) {
+                        future.completeExceptionally(new PeerException("lost the connection to " + address));
+                    }
+                });
+    }
+
+    private synchronized ChannelFuture currentConnection() {
+        boolean usable = connecting != null
+                && (!connecting.isDone() || connecting.channel().isActive());
+        if (!usable) {
+            connecting = bootstrap.connect(new InetSocketAddress(address.ip(), address.port()));
+        }
+        return connecting;
+    }
+
+    /** Pairs replies with questions. */
+    private final class ReplyHandler extends SimpleChannelInboundHandler<PeerFrame> {
+        private final Map<Long, CompletableFuture<PeerMessage>> waiting = new ConcurrentHashMap<>();
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+            clock.observe(frame.at());
+            CompletableFuture<PeerMessage> future = waiting.remove(frame.number());
+            if (future != null) {
+                future.complete(frame.message());
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            PeerException lost = new PeerException("lost the connection to " + address);
+            waiting.values().forEach(future -> future.completeExceptionally(lost));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/PeerFrame.java
@@ -0,0 +1,15 @@
+package org.gooseberryhill.peer;
+
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.HybridTimestamp;
+
+/**
+ * One frame on a peer connection. Immutable.
+ *
+ * @param number pairs a reply with its request on the same connection
+ * @param reply whether it is a reply
+ * @param at the sender's clock
+ * @param from the sender
+ * @param message what is said
+ */
+record PeerFrame(long number, boolean reply, HybridTimestamp at, HostId from, PeerMessage message) {}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/PeerServer.java
@@ -0,0 +1,79 @@
+package org.gooseberryhill.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.HybridClock;
+
+/** Listens for other processes. Thread-safe. */
+public final class PeerServer implements Closeable {
+    private static final Logger LOG = LogManager.getLogger(PeerServer.class);
+
+    private final HostId self;
+    private final HybridClock clock;
+    private final PeerHandler handler;
+    private final Channel listener;
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
+    /** Starts listening; throws the bind's failure if the address is taken. */
+    public PeerServer(EventLoopGroup group, HostId self, Address address, HybridClock clock, PeerHandler handler) {
+        this.self = self;
+        this.clock = clock;
+        this.handler = handler;
+        listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        connections.add(channel);
+                        PeerCodec.addTo(channel.pipeline());
+                        channel.pipeline().addLast(new ServingHandler());
+                    }
+                })
+                .bind(new InetSocketAddress(address.ip(), address.port()))
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+        connections.close().awaitUninterruptibly();
+    }
+
+    /** Serves one connection. */
+    private final class ServingHandler extends SimpleChannelInboundHandler<PeerFrame> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+            clock.observe(frame.at());
+            handler.handle(frame.from(), frame.message()).whenComplete((reply, failure) -> {
+                PeerMessage answer = failure == null ? reply : new PeerMessage.Failed(String.valueOf(failure));
+                context.writeAndFlush(new PeerFrame(frame.number(), true, clock.now(), self, answer));
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.debug("peer connection failed: {}", cause.toString());
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/platform/EtcdJson.java
@@ -0,0 +1,94 @@
+package org.gooseberryhill.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhill.link.Json;
+
+/**
+ * The published JSON mapping of etcd v3's protocol: keys and values in base 64, 64-bit numbers as texts. Stateless.
+ */
+public final class EtcdJson {
+    private EtcdJson() {}
+
+    /** Base 64 of a text. */
+    public static String encode(String text) {
+        return encode(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Base 64 of bytes. */
+    public static String encode(byte[] bytes) {
+        return Base64.getEncoder().encodeToString(bytes);
+    }
+
+    /** The bytes behind base 64. */
+    public static byte[] decode(JsonNode node) {
+        return Base64.getDecoder().decode(node.asText(""));
+    }
+
+    /** The text behind base 64. */
+    public static String decodeText(JsonNode node) {
+        return new String(decode(node), StandardCharsets.UTF_8);
+    }
+
+    /** The first key after all keys with a prefix, in base 64. */
+    public static String encodeRangeEnd(String prefix) {
+        byte[] bytes = prefix.getBytes(StandardCharsets.UTF_8);
+        bytes[bytes.length - 1]++;
+        return encode(bytes);
+    }
+
+    static ObjectNode transaction(Transaction transaction) {
+        ObjectNode body = Json.object();
+        ArrayNode compare = body.putArray("compare");
+        for (Transaction.Condition condition : transaction.conditions()) {
+            boolean create = condition.target() == Transaction.Target.CREATE;
+            compare.addObject()
+                    .put("key", encode(condition.key()))
+                    .put("target", create ? "CREATE" : "MOD")
+                    .put("result", "EQUAL")
+                    .put(create ? "create_revision" : "mod_revision", Long.toString(condition.revision()));
+        }
+        ArrayNode success = body.putArray("success");
+        for (Transaction.Write write : transaction.writes()) {
+            if (write.value().isPresent()) {
+                ObjectNode put = success.addObject().putObject("request_put");
+                put.put("key", encode(write.key()));
+                put.put("value", encode(write.value().get()));
+                write.leaseId().ifPresent(lease -> put.put("lease", Long.toString(lease)));
+            } else {
+                success.addObject().putObject("request_delete_range").put("key", encode(write.key()));
+            }
+        }
+        return body;
+    }
+
+    static KeyValueStore.ReadResult readResult(JsonNode answer) {
+        List<KeyValueStore.Entry> entries = new ArrayList<>();
+        answer.path("kvs").forEach(node -> entries.add(entry(node)));
+        return new KeyValueStore.ReadResult(
+                revision(answer), entries, answer.path("more").asBoolean(false));
+    }
+
+    static KeyValueStore.Entry entry(JsonNode node) {
+        return new KeyValueStore.Entry(
+                decodeText(node.path("key")),
+                decode(node.path("value")),
+                node.path("create_revision").asLong(),
+                node.path("mod_revision").asLong());
+    }
+
+    static Optional<KeyValueStore.Entry> eventEntry(JsonNode event) {
+        boolean deleted = event.path("type").asText("PUT").equals("DELETE");
+        return deleted ? Optional.empty() : Optional.of(entry(event.path("kv")));
+    }
+
+    static long revision(JsonNode answer) {
+        return answer.path("header").path("revision").asLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/platform/EtcdKeyValueStore.java
@@ -0,0 +1,184 @@
+package org.gooseberryhill.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
+import org.gooseberryhill.http.Exchange;
+import org.gooseberryhill.http.ExchangeFailure;
+import org.gooseberryhill.http.ExchangeListener;
+import org.gooseberryhill.http.ExchangeRequest;
+import org.gooseberryhill.http.HttpClient;
+import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+
+/** The key-value service over etcd v3's published JSON mapping of HTTP. Thread-safe. */
+public final class EtcdKeyValueStore implements KeyValueStore {
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+    private static final int WATCH_SILENCE_MILLIS = 600_000;
+    private static final long MILLIS_PER_SECOND = 1000;
+    private static final Map<String, String> JSON_HEADERS = Map.of("content-type", "application/json");
+
+    private final HttpClient client;
+    private final Address address;
+    private final int timeoutMillis;
+    private final LongAdder calls = new LongAdder();
+
+    /** The service at an address; a call without an answer fails after the time-out in milliseconds. */
+    public EtcdKeyValueStore(HttpClient client, Address address, int timeoutMillis) {
+        this.client = client;
+        this.address = address;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /** How many calls were made so far, a watch counted as one. */
+    public long calls() {
+        return calls.sum();
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> read(String key) {
+        return call("/v3/kv/range", Json.object().put("key", EtcdJson.encode(key)))
+                .thenApply(EtcdJson::readResult);
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> readPrefix(String prefix, String fromKey, int limit) {
+        ObjectNode body = Json.object()
+                .put("key", EtcdJson.encode(fromKey))
+                .put("range_end", EtcdJson.encodeRangeEnd(prefix))
+                .put("limit", Integer.toString(limit));
+        return call("/v3/kv/range", body).thenApply(EtcdJson::readResult);
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> write(Transaction transaction) {
+        return call("/v3/kv/txn", EtcdJson.transaction(transaction))
+                .thenApply(answer ->
+                        new WriteResult(answer.path("succeeded").asBoolean(false), EtcdJson.revision(answer)));
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(long ttlMillis) {
+        long seconds = Math.max(1, ttlMillis / MILLIS_PER_SECOND);
+        ObjectNode body = Json.object().put("TTL", Long.toString(seconds)).put("ID", "0");
+        return call("/v3/lease/grant", body)
+                .thenApply(answer -> answer.path("ID").asLong());
+    }
+
+    @Override
+    public CompletableFuture<Long> renewLease(long leaseId) {
+        return call("/v3/lease/keepalive", Json.object().put("ID", Long.toString(leaseId)))
+                .thenApply(answer -> answer.path("result").path("TTL").asLong(0) * MILLIS_PER_SECOND);
+    }
+
+    @Override
+    public CompletableFuture<Void> revokeLease(long leaseId) {
+        return call("/v3/lease/revoke", Json.object().put("ID", Long.toString(leaseId)))
+                .thenApply(answer -> null);
+    }
+
+    @Override
+    public Closeable watch(String prefix, long fromRevision, WatchListener listener) {
+        ObjectNode body = Json.object();
+        body.putObject("create_request")
+                .put("key", EtcdJson.encode(prefix))
+                .put("range_end", EtcdJson.encodeRangeEnd(prefix))
+                .put("start_revision", Long.toString(fromRevision));
+        calls.increment();
+        Exchange exchange =
+                client.start(request("/v3/watch", Json.bytes(body), WATCH_SILENCE_MILLIS), new WatchStream(listener));
+        return exchange::cancel;
+    }
+
+    @Override
+    public void close() {
+        // Connections belong to the client that was passed in.
+    }
+
+    private CompletableFuture<JsonNode> call(String path, ObjectNode body) {
+        calls.increment();
+        return client.call(request(path, Json.bytes(body), timeoutMillis), MAX_ANSWER_BYTES)
+                .handle((result, failure) -> {
+                    if (failure != null) {
+                        throw new PlatformException("key-value service: " + failure.getMessage());
+                    }
+                    return requireAnswer(result);
+                });
+    }
+
+    private ExchangeRequest request(String path, byte[] body, int silenceMillis) {
+        return new ExchangeRequest(address, "POST", path, JSON_HEADERS, body, silenceMillis, false);
+    }
+
+    private static JsonNode requireAnswer(HttpResult result) {
+        if (!result.isSuccess()) {
+            throw new PlatformException("key-value service: status " + result.status());
+        }
+        return Json.tree(result.body())
+                .getOrElseThrow(failure -> new PlatformException("key-value service: " + failure.getMessage()));
+    }
+
+    /** Cuts the stream of a watch into its lines. Used by one traffic thread. */
+    private static final class WatchStream implements ExchangeListener {
+        private final WatchListener listener;
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final AtomicBoolean ended = new AtomicBoolean();
+
+        WatchStream(WatchListener listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        public void onHead(int status, HttpHeaders headers) {
+            if (status != 200) {
+                end();
+            }
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            for (byte next : bytes) {
+                if (next == '\n') {
+                    takeLine(line.toByteArray());
+                    line.reset();
+                } else {
+                    line.write(next);
+                }
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            end();
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            end();
+        }
+
+        private void takeLine(byte[] json) {
+            JsonNode result = Json.tree(json).map(node -> node.path("result")).getOrElse(Json.object());
+            if (result.path("canceled").asBoolean(false)) {
+                end();
+                return;
+            }
+            for (JsonNode event : result.path("events")) {
+                listener.onChange(EtcdJson.decodeText(event.path("kv").path("key")), EtcdJson.eventEntry(event));
+            }
+        }
+
+        private void end() {
+            if (ended.compareAndSet(false, true)) {
+                listener.onEnd();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/platform/HostList.java
@@ -0,0 +1,20 @@
+package org.gooseberryhill.platform;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.host.Host;
+
+/** The platform's list of live and leaving hosts, which lags. Thread-safe. */
+public interface HostList {
+    /** Reads the list; fails with {@link PlatformException}. */
+    CompletableFuture<Listing> read();
+
+    /**
+     * The list at some earlier moment.
+     *
+     * @param hosts the system's own hosts
+     * @param leavingEndpoints names of the endpoints that are leaving
+     */
+    record Listing(List<Host> hosts, Set<String> leavingEndpoints) {}
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/platform/HttpHostList.java
@@ -0,0 +1,37 @@
+package org.gooseberryhill.platform;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.http.ExchangeRequest;
+import org.gooseberryhill.http.HttpClient;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+
+/** The host list over HTTP: {@code GET /hosts}, a JSON object. Thread-safe. */
+public final class HttpHostList implements HostList {
+    private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+    private final HttpClient client;
+    private final Address address;
+    private final int timeoutMillis;
+
+    /** The list at an address; a read without an answer fails after the time-out in milliseconds. */
+    public HttpHostList(HttpClient client, Address address, int timeoutMillis) {
+        this.client = client;
+        this.address = address;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    @Override
+    public CompletableFuture<Listing> read() {
+        ExchangeRequest request =
+                new ExchangeRequest(address, "GET", "/hosts", Map.of(), new byte[0], timeoutMillis, false);
+        return client.call(request, MAX_ANSWER_BYTES).handle((result, failure) -> {
+            if (failure != null || !result.isSuccess()) {
+                throw new PlatformException("host list: " + (failure == null ? result.status() : failure));
+            }
+            return Json.read(result.body(), Listing.class)
+                    .getOrElseThrow(cause -> new PlatformException("host list: " + cause.getMessage()));
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/process/MembershipDriver.java
@@ -0,0 +1,126 @@
+package org.gooseberryhill.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.gooseberryhill.decision.drain.PlannedStop;
+import org.gooseberryhill.decision.membership.HostState;
+import org.gooseberryhill.decision.membership.Membership;
+import org.gooseberryhill.decision.membership.MembershipCommands;
+import org.gooseberryhill.decision.membership.Rumor;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.peer.PeerMessage;
+
+/** Carries the membership's heartbeats over the peer protocol. Used by the control thread only. */
+final class MembershipDriver implements MembershipCommands {
+    private final HostProcess process;
+    private final Map<HostId, HostState> lastStates = new HashMap<>();
+    private final List<BiConsumer<HostId, Map<String, Long>>> workListeners = new ArrayList<>();
+    private Supplier<Map<String, Long>> ownWork = Map::of;
+
+    MembershipDriver(HostProcess process) {
+        this.process = process;
+    }
+
+    /** Sets what this host's heartbeats say of waiting work. */
+    void ownWork(Supplier<Map<String, Long>> supplier) {
+        ownWork = supplier;
+    }
+
+    /** Calls back with what other hosts' heartbeats say of waiting work. */
+    void onWork(BiConsumer<HostId, Map<String, Long>> listener) {
+        workListeners.add(listener);
+    }
+
+    void tick() {
+        process.membership().tick(process.loop().nowNanos(), this);
+    }
+
+    /** Tells all hosts at once that this one is leaving, so that none sends it new work. */
+    void announceLeaving() {
+        for (Host host : process.membership().present()) {
+            process.tell(host, heartbeat(process.membership().rumorsFor(host.id())));
+        }
+    }
+
+    @Override
+    public void probe(Host target, long incarnation, List<Rumor> rumors) {
+        process.ask(target, heartbeat(rumors))
+                .whenComplete((reply, failure) -> process.loop().execute(() -> {
+                    if (reply instanceof PeerMessage.Heartbeat heartbeat) {
+                        take(target.id(), heartbeat);
+                    }
+                }));
+    }
+
+    @Override
+    public void probeThrough(Host helper, Host target) {
+        process.ask(helper, new PeerMessage.ProbeThrough(target.id()))
+                .whenComplete((reply, failure) -> process.loop().execute(() -> {
+                    if (reply instanceof PeerMessage.Ack) {
+                        process.membership()
+                                .reachedThrough(target.id(), process.loop().nowNanos());
+                    }
+                }));
+    }
+
+    Optional<CompletableFuture<PeerMessage>> handle(HostId from, PeerMessage message) {
+        if (message instanceof PeerMessage.Heartbeat heartbeat) {
+            take(from, heartbeat);
+            return Optional.of(
+                    MessageHandler.reply(heartbeat(process.membership().rumorsFor(from))));
+        }
+        if (message instanceof PeerMessage.ProbeThrough probe) {
+            return Optional.of(probeFor(probe.target()));
+        }
+        return Optional.empty();
+    }
+
+    private CompletableFuture<PeerMessage> probeFor(HostId target) {
+        Optional<Host> host = process.membership().find(target);
+        if (host.isEmpty()) {
+            return MessageHandler.reply(new PeerMessage.Failed("not known: " + target));
+        }
+        return process.ask(host.get(), heartbeat(process.membership().rumorsFor(target)))
+                .thenApply(reply -> new PeerMessage.Ack());
+    }
+
+    private void take(HostId from, PeerMessage.Heartbeat heartbeat) {
+        Membership membership = process.membership();
+        membership.heard(
+                from,
+                heartbeat.incarnation(),
+                heartbeat.leaving(),
+                heartbeat.rumors(),
+                process.loop().nowNanos());
+        process.configuration().heardRevision(from, heartbeat.configurationRevision());
+        workListeners.forEach(listener -> listener.accept(from, heartbeat.work()));
+        recordChange(from);
+        heartbeat.rumors().forEach(rumor -> recordChange(rumor.host()));
+    }
+
+    private void recordChange(HostId host) {
+        process.membership().stateOf(host).ifPresent(state -> {
+            HostState before = lastStates.put(host, state);
+            if (before != null && before != state) {
+                process.timeline().event("membership." + state.name().toLowerCase(Locale.ROOT), host.value());
+            }
+        });
+    }
+
+    private PeerMessage.Heartbeat heartbeat(List<Rumor> rumors) {
+        return new PeerMessage.Heartbeat(
+                process.membership().incarnation(),
+                process.stop().phase() != PlannedStop.Phase.SERVING,
+                process.configuration().revision(),
+                rumors,
+                ownWork.get());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/ConfigurationEditor.java
@@ -0,0 +1,108 @@
+package org.gooseberryhill.program;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletionException;
+import org.gooseberryhill.decision.configuration.ConfigurationEdit;
+import org.gooseberryhill.decision.configuration.ConfigurationEdit.Step;
+import org.gooseberryhill.decision.configuration.ConfigurationRecord;
+import org.gooseberryhill.platform.KeyValueStore;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.platform.Transaction;
+import org.gooseberryhill.process.ConfigurationCodec;
+
+/** Reads and edits the configuration in the key-value service, with its history. Used by one thread; waits. */
+public final class ConfigurationEditor {
+    /** Earlier texts that are kept. */
+    public static final int KEPT_EDITS = 50;
+
+    private static final int HISTORY_PAGE = 1000;
+
+    private final KeyValueStore keyValue;
+
+    /** An editor over a key-value service. */
+    public ConfigurationEditor(KeyValueStore keyValue) {
+        this.keyValue = keyValue;
+    }
+
+    /** The configuration's record with its revision; empty if there is none yet. */
+    public Optional<Stored> read() {
+        return keyValue.read(Keys.CONFIGURATION).join().first().map(ConfigurationEditor::stored);
+    }
+
+    /** Earlier records, oldest first. */
+    public List<Stored> history() {
+        return keyValue.readPrefix(Keys.HISTORY, Keys.HISTORY, HISTORY_PAGE).join().entries().stream()
+                .map(ConfigurationEditor::stored)
+                .toList();
+    }
+
+    /** Applies a text in place of the one with the base revision; the step is a final one. */
+    public Step apply(String text, String author, long baseRevision) {
+        String editId = UUID.randomUUID().toString();
+        ConfigurationRecord record = new ConfigurationRecord(editId, author, System.currentTimeMillis(), text);
+        ConfigurationEdit edit = new ConfigurationEdit(editId, baseRevision);
+        Step step = edit.begin();
+        while (step == Step.WRITE || step == Step.READ) {
+            step = step == Step.WRITE ? write(edit, record, baseRevision) : readBack(edit);
+        }
+        if (step == Step.ACCEPTED) {
+            trimHistory();
+        }
+        return step;
+    }
+
+    private Step write(ConfigurationEdit edit, ConfigurationRecord record, long baseRevision) {
+        byte[] value = ConfigurationCodec.encode(record);
+        String historyKey = Keys.HISTORY + "%015d-%s".formatted(record.appliedMillis(), record.editId());
+        Transaction transaction = Transaction.builder()
+                .ifWrittenAt(Keys.CONFIGURATION, baseRevision)
+                .put(Keys.CONFIGURATION, value)
+                .put(historyKey, value)
+                .build();
+        try {
+            return edit.written(keyValue.write(transaction).join().succeeded());
+        } catch (CompletionException e) {
+            return edit.unanswered();
+        }
+    }
+
+    private Step readBack(ConfigurationEdit edit) {
+        try {
+            Optional<Stored> stored = read();
+            return edit.read(
+                    stored.map(Stored::record), stored.map(Stored::revision).orElse(0L));
+        } catch (CompletionException e) {
+            return edit.unanswered();
+        }
+    }
+
+    private void trimHistory() {
+        try {
+            List<KeyValueStore.Entry> entries = keyValue.readPrefix(Keys.HISTORY, Keys.HISTORY, HISTORY_PAGE)
+                    .join()
+                    .entries();
+            Transaction.Builder deletion = Transaction.builder();
+            entries.stream()
+                    .limit(Math.max(0, entries.size() - KEPT_EDITS))
+                    .forEach(entry -> deletion.delete(entry.key()));
+            keyValue.write(deletion.build()).join();
+        } catch (CompletionException e) {
+            // The edit itself is accepted; the next one trims.
+            return;
+        }
+    }
+
+    private static Stored stored(KeyValueStore.Entry entry) {
+        return new Stored(ConfigurationCodec.decode(entry.value()).get(), entry.modRevision());
+    }
+
+    /**
+     * A record as it is stored.
+     *
+     * @param record the record
+     * @param revision the revision that wrote it
+     */
+    public record Stored(ConfigurationRecord record, long revision) {}
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/DemoCommand.java
@@ -0,0 +1,209 @@
+package org.gooseberryhill.program;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.standin.EngineFaults;
+import org.gooseberryhill.standin.EngineSpeed;
+import org.gooseberryhill.standin.EngineStandin;
+import org.gooseberryhill.standin.SampleAnswers;
+import org.gooseberryhill.standin.SampleFleet;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Runs the main job on embedded stand-ins: streams to several callers while a job runs to its end; one runner is
+ * killed and one leaves as planned on the way. Exits with 0 only if each claim of its summary was checked.
+ */
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        description = "Runs online requests and a job on embedded stand-ins, kills a runner, and checks the outcome")
+final class DemoCommand implements Callable<Integer> {
+    private static final int ITEMS = 600;
+    private static final int ITEM_TOKENS = 24;
+    private static final int REQUESTS = 300;
+    private static final int REQUEST_TOKENS = 16;
+    private static final long REQUEST_PERIOD_MILLIS = 20;
+    private static final int KILL_AT_REQUEST = 80;
+    private static final int LEAVE_AT_REQUEST = 160;
+    private static final long READY_TIMEOUT_MILLIS = 15_000;
+    private static final long JOB_TIMEOUT_MILLIS = 45_000;
+    private static final long POLL_MILLIS = 100;
+    private static final String JOB = "evening-lot";
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--base-port", defaultValue = "18400", description = "First of 100 ports (default 18400)")
+    private int basePort;
+
+    @Option(names = "--folder", defaultValue = "run/demo", description = "For data and time line (default run/demo)")
+    private Path folder;
+
+    private final List<String> failures = new ArrayList<>();
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Path own = folder.resolve(Long.toString(System.currentTimeMillis()));
+        Files.createDirectories(own);
+        try (SampleSystem system = new SampleSystem(new SampleFleet(basePort, 12), EngineSpeed.SMALL, own, false)) {
+            awaitReady(system);
+            return run(system);
+        }
+    }
+
+    private int run(SampleSystem system) throws InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        EntryClient coordinator = system.client(0, SampleFleet.COORDINATORS_KEY);
+        HttpResult submitted = coordinator.call("PUT", "/v1/jobs/" + JOB + "?model=tutor-7b", job(JOB));
+        check(submitted.status() == 201, "the job was not accepted: " + submitted.status());
+        List<CompletableFuture<CheckedStream.Result>> answers = sendOnline(system);
+        Histogram firstToken = new Histogram(3);
+        int whole = 0;
+        for (CompletableFuture<CheckedStream.Result> answer : answers) {
+            CheckedStream.Result result = answer.join();
+            if (result.end() == CheckedStream.End.WHOLE) {
+                whole++;
+                firstToken.recordValue(TimeUnit.NANOSECONDS.toMicros(result.firstTokenNanos()));
+            }
+        }
+        check(whole == REQUESTS, (REQUESTS - whole) + " online answers were not whole");
+        awaitDone(coordinator);
+        int once = countOnce(coordinator);
+        check(once == ITEMS, once + " of " + ITEMS + " items have their right result once");
+        coordinator.close();
+        out.printf("online: %d of %d answers whole and right%n", whole, REQUESTS);
+        out.printf(
+                "online first token: p50 %.1f ms, p99 %.1f ms%n",
+                firstToken.getValueAtPercentile(50) / 1000.0, firstToken.getValueAtPercentile(99) / 1000.0);
+        out.printf("job: %d of %d items done once, each result right%n", once, ITEMS);
+        out.printf("runner %s killed, runner %s left as planned, nothing cut%n", engine(1), engine(2));
+        out.printf("key-value service calls: %s%n", system.platform().keyValue().meter());
+        out.printf("time line: bin/gooseberry timeline %s%n", system.timelineFolder());
+        failures.forEach(failure -> out.println("FAILED: " + failure));
+        out.flush();
+        return failures.isEmpty() ? Commands.OK : Commands.FAILED;
+    }
+
+    private List<CompletableFuture<CheckedStream.Result>> sendOnline(SampleSystem system) throws InterruptedException {
+        List<EntryClient> callers = new ArrayList<>();
+        for (int i = 0; i < SampleSystem.HOSTS_PER_ROLE; i++) {
+            callers.add(system.client(i, SampleFleet.TUTORS_KEY));
+        }
+        List<CompletableFuture<CheckedStream.Result>> answers = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            if (i == KILL_AT_REQUEST) {
+                system.platform().engines().get(1).crash();
+            }
+            if (i == LEAVE_AT_REQUEST) {
+                EngineStandin leaving = system.platform().engines().get(2);
+                leaving.faults(new EngineFaults(Optional.empty(), 0, true, true));
+            }
+            String prompt = "critique of sketch " + i;
+            CheckedStream stream = new CheckedStream(SampleAnswers.chat(prompt, REQUEST_TOKENS), System.nanoTime());
+            callers.get(i % callers.size()).start("POST", "/v1/chat/completions", chat(prompt, REQUEST_TOKENS), stream);
+            answers.add(stream.result());
+            Thread.sleep(REQUEST_PERIOD_MILLIS);
+        }
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .whenComplete((done, failure) -> callers.forEach(EntryClient::close));
+        return answers;
+    }
+
+    private void awaitReady(SampleSystem system) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MILLIS);
+        for (int i = 0; i < SampleSystem.HOSTS_PER_ROLE; i++) {
+            try (EntryClient client = system.client(i, SampleFleet.TUTORS_KEY)) {
+                while (client.call("GET", "/readyz", new byte[0]).status() != 200 && System.nanoTime() < until) {
+                    Thread.sleep(POLL_MILLIS);
+                }
+            }
+        }
+        // The first heartbeats and leases.
+        Thread.sleep(5 * POLL_MILLIS);
+    }
+
+    private void awaitDone(EntryClient client) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(JOB_TIMEOUT_MILLIS);
+        String state = "";
+        while (!state.equals("done") && System.nanoTime() < until) {
+            Thread.sleep(POLL_MILLIS);
+            HttpResult status = client.call("GET", "/v1/jobs/" + JOB, new byte[0]);
+            state = Json.tree(status.body())
+                    .map(json -> json.path("state").asText())
+                    .getOrElse("");
+        }
+        check(state.equals("done"), "the job's state is " + state);
+    }
+
+    private int countOnce(EntryClient client) {
+        HttpResult results = client.call("GET", "/v1/jobs/" + JOB + "/results", new byte[0]);
+        BitSet seen = new BitSet();
+        int once = 0;
+        for (String line : new String(results.body(), StandardCharsets.UTF_8).split("\n")) {
+            JsonNode json = Json.tree(line.getBytes(StandardCharsets.UTF_8)).getOrElse(Json.object());
+            int index = json.path("index").asInt(-1);
+            String expected = SampleAnswers.prompt(itemPrompt(JOB, index), ITEM_TOKENS);
+            boolean right = json.path("text").asText().equals(expected);
+            if (index >= 0 && right && !seen.get(index)) {
+                seen.set(index);
+                once++;
+            } else {
+                check(false, "a result is wrong or stands twice: " + line);
+            }
+        }
+        return once;
+    }
+
+    private void check(boolean holds, String failure) {
+        if (!holds) {
+            failures.add(failure);
+        }
+    }
+
+    private static byte[] job(String name) {
+        StringBuilder lines = new StringBuilder();
+        for (int i = 0; i < ITEMS; i++) {
+            lines.append(Json.text(Map.of("prompt", itemPrompt(name, i), "max_tokens", ITEM_TOKENS)))
+                    .append('\n');
+        }
+        return lines.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String itemPrompt(String name, int index) {
+        return "portfolio " + name + " " + index;
+    }
+
+    private static byte[] chat(String prompt, int tokens) {
+        return Json.bytes(Map.of(
+                "model",
+                "tutor-7b",
+                "stream",
+                true,
+                "max_tokens",
+                tokens,
+                "messages",
+                List.of(Map.of("role", "user", "content", prompt))));
+    }
+
+    private static String engine(int number) {
+        return SampleFleet.engineName(number);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/EntryMain.java
@@ -0,0 +1,104 @@
+package org.gooseberryhill.program;
+
+import java.io.IOException;
+import java.util.Random;
+import java.util.concurrent.Callable;
+import org.gooseberryhill.decision.online.OnlinePolicies;
+import org.gooseberryhill.entry.EntryProcess;
+import org.gooseberryhill.entry.EntrySettings;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.http.HttpLimits;
+import org.gooseberryhill.process.HostSettings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** The command line of {@code gooseberry-entry}. */
+@Command(
+        name = "gooseberry-entry",
+        mixinStandardHelpOptions = true,
+        versionProvider = Version.class,
+        description = "Takes callers' requests. Each flag has an environment variable GOOSEBERRY_...")
+public final class EntryMain implements Callable<Integer> {
+    private static final int MAX_BYTES = 256 * 1024 * 1024;
+    private static final int MAX_ITEMS = 10_000_000;
+    private static final int MAX_ITEM_BYTES = 64 * 1024;
+    private static final long MAX_MILLIS = 3_600_000;
+
+    @Mixin
+    private HostOptions host = new HostOptions();
+
+    @Option(
+            names = "--http-address",
+            defaultValue = "${env:GOOSEBERRY_HTTP_ADDRESS:-}",
+            description = "ip:port for callers")
+    private String httpAddress;
+
+    @Option(
+            names = "--max-body-bytes",
+            defaultValue = "${env:GOOSEBERRY_MAX_BODY_BYTES:-4194304}",
+            description = "Largest body of an online request (default 4194304)")
+    private String maxBodyBytes;
+
+    @Option(
+            names = "--max-items",
+            defaultValue = "${env:GOOSEBERRY_MAX_ITEMS:-300000}",
+            description = "Most items of a job (default 300000)")
+    private String maxItems;
+
+    @Option(
+            names = "--max-item-bytes",
+            defaultValue = "${env:GOOSEBERRY_MAX_ITEM_BYTES:-65536}",
+            description = "Largest item of a job (default and most 65536)")
+    private String maxItemBytes;
+
+    @Option(
+            names = "--deadline-millis",
+            defaultValue = "${env:GOOSEBERRY_DEADLINE_MILLIS:-120000}",
+            description = "How long an online request may take if its caller does not say (default 120000)")
+    private String deadlineMillis;
+
+    @Option(
+            names = "--endpoint-silence-millis",
+            defaultValue = "${env:GOOSEBERRY_ENDPOINT_SILENCE_MILLIS:-15000}",
+            description = "How long an endpoint may be silent inside an answer (default 15000)")
+    private String endpointSilenceMillis;
+
+    @Option(
+            names = "--policies",
+            defaultValue = "${env:GOOSEBERRY_POLICIES:-product}",
+            description = "product, or baseline for comparisons (default product)")
+    private String policies;
+
+    /** Runs the program. */
+    public static void main(String... arguments) {
+        System.exit(Commands.run(new EntryMain(), arguments));
+    }
+
+    @Override
+    public Integer call() throws IOException {
+        SettingsReader reader = new SettingsReader();
+        HostSettings hostSettings = host.settings(Role.ENTRY, reader);
+        long seed = hostSettings.self().id().hashCode();
+        EntrySettings settings = new EntrySettings(
+                reader.address("--http-address", httpAddress),
+                HttpLimits.DEFAULT,
+                (int) reader.number("--max-body-bytes", maxBodyBytes, 1024, MAX_BYTES),
+                (int) reader.number("--max-items", maxItems, 1, MAX_ITEMS),
+                (int) reader.number("--max-item-bytes", maxItemBytes, 1, MAX_ITEM_BYTES),
+                reader.number("--deadline-millis", deadlineMillis, 1, MAX_MILLIS),
+                (int) reader.number("--endpoint-silence-millis", endpointSilenceMillis, 1, MAX_MILLIS),
+                policies(reader, seed));
+        reader.requireNone();
+        EntryProcess entry = new EntryProcess(hostSettings, settings, seed);
+        entry.start();
+        ProcessLife.runUntilStopped(entry.process(), entry);
+        return Commands.OK;
+    }
+
+    private OnlinePolicies policies(SettingsReader reader, long seed) {
+        boolean baseline =
+                reader.choice("--policies", policies, "product", "baseline").equals("baseline");
+        return baseline ? OnlinePolicies.baseline() : OnlinePolicies.product(new Random(seed));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/PlatformOptions.java
@@ -0,0 +1,55 @@
+package org.gooseberryhill.program;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.Closeable;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.http.HttpClient;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.platform.EtcdKeyValueStore;
+import org.gooseberryhill.platform.KeyValueStore;
+import picocli.CommandLine.Option;
+
+/** The options by which operators' commands reach the key-value service. Used by one thread. */
+final class PlatformOptions {
+    private static final int TIMEOUT_MILLIS = 3000;
+
+    @Option(
+            names = "--key-value-address",
+            defaultValue = "${env:GOOSEBERRY_KEY_VALUE_ADDRESS:-}",
+            description = "ip:port of the platform's key-value service")
+    private String keyValueAddress;
+
+    Connection connect() {
+        SettingsReader reader = new SettingsReader();
+        Address address = reader.address("--key-value-address", keyValueAddress);
+        reader.requireNone();
+        return new Connection(address);
+    }
+
+    /** A connection that a command closes at its end. */
+    static final class Connection implements Closeable {
+        private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        private final HttpClient http = new HttpClient(group);
+        private final KeyValueStore keyValue;
+
+        Connection(Address address) {
+            keyValue = new EtcdKeyValueStore(http, address, TIMEOUT_MILLIS);
+        }
+
+        KeyValueStore keyValue() {
+            return keyValue;
+        }
+
+        HttpClient http() {
+            return http;
+        }
+
+        @Override
+        public void close() {
+            http.close();
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/ProcessLife.java
@@ -0,0 +1,29 @@
+package org.gooseberryhill.program;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import org.gooseberryhill.process.HostProcess;
+
+/** The life of a process of the system: it ends by a planned stop on SIGTERM or SIGINT. Stateless. */
+final class ProcessLife {
+    private ProcessLife() {}
+
+    /** Waits until the process has ended its planned stop. */
+    static void runUntilStopped(HostProcess process, Closeable program) throws IOException {
+        CountDownLatch closed = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndWait(process, closed), "stop"));
+        process.ended().join();
+        program.close();
+        closed.countDown();
+    }
+
+    private static void stopAndWait(HostProcess process, CountDownLatch closed) {
+        process.askStop();
+        try {
+            closed.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/SampleSystem.java
@@ -0,0 +1,169 @@
+package org.gooseberryhill.program;
+
+import java.io.Closeable;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.gooseberryhill.decision.batch.BatchSlotPolicy;
+import org.gooseberryhill.decision.batch.FixedSlotsPolicy;
+import org.gooseberryhill.decision.batch.LeftoverSlotsPolicy;
+import org.gooseberryhill.decision.configuration.ConfigurationEdit;
+import org.gooseberryhill.decision.job.DispatchOrder;
+import org.gooseberryhill.decision.job.EarliestDeadlineFairOrder;
+import org.gooseberryhill.decision.job.FirstComeOrder;
+import org.gooseberryhill.decision.online.OnlinePolicies;
+import org.gooseberryhill.entry.EntryProcess;
+import org.gooseberryhill.entry.EntrySettings;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.http.HttpLimits;
+import org.gooseberryhill.process.HostSettings;
+import org.gooseberryhill.standin.EngineSpeed;
+import org.gooseberryhill.standin.SampleFleet;
+import org.gooseberryhill.standin.SamplePlatform;
+import org.gooseberryhill.steward.StewardProcess;
+import org.gooseberryhill.steward.StewardSettings;
+import org.gooseberryhill.store.StoreProcess;
+
+/**
+ * A whole small system with its stand-ins in one process, for the demo, experiments and tests. Not thread-safe.
+ *
+ * <p>Three availability zones, one entry, one steward and one store in each.
+ */
+public final class SampleSystem implements Closeable {
+    /** Own hosts of each role. */
+    public static final int HOSTS_PER_ROLE = 3;
+
+    private static final long LEASE_MILLIS = 3000;
+    private static final long JOB_SCAN_MILLIS = 1000;
+    private static final long REPAIR_MILLIS = 1000;
+
+    private final SampleFleet fleet;
+    private final Path folder;
+    private final boolean baseline;
+    private final SamplePlatform platform;
+    private final List<EntryProcess> entries = new ArrayList<>();
+    private final List<StewardProcess> stewards = new ArrayList<>();
+    private final List<StoreProcess> stores = new ArrayList<>();
+
+    /** Starts everything; the folder takes the stores' data and the time line. */
+    public SampleSystem(SampleFleet fleet, EngineSpeed speed, Path folder, boolean baseline) {
+        this.fleet = fleet;
+        this.folder = folder;
+        this.baseline = baseline;
+        platform = new SamplePlatform(fleet, speed, HOSTS_PER_ROLE, HOSTS_PER_ROLE, HOSTS_PER_ROLE);
+        applyConfiguration(fleet.configuration());
+        for (int i = 0; i < HOSTS_PER_ROLE; i++) {
+            stores.add(startStore(i));
+            stewards.add(startSteward(i));
+            entries.add(startEntry(i));
+        }
+    }
+
+    /** Starts an entry, from 0, as at the beginning or in the place of one that was stopped. */
+    public EntryProcess startEntry(int number) {
+        EntrySettings settings = new EntrySettings(
+                fleet.entryHttp(number),
+                HttpLimits.DEFAULT,
+                4 * 1024 * 1024,
+                300_000,
+                64 * 1024,
+                120_000,
+                15_000,
+                baseline ? OnlinePolicies.baseline() : OnlinePolicies.product(new Random(number)));
+        EntryProcess entry = new EntryProcess(host(fleet.entry(number)), settings, number);
+        entry.start();
+        return entry;
+    }
+
+    /** Starts a steward, from 0. */
+    public StewardProcess startSteward(int number) {
+        BatchSlotPolicy slots = baseline ? new FixedSlotsPolicy() : new LeftoverSlotsPolicy(StewardMain.RESERVE_SHARE);
+        DispatchOrder order = baseline ? new FirstComeOrder() : new EarliestDeadlineFairOrder();
+        StewardSettings settings = new StewardSettings(slots, order, 500, 15_000, 60_000, JOB_SCAN_MILLIS, 2000, 2);
+        StewardProcess steward = new StewardProcess(host(fleet.steward(number)), settings, number);
+        steward.start();
+        return steward;
+    }
+
+    /** Starts a store, from 0; its data folder outlives it. */
+    public StoreProcess startStore(int number) {
+        StoreProcess store = new StoreProcess(host(fleet.store(number)), storeFolder(number), REPAIR_MILLIS, number);
+        store.start();
+        return store;
+    }
+
+    /** Where a store keeps its segments. */
+    public Path storeFolder(int number) {
+        return folder.resolve("store-" + number);
+    }
+
+    /** Where the time line is written. */
+    public Path timelineFolder() {
+        return folder.resolve("timeline");
+    }
+
+    /** Puts a text into force in place of the one there. */
+    public void applyConfiguration(String text) {
+        try (PlatformOptions.Connection connection = new PlatformOptions.Connection(fleet.keyValue())) {
+            ConfigurationEditor editor = new ConfigurationEditor(connection.keyValue());
+            long base = editor.read().map(ConfigurationEditor.Stored::revision).orElse(0L);
+            ConfigurationEdit.Step step = editor.apply(text, "sample", base);
+            if (step != ConfigurationEdit.Step.ACCEPTED) {
+                throw new IllegalStateException("the sample configuration was not accepted: " + step);
+            }
+        }
+    }
+
+    /** A client of an entry, with a caller's key. */
+    public EntryClient client(int entry, String key) {
+        return new EntryClient(fleet.entryHttp(entry), key);
+    }
+
+    /** The addresses. */
+    public SampleFleet fleet() {
+        return fleet;
+    }
+
+    /** The stand-ins. */
+    public SamplePlatform platform() {
+        return platform;
+    }
+
+    /** The entries. */
+    public List<EntryProcess> entries() {
+        return entries;
+    }
+
+    /** The stewards. */
+    public List<StewardProcess> stewards() {
+        return stewards;
+    }
+
+    /** The stores. */
+    public List<StoreProcess> stores() {
+        return stores;
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(EntryProcess::close);
+        stewards.forEach(StewardProcess::close);
+        stores.forEach(StoreProcess::close);
+        platform.close();
+    }
+
+    private HostSettings host(Host self) {
+        return new HostSettings(
+                self,
+                fleet.keyValue(),
+                fleet.hostList(),
+                1000,
+                500,
+                LEASE_MILLIS,
+                500,
+                30_000,
+                Optional.of(timelineFolder()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/SettingsReader.java
@@ -0,0 +1,75 @@
+package org.gooseberryhill.program;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.gooseberryhill.link.Address;
+
+/**
+ * Checks the settings of a program and collects what is wrong, so that all of it is reported before anything starts.
+ * Not thread-safe. A getter always returns a usable value.
+ */
+final class SettingsReader {
+    private static final Address NO_ADDRESS = new Address("127.0.0.1", 1);
+
+    private final List<String> findings = new ArrayList<>();
+
+    /** A text that must be there. */
+    String required(String flag, String value) {
+        if (value == null || value.isBlank()) {
+            findings.add(flag + " is missing; set it or " + variable(flag));
+            return "missing";
+        }
+        return value;
+    }
+
+    /** An IP number and a port that must be there. */
+    Address address(String flag, String value) {
+        String text = required(flag, value);
+        Optional<Address> address = Address.parse(text);
+        if (address.isEmpty() && value != null && !value.isBlank()) {
+            findings.add(flag + ": \"" + text + "\" is not an IP number and a port, such as 10.0.0.7:8000");
+        }
+        return address.orElse(NO_ADDRESS);
+    }
+
+    /** A whole number within a range. */
+    long number(String flag, String value, long min, long max) {
+        try {
+            long number = Long.parseLong(value);
+            if (number >= min && number <= max) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            return outside(flag, value, min, max);
+        }
+        return outside(flag, value, min, max);
+    }
+
+    /** One of a few words. */
+    String choice(String flag, String value, String... choices) {
+        if (!List.of(choices).contains(value)) {
+            findings.add(flag + ": \"" + value + "\" is none of " + String.join(", ", choices));
+            return choices[0];
+        }
+        return value;
+    }
+
+    /** Throws with all findings, if there are any. */
+    void requireNone() {
+        if (!findings.isEmpty()) {
+            throw new SettingsException(findings);
+        }
+    }
+
+    /** The environment variable that stands for a flag. */
+    static String variable(String flag) {
+        return "GOOSEBERRY_" + flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
+    }
+
+    private long outside(String flag, String value, long min, long max) {
+        findings.add(flag + ": \"" + value + "\" is not a whole number from " + min + " to " + max);
+        return min;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/package-info.java
@@ -0,0 +1,2 @@
+/** The programs: their command lines, checked settings and life. */
+package org.gooseberryhill.program;
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/CallMeter.java
@@ -0,0 +1,23 @@
+package org.gooseberryhill.standin;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts calls by kind. Thread-safe. */
+public final class CallMeter {
+    private final Map<String, LongAdder> counts = new ConcurrentHashMap<>();
+
+    /** Counts one call. */
+    public void count(String kind) {
+        counts.computeIfAbsent(kind, key -> new LongAdder()).increment();
+    }
+
+    /** The counts so far. */
+    public Map<String, Long> snapshot() {
+        Map<String, Long> snapshot = new TreeMap<>();
+        counts.forEach((kind, count) -> snapshot.put(kind, count.sum()));
+        return snapshot;
+    }
+}
