--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/EngineStandin.java
@@ -0,0 +1,250 @@
+package org.gooseberryhill.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.EventLoopGroup;
+import java.io.Closeable;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gooseberryhill.decision.order.ModelHolding;
+import org.gooseberryhill.http.HttpBody;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.HttpLimits;
+import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+
+/**
+ * Stands in for a model engine: continuous batching, a limited prompt cache, no priorities. Thread-safe.
+ *
+ * <p>{@code POST /v1/chat/completions} and {@code /v1/completions}, streamed or whole, with {@code x-resume-from};
+ * {@code GET /status}; {@code POST /orders}; {@code POST /standin/faults}.
+ */
+public final class EngineStandin implements Closeable {
+    private static final int MAX_ACTIVE_PER_SLOT = 4;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int PREFIX_CHARACTERS = 64;
+
+    private final EventLoopGroup group;
+    private final Address address;
+    private final EngineSpeed speed;
+    private final ScheduledExecutorService engine;
+    private final List<Generation> active = new ArrayList<>();
+    private final ArrayDeque<Generation> queue = new ArrayDeque<>();
+    private final Map<String, Boolean> prefixCache;
+    private final AtomicInteger crashes = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+    private final List<Long> orderFences = new ArrayList<>();
+    private volatile EngineFaults faults = EngineFaults.NONE;
+    private volatile ModelHolding held = new ModelHolding("", "", List.of());
+    private volatile HttpServer server;
+    private volatile boolean closed;
+    private long highestFence;
+    private boolean stepping;
+
+    /** Starts an engine that holds nothing yet. */
+    public EngineStandin(EventLoopGroup group, Address address, EngineSpeed speed) {
+        this.group = group;
+        this.address = address;
+        this.speed = speed;
+        this.engine = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "engine-" + address.port());
+            thread.setDaemon(true);
+            return thread;
+        });
+        this.prefixCache = new LinkedHashMap<>(16, 0.75f, true) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                return size() > speed.cachedPrefixes();
+            }
+        };
+        server = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
+    }
+
+    /** Sets the faults. */
+    public void faults(EngineFaults newFaults) {
+        faults = newFaults;
+    }
+
+    /** What the engine holds, as if it had been loaded before. */
+    public void hold(ModelHolding holding) {
+        held = holding;
+    }
+
+    /** Where it listens. */
+    public Address address() {
+        return address;
+    }
+
+    /** What it holds. */
+    public ModelHolding held() {
+        return held;
+    }
+
+    /** How often it crashed. */
+    public int crashes() {
+        return crashes.get();
+    }
+
+    /** How many answers it finished. */
+    public int served() {
+        return served.get();
+    }
+
+    /** The fencing numbers of the orders that it carried out, in their order. */
+    public synchronized List<Long> orderFences() {
+        return List.copyOf(orderFences);
+    }
+
+    /** Ends all connections at once, as a killed process does; comes back after the set time, if any. */
+    public void crash() {
+        engine.execute(this::crashNow);
+    }
+
+    /** Starts listening again after a crash. */
+    public void restart() {
+        engine.execute(this::restartNow);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        engine.shutdownNow();
+        server.close();
+    }
+
+    private HttpBody handle(HttpCall call) {
+        return StandinReplies.whole(call, body -> {
+            JsonNode json = Json.tree(body).getOrElse(Json.object());
+            switch (call.path()) {
+                case "/v1/chat/completions", "/v1/completions" -> submit(call, json);
+                case "/status" -> engine.execute(() -> status(call));
+                case "/orders" -> engine.execute(() -> order(call, json));
+                case "/standin/faults" -> {
+                    faults(new EngineFaults(
+                            Optional.ofNullable(json.path("crashPrompt").textValue()),
+                            json.path("restartMillis").asLong(0),
+                            json.path("obeysFences").asBoolean(true),
+                            json.path("draining").asBoolean(false)));
+                    StandinReplies.json(call, 200, Map.of());
+                }
+                case "/standin/crash" -> crash();
+                default -> StandinReplies.json(call, 404, Map.of("error", "no such call"));
+            }
+        });
+    }
+
+    private void submit(HttpCall call, JsonNode json) {
+        if (!json.has("prompt") && !json.has("messages")) {
+            StandinReplies.json(call, 400, Map.of("error", "neither prompt nor messages"));
+            return;
+        }
+        int resumeFrom = call.headers().getInt("x-resume-from", 0);
+        Generation generation = new Generation(call, json, resumeFrom);
+        engine.execute(() -> {
+            queue.add(generation);
+            scheduleStep();
+        });
+    }
+
+    private void status(HttpCall call) {
+        StandinReplies.json(
+                call,
+                200,
+                Json.object()
+                        .put("active", active.size())
+                        .put("queued", queue.size())
+                        .put("draining", faults.draining())
+                        .set("held", Json.mapper().valueToTree(held)));
+    }
+
+    private void order(HttpCall call, JsonNode json) {
+        long fence = json.path("fence").asLong();
+        synchronized (this) {
+            if (faults.obeysFences() && fence < highestFence) {
+                StandinReplies.json(call, 409, Map.of("error", "old fence"));
+                return;
+            }
+            highestFence = Math.max(highestFence, fence);
+            orderFences.add(fence);
+        }
+        held = Json.read(Json.bytes(json.path("holding")), ModelHolding.class).getOrElse(held);
+        StandinReplies.json(call, 200, Map.of());
+    }
+
+    private void scheduleStep() {
+        if (stepping || closed) {
+            return;
+        }
+        stepping = true;
+        admit();
+        long micros = (long) (speed.stepMillis(Math.max(1, active.size())) * 1000);
+        engine.schedule(this::step, micros, TimeUnit.MICROSECONDS);
+    }
+
+    private void admit() {
+        while (!queue.isEmpty() && active.size() < speed.slots() * MAX_ACTIVE_PER_SLOT) {
+            Generation next = queue.poll();
+            String prompt = next.prompt();
+            String prefix = prompt.substring(0, Math.min(PREFIX_CHARACTERS, prompt.length()));
+            boolean cached = prefixCache.put(prefix, Boolean.TRUE) != null;
+            int promptTokens = prompt.length() / CHARACTERS_PER_TOKEN;
+            next.prefill(cached ? 0 : promptTokens / speed.prefillTokensPerStep() + 1);
+            active.add(next);
+        }
+    }
+
+    private void step() {
+        stepping = false;
+        Iterator<Generation> all = active.iterator();
+        while (all.hasNext()) {
+            Generation generation = all.next();
+            if (generation.isGone()) {
+                all.remove();
+                continue;
+            }
+            if (crashes(generation)) {
+                crashNow();
+                return;
+            }
+            generation.step();
+            if (generation.isDone()) {
+                generation.finish();
+                served.incrementAndGet();
+                all.remove();
+            }
+        }
+        if (!active.isEmpty() || !queue.isEmpty()) {
+            scheduleStep();
+        }
+    }
+
+    private boolean crashes(Generation generation) {
+        return faults.crashPrompt().filter(generation.prompt()::contains).isPresent();
+    }
+
+    private void crashNow() {
+        crashes.incrementAndGet();
+        active.clear();
+        queue.clear();
+        prefixCache.clear();
+        server.close();
+        if (faults.restartMillis() > 0) {
+            engine.schedule(this::restartNow, faults.restartMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void restartNow() {
+        if (!closed) {
+            server = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/Generation.java
@@ -0,0 +1,134 @@
+package org.gooseberryhill.standin;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.link.Json;
+
+/**
+ * One request that an engine stand-in generates for. Used by the engine's own thread only.
+ *
+ * <p>The text is a function of the prompt alone, so that a caller can check its answer whole and an answer can be
+ * continued by another engine.
+ */
+final class Generation {
+    private static final int DEFAULT_MAX_TOKENS = 32;
+    private static final int WORDS = 9973;
+
+    private final HttpCall call;
+    private final JsonNode request;
+    private final String prompt;
+    private final int maxTokens;
+    private final boolean streamed;
+    private final int resumedFrom;
+    private final StringBuilder text = new StringBuilder();
+    private int generated;
+    private int prefillSteps;
+    private volatile boolean gone;
+
+    Generation(HttpCall call, JsonNode request, int resumedFrom) {
+        this.call = call;
+        this.request = request;
+        this.prompt = prompt(request);
+        this.maxTokens = request.path("max_tokens").asInt(DEFAULT_MAX_TOKENS);
+        this.streamed = request.path("stream").asBoolean(false);
+        this.resumedFrom = resumedFrom;
+        this.generated = resumedFrom;
+        call.onDisconnect(() -> gone = true);
+    }
+
+    /** The token at a place of the answer to a prompt. */
+    static String token(String prompt, int place) {
+        long hash = Hashing.komihash5_0().hashCharsToLong(prompt + "\0" + place);
+        return "w" + Long.remainderUnsigned(hash, WORDS) + " ";
+    }
+
+    /** The whole answer to a prompt. */
+    static String answer(String prompt, int tokens) {
+        StringBuilder answer = new StringBuilder();
+        for (int i = 0; i < tokens; i++) {
+            answer.append(token(prompt, i));
+        }
+        return answer.toString();
+    }
+
+    static String prompt(JsonNode request) {
+        if (request.has("prompt")) {
+            return request.path("prompt").asText();
+        }
+        StringBuilder prompt = new StringBuilder();
+        request.path("messages")
+                .forEach(message ->
+                        prompt.append(message.path("content").asText()).append('\n'));
+        return prompt.toString();
+    }
+
+    String prompt() {
+        return prompt;
+    }
+
+    boolean isGone() {
+        return gone;
+    }
+
+    boolean isDone() {
+        return generated >= maxTokens;
+    }
+
+    HttpCall call() {
+        return call;
+    }
+
+    void prefill(int steps) {
+        prefillSteps = steps;
+    }
+
+    /** Takes part in one step: takes in a part of the prompt or generates one token. */
+    void step() {
+        if (prefillSteps > 0) {
+            prefillSteps--;
+            return;
+        }
+        if (streamed && generated == resumedFrom) {
+            call.beginStream(200, Map.of("content-type", "text/event-stream"));
+        }
+        if (isDone()) {
+            return;
+        }
+        String token = token(prompt, generated);
+        generated++;
+        text.append(token);
+        if (streamed) {
+            event(Optional.of(token), isDone() ? Optional.of("stop") : Optional.empty());
+        }
+    }
+
+    void finish() {
+        if (streamed) {
+            call.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+            call.endStream();
+            return;
+        }
+        ObjectNode answer = Json.object().put("object", "chat.completion");
+        ObjectNode choice = answer.putArray("choices").addObject().put("index", 0);
+        choice.putObject("message").put("role", "assistant").put("content", text.toString());
+        choice.put("text", text.toString()).put("finish_reason", "stop");
+        answer.putObject("usage").put("completion_tokens", generated);
+        answer.put("model", request.path("model").asText());
+        StandinReplies.json(call, 200, answer);
+    }
+
+    private void event(Optional<String> content, Optional<String> finish) {
+        ObjectNode event = Json.object().put("object", "chat.completion.chunk");
+        ObjectNode choice = event.putArray("choices").addObject().put("index", 0);
+        ObjectNode delta = choice.putObject("delta");
+        content.ifPresent(token -> delta.put("content", token));
+        content.ifPresent(token -> choice.put("text", token));
+        choice.put("finish_reason", finish.orElse(null));
+        call.write(("data: " + Json.text(event) + "\n\n").getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/KeyValueStandin.java
@@ -0,0 +1,289 @@
+package org.gooseberryhill.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import java.io.Closeable;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.http.HttpBody;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.HttpLimits;
+import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.platform.EtcdJson;
+
+/**
+ * Stands in for the key-value service: the part of etcd v3's JSON mapping that the system uses. Thread-safe.
+ *
+ * <p>{@code POST /standin/faults} sets faults, {@code POST /standin/expire-leases} lets all leases lapse,
+ * {@code GET /standin/meter} counts calls by kind.
+ */
+public final class KeyValueStandin implements Closeable {
+    private static final long LEASE_CHECK_MILLIS = 50;
+    private static final long MILLIS_PER_SECOND = 1000;
+
+    private final KeyValueState state = new KeyValueState(System::nanoTime);
+    private final CallMeter meter = new CallMeter();
+    private final List<Watch> watches = new CopyOnWriteArrayList<>();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "key-value-timer");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final HttpServer server;
+    private volatile KeyValueFaults faults = KeyValueFaults.NONE;
+    private KeyValueState.Event hiddenByStaleness;
+
+    /** Starts listening. */
+    public KeyValueStandin(EventLoopGroup group, Address address) {
+        server = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
+        timer.scheduleWithFixedDelay(this::expireLeases, LEASE_CHECK_MILLIS, LEASE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sets the faults; an outage also ends the watches. */
+    public void faults(KeyValueFaults newFaults) {
+        faults = newFaults;
+        if (newFaults.outage()) {
+            watches.forEach(watch -> watch.call.abortStream());
+            watches.clear();
+        }
+    }
+
+    /** Lets all leases lapse now, as if their holders had been paused. */
+    public synchronized void lapseAllLeases() {
+        state.leases().forEach(id -> publish(state.end(id)));
+    }
+
+    /** Calls so far by kind. */
+    public Map<String, Long> meter() {
+        return meter.snapshot();
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        server.close();
+    }
+
+    private HttpBody handle(HttpCall call) {
+        return StandinReplies.whole(call, body -> {
+            JsonNode json = Json.tree(body).getOrElse(Json.object());
+            if (call.path().startsWith("/standin/")) {
+                control(call, json);
+                return;
+            }
+            meter.count(call.path());
+            KeyValueFaults now = faults;
+            if (now.outage()) {
+                call.abortStream();
+            } else if (now.slowMillis() > 0) {
+                timer.schedule(() -> serve(call, json), now.slowMillis(), TimeUnit.MILLISECONDS);
+            } else {
+                serve(call, json);
+            }
+        });
+    }
+
+    private void control(HttpCall call, JsonNode json) {
+        switch (call.path()) {
+            case "/standin/faults" ->
+                faults(new KeyValueFaults(
+                        json.path("outage").asBoolean(false),
+                        json.path("slowMillis").asLong(0),
+                        json.path("loseAnswers").asInt(0),
+                        json.path("staleReads").asBoolean(false)));
+            case "/standin/expire-leases" -> lapseAllLeases();
+            default -> {
+                StandinReplies.json(call, 200, meter());
+                return;
+            }
+        }
+        StandinReplies.json(call, 200, Map.of());
+    }
+
+    private synchronized void serve(HttpCall call, JsonNode json) {
+        switch (call.path()) {
+            case "/v3/kv/range" -> StandinReplies.json(call, 200, range(json));
+            case "/v3/kv/txn" -> {
+                ObjectNode answer = transaction(json);
+                if (answer.path("succeeded").asBoolean() && takeLostAnswer()) {
+                    call.abortStream();
+                } else {
+                    StandinReplies.json(call, 200, answer);
+                }
+            }
+            case "/v3/lease/grant" -> {
+                long id = state.grant(json.path("TTL").asLong() * MILLIS_PER_SECOND);
+                StandinReplies.json(
+                        call,
+                        200,
+                        header().put("ID", Long.toString(id))
+                                .put("TTL", json.path("TTL").asText()));
+            }
+            case "/v3/lease/keepalive" -> {
+                long left = state.renew(json.path("ID").asLong()) / MILLIS_PER_SECOND;
+                ObjectNode result = Json.object();
+                result.putObject("result").put("ID", json.path("ID").asText()).put("TTL", Long.toString(left));
+                StandinReplies.json(call, 200, result);
+            }
+            case "/v3/lease/revoke" -> {
+                publish(state.end(json.path("ID").asLong()));
+                StandinReplies.json(call, 200, header());
+            }
+            case "/v3/watch" -> watch(call, json.path("create_request"));
+            default -> StandinReplies.json(call, 404, Map.of("error", "no such call"));
+        }
+    }
+
+    private boolean takeLostAnswer() {
+        KeyValueFaults now = faults;
+        if (now.loseAnswers() <= 0) {
+            return false;
+        }
+        faults = new KeyValueFaults(now.outage(), now.slowMillis(), now.loseAnswers() - 1, now.staleReads());
+        return true;
+    }
+
+    private ObjectNode range(JsonNode json) {
+        String from = EtcdJson.decodeText(json.path("key"));
+        String end = EtcdJson.decodeText(json.path("range_end"));
+        int limit = json.path("limit").asInt(0);
+        Map<String, KeyValueState.Value> found = state.range(from, end);
+        ObjectNode answer = header();
+        ArrayNode entries = answer.putArray("kvs");
+        for (Map.Entry<String, KeyValueState.Value> entry : found.entrySet()) {
+            if (limit > 0 && entries.size() == limit) {
+                answer.put("more", true);
+                break;
+            }
+            boolean hidden = faults.staleReads()
+                    && hiddenByStaleness != null
+                    && hiddenByStaleness.key().equals(entry.getKey());
+            if (!hidden) {
+                entries.add(keyValue(entry.getKey(), entry.getValue()));
+            }
+        }
+        answer.put("count", Integer.toString(found.size()));
+        return answer;
+    }
+
+    private ObjectNode transaction(JsonNode json) {
+        boolean holds = true;
+        for (JsonNode condition : json.path("compare")) {
+            holds &= holds(condition);
+        }
+        List<KeyValueState.Change> changes = new ArrayList<>();
+        for (JsonNode write : json.path(holds ? "success" : "failure")) {
+            change(write).ifPresent(changes::add);
+        }
+        boolean unknownLease =
+                changes.stream().anyMatch(change -> change.lease() != 0 && !state.hasLease(change.lease()));
+        if (unknownLease) {
+            holds = false;
+            changes.clear();
+        }
+        List<KeyValueState.Event> events = state.apply(changes);
+        if (!events.isEmpty()) {
+            hiddenByStaleness = events.get(events.size() - 1);
+        }
+        publish(events);
+        return header().put("succeeded", holds);
+    }
+
+    private boolean holds(JsonNode condition) {
+        Optional<KeyValueState.Value> value = state.get(EtcdJson.decodeText(condition.path("key")));
+        boolean create = condition.path("target").asText().equals("CREATE");
+        long actual = value.map(found -> create ? found.createRevision() : found.modRevision())
+                .orElse(0L);
+        long expected =
+                condition.path(create ? "create_revision" : "mod_revision").asLong();
+        return actual == expected;
+    }
+
+    private static Optional<KeyValueState.Change> change(JsonNode write) {
+        if (write.has("request_put")) {
+            JsonNode put = write.path("request_put");
+            return Optional.of(new KeyValueState.Change(
+                    EtcdJson.decodeText(put.path("key")),
+                    Optional.of(EtcdJson.decode(put.path("value"))),
+                    put.path("lease").asLong(0)));
+        }
+        if (write.has("request_delete_range")) {
+            String key = EtcdJson.decodeText(write.path("request_delete_range").path("key"));
+            return Optional.of(new KeyValueState.Change(key, Optional.empty(), 0));
+        }
+        return Optional.empty();
+    }
+
+    private void watch(HttpCall call, JsonNode request) {
+        Watch watch = new Watch(
+                call, EtcdJson.decodeText(request.path("key")), EtcdJson.decodeText(request.path("range_end")));
+        call.beginStream(200, StandinReplies.JSON);
+        ObjectNode created = Json.object();
+        created.putObject("result").put("created", true);
+        watch.writeLine(created);
+        long from = request.path("start_revision").asLong(0);
+        if (from > 0) {
+            state.eventsFrom(from).forEach(watch::send);
+        }
+        call.onDisconnect(() -> watches.remove(watch));
+        watches.add(watch);
+    }
+
+    private synchronized void expireLeases() {
+        if (!faults.outage()) {
+            state.expired().forEach(id -> publish(state.end(id)));
+        }
+    }
+
+    private void publish(List<KeyValueState.Event> events) {
+        for (KeyValueState.Event event : events) {
+            watches.forEach(watch -> watch.send(event));
+        }
+    }
+
+    private ObjectNode header() {
+        ObjectNode answer = Json.object();
+        answer.putObject("header").put("revision", Long.toString(state.revision()));
+        return answer;
+    }
+
+    private static ObjectNode keyValue(String key, KeyValueState.Value value) {
+        return Json.object()
+                .put("key", EtcdJson.encode(key))
+                .put("value", EtcdJson.encode(value.bytes()))
+                .put("create_revision", Long.toString(value.createRevision()))
+                .put("mod_revision", Long.toString(value.modRevision()));
+    }
+
+    /** A watch in progress. */
+    private record Watch(HttpCall call, String from, String end) {
+        void send(KeyValueState.Event event) {
+            if (event.key().compareTo(from) < 0 || event.key().compareTo(end) >= 0) {
+                return;
+            }
+            ObjectNode line = Json.object();
+            ObjectNode node = line.putObject("result").putArray("events").addObject();
+            if (event.value().isPresent()) {
+                node.set("kv", keyValue(event.key(), event.value().get()));
+            } else {
+                node.put("type", "DELETE").putObject("kv").put("key", EtcdJson.encode(event.key()));
+            }
+            writeLine(line);
+        }
+
+        void writeLine(ObjectNode line) {
+            call.write((Json.text(line) + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/KeyValueState.java
@@ -0,0 +1,149 @@
+package org.gooseberryhill.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/**
+ * Keys with revisions, and leases. Not thread-safe: the stand-in guards it with one lock.
+ *
+ * <p>Invariant: the revision grows by one with each transaction that writes.
+ */
+final class KeyValueState {
+    private final LongSupplier nowNanos;
+    private final TreeMap<String, Value> values = new TreeMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final List<Event> history = new ArrayList<>();
+    private long revision = 1;
+    private long nextLease = 1000;
+
+    KeyValueState(LongSupplier nowNanos) {
+        this.nowNanos = nowNanos;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    Optional<Value> get(String key) {
+        return Optional.ofNullable(values.get(key));
+    }
+
+    /** Keys from one on, up to but not including another; an empty end means that key alone. */
+    Map<String, Value> range(String from, String end) {
+        if (end.isEmpty()) {
+            Value value = values.get(from);
+            return value == null ? Map.of() : Map.of(from, value);
+        }
+        return from.compareTo(end) >= 0 ? Map.of() : new TreeMap<>(values.subMap(from, end));
+    }
+
+    /** Events after a revision, for a watch that starts late. */
+    List<Event> eventsFrom(long fromRevision) {
+        return history.stream().filter(event -> event.revision >= fromRevision).toList();
+    }
+
+    /** Writes in one revision; the events that it made are returned. */
+    List<Event> apply(List<Change> changes) {
+        if (changes.isEmpty()) {
+            return List.of();
+        }
+        revision++;
+        List<Event> events = new ArrayList<>();
+        for (Change change : changes) {
+            if (change.bytes.isPresent()) {
+                events.add(put(change.key, change.bytes.get(), change.lease));
+            } else if (values.containsKey(change.key)) {
+                values.remove(change.key);
+                events.add(new Event(revision, change.key, Optional.empty()));
+            }
+        }
+        history.addAll(events);
+        return events;
+    }
+
+    List<Long> leases() {
+        return List.copyOf(leases.keySet());
+    }
+
+    boolean hasLease(long id) {
+        return leases.containsKey(id);
+    }
+
+    long grant(long ttlMillis) {
+        long id = nextLease++;
+        leases.put(id, new Lease(ttlMillis, nowNanos.getAsLong()));
+        return id;
+    }
+
+    /** The remaining time in milliseconds; 0 if the lease is gone. */
+    long renew(long id) {
+        Lease lease = leases.get(id);
+        if (lease == null) {
+            return 0;
+        }
+        lease.renewedNanos = nowNanos.getAsLong();
+        return lease.ttlMillis;
+    }
+
+    /** Ends a lease; its keys are deleted. */
+    List<Event> end(long id) {
+        Lease lease = leases.remove(id);
+        if (lease == null) {
+            return List.of();
+        }
+        List<Change> deletions = lease.keys.stream()
+                .filter(key -> values.containsKey(key) && values.get(key).lease == id)
+                .map(key -> new Change(key, Optional.empty(), 0))
+                .toList();
+        return apply(deletions);
+    }
+
+    /** The leases whose time is over. */
+    List<Long> expired() {
+        long now = nowNanos.getAsLong();
+        return leases.entrySet().stream()
+                .filter(entry -> now - entry.getValue().renewedNanos > entry.getValue().ttlMillis * 1_000_000L)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private Event put(String key, byte[] bytes, long lease) {
+        Value old = values.get(key);
+        long created = old == null ? revision : old.createRevision;
+        Value value = new Value(bytes, created, revision, lease);
+        values.put(key, value);
+        Lease holder = leases.get(lease);
+        if (holder != null) {
+            holder.keys.add(key);
+        }
+        return new Event(revision, key, Optional.of(value));
+    }
+
+    /** A value with its revisions. */
+    record Value(byte[] bytes, long createRevision, long modRevision, long lease) {}
+
+    /** A write to make; no bytes means delete. */
+    record Change(String key, Optional<byte[]> bytes, long lease) {}
+
+    /** A write that was made. */
+    record Event(long revision, String key, Optional<Value> value) {}
+
+    /** A lease and its keys. */
+    private static final class Lease {
+        private final long ttlMillis;
+        private final Set<String> keys = new HashSet<>();
+        private long renewedNanos;
+
+        Lease(long ttlMillis, long renewedNanos) {
+            this.ttlMillis = ttlMillis;
+            this.renewedNanos = renewedNanos;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/PlainServiceStandin.java
@@ -0,0 +1,96 @@
+package org.gooseberryhill.standin;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.Closeable;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gooseberryhill.http.HttpBody;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.HttpLimits;
+import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+
+/**
+ * Stands in for a plain service: {@code POST /bookings} has an effect each time it runs, {@code GET /records/{n}} has
+ * none. Thread-safe.
+ */
+public final class PlainServiceStandin implements Closeable {
+    private static final int RECORD_BYTES = 4096;
+
+    private final HttpServer server;
+    private final List<String> bookings = new CopyOnWriteArrayList<>();
+    private final AtomicInteger loseAnswers = new AtomicInteger();
+    private final AtomicInteger holdAnswers = new AtomicInteger();
+    private final List<HttpCall> held = new CopyOnWriteArrayList<>();
+
+    /** Starts listening. */
+    public PlainServiceStandin(EventLoopGroup group, Address address) {
+        server = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
+    }
+
+    /** The next bookings take effect while their answers are lost. */
+    public void loseAnswers(int number) {
+        loseAnswers.set(number);
+    }
+
+    /** The next bookings take effect and are answered only by {@link #answerHeld}. */
+    public void holdAnswers(int number) {
+        holdAnswers.set(number);
+    }
+
+    /** Answers the bookings that were held. */
+    public void answerHeld() {
+        held.forEach(this::answerBooking);
+        held.clear();
+    }
+
+    /** The bodies of all bookings that took effect. */
+    public List<String> bookings() {
+        return List.copyOf(bookings);
+    }
+
+    /** The content of a record. */
+    public static byte[] record(String name) {
+        return (name + " ").repeat(RECORD_BYTES / (name.length() + 1)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private HttpBody handle(HttpCall call) {
+        return StandinReplies.whole(call, body -> {
+            String path = call.path();
+            if (call.method().equals("POST") && path.equals("/bookings")) {
+                book(call, body);
+            } else if (path.startsWith("/records/")) {
+                byte[] record = record(path.substring("/records/".length()));
+                call.reply(200, Map.of("content-type", "text/plain", "x-record", "yes"), record);
+            } else if (path.equals("/bookings")) {
+                StandinReplies.json(call, 200, bookings);
+            } else {
+                StandinReplies.json(call, 404, Map.of("error", "no such call"));
+            }
+        });
+    }
+
+    private void book(HttpCall call, byte[] body) {
+        bookings.add(new String(body, StandardCharsets.UTF_8));
+        if (loseAnswers.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+            call.abortStream();
+        } else if (holdAnswers.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+            held.add(call);
+        } else {
+            answerBooking(call);
+        }
+    }
+
+    private void answerBooking(HttpCall call) {
+        call.reply(201, StandinReplies.JSON, Json.bytes(Map.of("booking", bookings.size())));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/StandinReplies.java
@@ -0,0 +1,25 @@
+package org.gooseberryhill.standin;
+
+import java.util.Map;
+import java.util.function.Consumer;
+import org.gooseberryhill.http.HttpBody;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.WholeBody;
+import org.gooseberryhill.link.Json;
+
+/** What all stand-ins do alike with calls. Stateless. */
+final class StandinReplies {
+    static final Map<String, String> JSON = Map.of("content-type", "application/json");
+
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+    private StandinReplies() {}
+
+    static void json(HttpCall call, int status, Object value) {
+        call.reply(status, JSON, Json.bytes(value));
+    }
+
+    static HttpBody whole(HttpCall call, Consumer<byte[]> onWhole) {
+        return new WholeBody(MAX_BODY_BYTES, onWhole, () -> call.reply(413, JSON, new byte[0]));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/standin/WeightStoreStandin.java
@@ -0,0 +1,52 @@
+package org.gooseberryhill.standin;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.Closeable;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.HttpLimits;
+import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.link.Address;
+
+/** Stands in for the weight store: {@code GET /weights/{model}/{version}}, rate-limited. Thread-safe. */
+public final class WeightStoreStandin implements Closeable {
+    private final HttpServer server;
+    private final CallMeter meter = new CallMeter();
+    private final int maxPerMinute;
+    private final ArrayDeque<Long> recentNanos = new ArrayDeque<>();
+
+    /** Starts listening; more reads a minute than the limit are refused with status 429. */
+    public WeightStoreStandin(EventLoopGroup group, Address address, int maxPerMinute) {
+        this.maxPerMinute = maxPerMinute;
+        server = HttpServer.start(
+                group, address, HttpLimits.DEFAULT, call -> StandinReplies.whole(call, body -> serve(call)));
+    }
+
+    /** Reads so far by kind. */
+    public Map<String, Long> meter() {
+        return meter.snapshot();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private synchronized void serve(HttpCall call) {
+        long now = System.nanoTime();
+        long minute = TimeUnit.MINUTES.toNanos(1);
+        while (!recentNanos.isEmpty() && now - recentNanos.peekFirst() > minute) {
+            recentNanos.pollFirst();
+        }
+        if (recentNanos.size() >= maxPerMinute) {
+            meter.count("refused");
+            call.reply(429, Map.of("retry-after", "5"), new byte[0]);
+            return;
+        }
+        recentNanos.addLast(now);
+        meter.count("served");
+        StandinReplies.json(call, 200, Map.of("weights", call.path()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/steward/BatchDriver.java
@@ -0,0 +1,264 @@
+package org.gooseberryhill.steward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.gooseberryhill.configuration.Configuration;
+import org.gooseberryhill.configuration.EndpointSettings;
+import org.gooseberryhill.configuration.ServiceSettings;
+import org.gooseberryhill.decision.batch.EndpointBatch;
+import org.gooseberryhill.decision.batch.LeastWorkLostOrder;
+import org.gooseberryhill.decision.batch.RunningItem;
+import org.gooseberryhill.decision.batch.WorkSources;
+import org.gooseberryhill.decision.drain.LeavingEndpoints;
+import org.gooseberryhill.decision.drain.LeavingSource;
+import org.gooseberryhill.decision.drain.PlannedStop;
+import org.gooseberryhill.decision.job.WorkItem;
+import org.gooseberryhill.decision.ownership.Ownership;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.HostProcess;
+
+/**
+ * The batch work of the endpoints that this host stewards. For the control thread.
+ *
+ * <p>Invariant: this host starts items only at endpoints that its view of the membership gives it. Two stewards of an
+ * endpoint for a moment cost throughput, never correctness: an item's completion is decided by its owner.
+ */
+final class BatchDriver {
+    private static final long PULL_PERIOD_MILLIS = 20;
+    private static final int MAX_ITEMS_PER_ASK = 32;
+    private static final long CRASH_PAUSE_MILLIS = 1000;
+
+    private final HostProcess process;
+    private final StewardSettings settings;
+    private final Map<String, EndpointBatch> endpoints = new LinkedHashMap<>();
+    private final Map<Long, ItemRun> runs = new HashMap<>();
+    private final WorkSources sources = new WorkSources();
+    private final LeavingEndpoints leaving = new LeavingEndpoints();
+    private final EndpointStatusReader statusReader;
+    private long nextRun;
+    private int openReports;
+
+    BatchDriver(HostProcess process, StewardSettings settings) {
+        this.process = process;
+        this.settings = settings;
+        this.statusReader = new EndpointStatusReader(process, this::statusRead);
+    }
+
+    void start() {
+        process.configuration().onChange(configuration -> reassign());
+        process.onMembershipChange(this::reassign);
+        process.onHostList(listing -> {
+            leaving.replace(LeavingSource.HOST_LIST, listing.leavingEndpoints());
+            applyLeaving();
+        });
+        process.loop().every(PULL_PERIOD_MILLIS, this::pull);
+        process.loop().every(settings.statusPeriodMillis(), () -> statusReader.read(stewarded()));
+    }
+
+    /** Follows the statuses that endpoints give. */
+    void onStatus(BiConsumer<EndpointSettings, EndpointStatus> listener) {
+        statusReader.onStatus(listener);
+    }
+
+    /** Items in flight, and ends of items that their owners have not taken yet. */
+    int inProgress() {
+        return runs.size() + openReports;
+    }
+
+    void reportOpened() {
+        openReports++;
+    }
+
+    void reportClosed() {
+        openReports--;
+    }
+
+    void heardWork(HostId owner, Map<String, Long> dueByService) {
+        sources.heard(owner, dueByService);
+    }
+
+    void noticed(HostId owner, PeerMessage.WorkNotice notice) {
+        sources.noticed(owner, notice.service(), notice.earliestDueMillis());
+        pull();
+    }
+
+    /** An entry's report; batch items yield at once where it leaves them no room. */
+    PeerMessage.EndpointLoads onlineReported(HostId entry, PeerMessage.OnlineLoad load) {
+        long now = process.loop().nowNanos();
+        Map<String, Integer> online = new HashMap<>();
+        Map<String, Integer> batch = new HashMap<>();
+        List<String> leavingThere = new ArrayList<>();
+        Set<String> allLeaving = leaving.firstHand();
+        load.inFlight().forEach((name, inFlight) -> {
+            EndpointBatch endpoint = endpoints.get(name);
+            if (endpoint == null) {
+                return;
+            }
+            boolean slow = load.slowEndpoints().contains(name);
+            yieldAll(endpoint.onlineReported(entry, inFlight, slow, now));
+            online.put(name, endpoint.online(now));
+            batch.put(name, endpoint.running().size());
+            if (allLeaving.contains(name)) {
+                leavingThere.add(name);
+            }
+        });
+        return new PeerMessage.EndpointLoads(online, batch, leavingThere);
+    }
+
+    /** A job was stopped by its owner: its items end at once and report nothing. */
+    void cancel(String job, long fence) {
+        List<ItemRun> stopped = runs.values().stream()
+                .filter(run -> run.item().job().equals(job) && run.item().fence() == fence)
+                .toList();
+        stopped.forEach(ItemRun::discard);
+    }
+
+    /** All items go back to their owners with what they have so far. */
+    void yieldAll() {
+        List.copyOf(runs.values()).forEach(ItemRun::yield);
+    }
+
+    /** A run is over, in whatever way. */
+    void ended(ItemRun run, boolean crashed) {
+        runs.remove(run.number());
+        EndpointBatch endpoint = endpoints.get(run.endpoint().name());
+        if (endpoint != null) {
+            endpoint.ended(run.number());
+            if (crashed) {
+                endpoint.pause(CRASH_PAUSE_MILLIS, process.loop().nowNanos());
+            }
+        }
+        pull();
+    }
+
+    private void yieldAll(List<RunningItem> items) {
+        items.forEach(item -> Optional.ofNullable(runs.get(item.run())).ifPresent(ItemRun::yield));
+    }
+
+    private void reassign() {
+        Configuration configuration = process.configuration().current();
+        List<Host> stewards = process.present(Role.STEWARD);
+        Set<String> own = new HashSet<>();
+        for (EndpointSettings endpoint : configuration.endpoints().values()) {
+            ServiceSettings service = configuration.services().get(endpoint.service());
+            boolean stewarded = service.model().isPresent()
+                    && Ownership.ownerOfEndpoint(endpoint.name(), endpoint.zone(), stewards)
+                            .filter(process::isSelf)
+                            .isPresent();
+            if (stewarded) {
+                own.add(endpoint.name());
+                endpoints
+                        .computeIfAbsent(endpoint.name(), name -> newEndpoint(endpoint, service))
+                        .configure(endpoint, service.batchWeightPercent());
+            }
+        }
+        endpoints.keySet().retainAll(own);
+        applyLeaving();
+    }
+
+    private EndpointBatch newEndpoint(EndpointSettings endpoint, ServiceSettings service) {
+        return new EndpointBatch(
+                endpoint, service.batchWeightPercent(), settings.slotPolicy(), new LeastWorkLostOrder());
+    }
+
+    private List<EndpointSettings> stewarded() {
+        return endpoints.values().stream().map(EndpointBatch::settings).toList();
+    }
+
+    private void statusRead(EndpointSettings settingsOfEndpoint, EndpointStatus status) {
+        EndpointBatch endpoint = endpoints.get(settingsOfEndpoint.name());
+        if (endpoint == null) {
+            return;
+        }
+        yieldAll(endpoint.engineReported(
+                status.active() + status.queued(), process.loop().nowNanos()));
+        boolean before = leaving.all().contains(settingsOfEndpoint.name());
+        leaving.update(LeavingSource.ENDPOINT, settingsOfEndpoint.name(), status.draining());
+        if (before != status.draining()) {
+            applyLeaving();
+            PeerMessage notice = new PeerMessage.LeavingNotice(settingsOfEndpoint.name(), status.draining());
+            process.present(Role.ENTRY).forEach(host -> process.tell(host, notice));
+        }
+    }
+
+    private void applyLeaving() {
+        Set<String> all = leaving.all();
+        endpoints.forEach((name, endpoint) -> endpoint.leaving(all.contains(name)));
+    }
+
+    private void pull() {
+        if (process.stop().phase() != PlannedStop.Phase.SERVING) {
+            return;
+        }
+        long now = process.loop().nowNanos();
+        Map<String, Integer> freeByService = new HashMap<>();
+        endpoints
+                .values()
+                .forEach(endpoint ->
+                        freeByService.merge(endpoint.settings().service(), endpoint.free(now), Integer::sum));
+        freeByService.forEach((service, free) -> {
+            if (free > 0) {
+                sources.nextToAsk(service).ifPresent(owner -> ask(owner, service, free));
+            }
+        });
+    }
+
+    private void ask(HostId owner, String service, int free) {
+        Optional<Host> host = process.present(Role.STEWARD).stream()
+                .filter(present -> present.id().equals(owner))
+                .findFirst();
+        if (host.isEmpty()) {
+            sources.lost(owner);
+            return;
+        }
+        PeerMessage question = new PeerMessage.ItemsAsk(service, Math.min(free, MAX_ITEMS_PER_ASK));
+        process.ask(host.get(), question)
+                .whenComplete((reply, failure) -> process.loop().execute(() -> {
+                    List<WorkItem> items = reply instanceof PeerMessage.Items found ? found.items() : List.of();
+                    sources.answered(owner, service, !items.isEmpty());
+                    items.forEach(item -> run(host.get(), service, item));
+                    if (!items.isEmpty()) {
+                        pull();
+                    }
+                }));
+    }
+
+    private void run(Host owner, String service, WorkItem item) {
+        long now = process.loop().nowNanos();
+        List<EndpointBatch> free = endpoints.values().stream()
+                .filter(endpoint -> endpoint.settings().service().equals(service) && endpoint.free(now) > 0)
+                .sorted((one, other) -> Integer.compare(other.free(now), one.free(now)))
+                .toList();
+        ItemRun run = new ItemRun(process, this, owner, service, item, ++nextRun);
+        if (free.isEmpty() || process.stop().phase() != PlannedStop.Phase.SERVING) {
+            run.refuse();
+        } else if (item.suspect()) {
+            run.askPermit(free.stream().map(EndpointBatch::settings).toList());
+        } else {
+            start(run, free.get(0).settings());
+        }
+    }
+
+    /** Starts a run at an endpoint. */
+    void start(ItemRun run, EndpointSettings endpoint) {
+        EndpointBatch batch = endpoints.get(endpoint.name());
+        if (batch == null) {
+            run.refuse();
+            return;
+        }
+        RunningItem running = new RunningItem(run.number(), process.loop().nowNanos());
+        batch.started(running);
+        runs.put(run.number(), run);
+        run.start(endpoint, running, settings.endpointSilenceMillis());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/steward/ItemRun.java
@@ -0,0 +1,239 @@
+package org.gooseberryhill.steward;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhill.configuration.EndpointSettings;
+import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.decision.batch.RunningItem;
+import org.gooseberryhill.decision.job.ItemEnd;
+import org.gooseberryhill.decision.job.WorkItem;
+import org.gooseberryhill.decision.ownership.Ownership;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.http.EventStreamReader;
+import org.gooseberryhill.http.Exchange;
+import org.gooseberryhill.http.ExchangeFailure;
+import org.gooseberryhill.http.ExchangeListener;
+import org.gooseberryhill.http.ExchangeRequest;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.HostProcess;
+
+/**
+ * One run of one item at one endpoint. Its methods are for the control thread; the answer comes on a traffic thread.
+ *
+ * <p>Invariant: a run reports its end to the item's owner once, unless it is discarded; the owner takes an item back
+ * whose report is lost.
+ */
+final class ItemRun {
+    private static final int REPORT_TRIES = 5;
+    private static final long REPORT_RETRY_MILLIS = 300;
+    private static final int FIRST_CLIENT_ERROR = 400;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final HostProcess process;
+    private final BatchDriver driver;
+    private final Host owner;
+    private final String service;
+    private final WorkItem item;
+    private final long number;
+    private final StringBuffer text;
+    private volatile int tokens;
+    private EndpointSettings endpoint;
+    private RunningItem running;
+    private Exchange exchange;
+    private boolean holdsPermit;
+    private boolean ended;
+
+    ItemRun(HostProcess process, BatchDriver driver, Host owner, String service, WorkItem item, long number) {
+        this.process = process;
+        this.driver = driver;
+        this.owner = owner;
+        this.service = service;
+        this.item = item;
+        this.number = number;
+        this.text = new StringBuffer(item.partial());
+        this.tokens = item.partialTokens();
+    }
+
+    WorkItem item() {
+        return item;
+    }
+
+    long number() {
+        return number;
+    }
+
+    EndpointSettings endpoint() {
+        return endpoint;
+    }
+
+    /** There is no room for the item after all. */
+    void refuse() {
+        ended = true;
+        report(ItemEnd.NOT_RUN, "", 0);
+    }
+
+    /** Asks where the item may run apart from other suspects. */
+    void askPermit(List<EndpointSettings> candidates) {
+        Optional<Host> arbiter = Ownership.ownerOfSuspects(service, process.present(Role.STEWARD));
+        if (arbiter.isEmpty()) {
+            refuse();
+            return;
+        }
+        List<String> names = candidates.stream().map(EndpointSettings::name).toList();
+        PeerMessage question = new PeerMessage.SuspectPermitAsk(service, fingerprint(), names);
+        process.ask(arbiter.get(), question)
+                .whenComplete((reply, failure) -> process.loop().execute(() -> {
+                    Optional<EndpointSettings> granted = reply instanceof PeerMessage.SuspectPermit permit
+                            ? candidates.stream()
+                                    .filter(candidate -> permit.endpoint().equals(Optional.of(candidate.name())))
+                                    .findFirst()
+                            : Optional.empty();
+                    if (granted.isEmpty()) {
+                        refuse();
+                        return;
+                    }
+                    holdsPermit = true;
+                    driver.start(this, granted.get());
+                }));
+    }
+
+    /** Sends the item to an endpoint. */
+    void start(EndpointSettings target, RunningItem runningItem, int silenceMillis) {
+        endpoint = target;
+        running = runningItem;
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("content-type", "application/json");
+        headers.put("x-request-id", item.job().replace('/', '.') + "." + item.index());
+        if (tokens > 0) {
+            headers.put("x-resume-from", Integer.toString(tokens));
+        }
+        ExchangeRequest request = new ExchangeRequest(
+                target.address(), "POST", "/v1/completions", headers, streamedBody(), silenceMillis, false);
+        exchange = process.http().start(request, new Answer());
+    }
+
+    /** Gives the slot back to online work; what was generated so far goes to the owner. */
+    void yield() {
+        if (end(false)) {
+            exchange.cancel();
+            report(ItemEnd.YIELDED, text.toString(), tokens);
+        }
+    }
+
+    /** The job is stopped: nothing is reported. */
+    void discard() {
+        if (end(false)) {
+            exchange.cancel();
+        }
+    }
+
+    private void finish(ItemEnd kind, String result, int resultTokens) {
+        process.loop().execute(() -> {
+            if (end(kind == ItemEnd.CRASHED)) {
+                report(kind, result, resultTokens);
+            }
+        });
+    }
+
+    private boolean end(boolean crashed) {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        if (holdsPermit) {
+            PeerMessage release = new PeerMessage.SuspectRelease(service, fingerprint(), false);
+            Ownership.ownerOfSuspects(service, process.present(Role.STEWARD))
+                    .ifPresent(arbiter -> process.tell(arbiter, release));
+        }
+        driver.ended(this, crashed);
+        return true;
+    }
+
+    private void report(ItemEnd kind, String result, int resultTokens) {
+        PeerMessage report = new PeerMessage.ItemReport(
+                item.job(), item.index(), item.fence(), item.handout(), kind, result, resultTokens);
+        driver.reportOpened();
+        send(report, REPORT_TRIES);
+    }
+
+    private void send(PeerMessage report, int triesLeft) {
+        process.ask(owner, report)
+                .whenComplete((reply, failure) -> process.loop().execute(() -> {
+                    if (failure == null || triesLeft <= 1) {
+                        driver.reportClosed();
+                    } else {
+                        process.loop().after(REPORT_RETRY_MILLIS, () -> send(report, triesLeft - 1));
+                    }
+                }));
+    }
+
+    private String fingerprint() {
+        return Fingerprint.of(item.job() + "#" + item.index(), new byte[0]).value();
+    }
+
+    private byte[] streamedBody() {
+        return Json.tree(item.body().getBytes(StandardCharsets.UTF_8))
+                .map(json -> Json.bytes(((ObjectNode) json).put("stream", true)))
+                .getOrElse(new byte[0]);
+    }
+
+    /** Follows the answer; used by one traffic thread. */
+    private final class Answer implements ExchangeListener {
+        private final EventStreamReader events = new EventStreamReader();
+        private int status;
+        private boolean doneSeen;
+
+        @Override
+        public void onHead(int newStatus, HttpHeaders headers) {
+            status = newStatus;
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            if (status >= FIRST_CLIENT_ERROR) {
+                return;
+            }
+            events.read(bytes, (event, token, done) -> {
+                doneSeen |= done;
+                if (!token.isEmpty()) {
+                    text.append(token);
+                    tokens++;
+                    running.generated(tokens);
+                }
+            });
+        }
+
+        @Override
+        public void onEnd() {
+            if (doneSeen) {
+                finish(ItemEnd.COMPLETED, text.toString(), tokens);
+            } else if (status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR && status != TOO_MANY_REQUESTS) {
+                finish(ItemEnd.REJECTED, "the endpoint answered with status " + status, 0);
+            } else {
+                finish(ItemEnd.FAILED, "the endpoint answered with status " + status, 0);
+            }
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            boolean cut =
+                    failure.kind() == ExchangeFailure.Kind.CONNECTION_LOST && failure.outcome() == Outcome.MAY_HAVE_RUN;
+            if (cut) {
+                finish(ItemEnd.CRASHED, failure.detail(), 0);
+            } else if (failure.outcome() == Outcome.NOT_RUN) {
+                finish(ItemEnd.NOT_RUN, failure.detail(), 0);
+            } else {
+                finish(ItemEnd.FAILED, failure.detail(), 0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/steward/JobOwner.java
@@ -0,0 +1,303 @@
+package org.gooseberryhill.steward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.decision.job.ItemEnd;
+import org.gooseberryhill.decision.job.ItemOutcome;
+import org.gooseberryhill.decision.job.JobBoard;
+import org.gooseberryhill.decision.job.JobRecord;
+import org.gooseberryhill.decision.job.JobState;
+import org.gooseberryhill.decision.job.OwnedJob;
+import org.gooseberryhill.decision.job.WorkItem;
+import org.gooseberryhill.decision.membership.HostState;
+import org.gooseberryhill.decision.ownership.Ownership;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.platform.KeyValueStore;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.platform.Transaction;
+import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.process.LeaseKeeper;
+
+/**
+ * The jobs that this host owns: claims them, hands out their items, commits their chunks. For the control thread.
+ *
+ * <p>Invariant: what is committed carries the claim as its fence; when the lease is gone all jobs are dropped at once,
+ * and whoever claims them next goes on from the committed chunks.
+ */
+final class JobOwner {
+    private static final Logger LOG = LogManager.getLogger(JobOwner.class);
+    private static final long HOUSEKEEPING_MILLIS = 250;
+    private static final long RECORD_CHECK_MILLIS = 5000;
+    private static final int MAX_CHUNKS = 10_000;
+
+    private final HostProcess process;
+    private final LeaseKeeper lease;
+    private final StewardSettings settings;
+    private final JobBoard board;
+    private final JobSegments segments;
+    private final Set<JobKey> claiming = new HashSet<>();
+    private boolean handingOver;
+
+    JobOwner(HostProcess process, LeaseKeeper lease, StewardSettings settings) {
+        this.process = process;
+        this.lease = lease;
+        this.settings = settings;
+        this.board = new JobBoard(settings.dispatchOrder());
+        this.segments = new JobSegments(process, this::jobRefused, this::jobAdvanced);
+    }
+
+    void start() {
+        lease.onLost(this::dropAll);
+        process.onMembershipChange(this::takeBackFromLost);
+        process.loop().every(HOUSEKEEPING_MILLIS, this::keepHouse);
+        process.loop().every(RECORD_CHECK_MILLIS, this::checkRecords);
+    }
+
+    Map<String, Long> waitingWork() {
+        return board.waitingWork(process.loop().nowNanos());
+    }
+
+    boolean owns(JobKey key) {
+        return board.find(key).isPresent();
+    }
+
+    List<WorkItem> take(HostId steward, PeerMessage.ItemsAsk question) {
+        return board.take(
+                question.service(), question.max(), steward, process.loop().nowNanos(), System.currentTimeMillis());
+    }
+
+    void report(PeerMessage.ItemReport report) {
+        Optional<OwnedJob> owned = JobKey.parse(report.job()).flatMap(board::find);
+        if (owned.isEmpty()) {
+            return;
+        }
+        OwnedJob job = owned.get();
+        ItemOutcome outcome = new ItemOutcome(
+                report.index(), report.fence(), report.handout(), report.kind(), report.text(), report.tokens());
+        if (report.kind() != ItemEnd.COMPLETED) {
+            process.timeline()
+                    .job(
+                            "item." + report.kind().name().toLowerCase(Locale.ROOT),
+                            report.job(),
+                            Optional.empty(),
+                            "item " + report.index());
+        }
+        job.report(outcome, process.loop().nowNanos()).ifPresent(result -> segments.commit(job, result));
+        if (job.hasWaiting(process.loop().nowNanos())) {
+            offerWork(job);
+        }
+    }
+
+    void noticed(PeerMessage.JobNotice notice) {
+        JobKey.parse(notice.job()).ifPresent(key -> {
+            if (notice.cancelled()) {
+                stop(key, "cancelled");
+            } else {
+                claim(key);
+            }
+        });
+    }
+
+    /** Claims a job, unless this host has it or is about to. */
+    void claim(JobKey key) {
+        Optional<Long> usable = lease.usable();
+        if (handingOver || usable.isEmpty() || owns(key) || !claiming.add(key)) {
+            return;
+        }
+        String claimId = process.settings().self().id() + "/" + UUID.randomUUID();
+        byte[] value = claimId.getBytes(StandardCharsets.UTF_8);
+        Transaction write = Transaction.builder()
+                .ifAbsent(Keys.owner(key))
+                .putUnderLease(Keys.owner(key), value, usable.get())
+                .build();
+        process.keyValue()
+                .write(write)
+                .whenComplete((result, failure) -> process.loop().execute(() -> {
+                    if (failure != null) {
+                        confirmClaim(key, claimId);
+                    } else if (result.succeeded()) {
+                        load(key, result.revision());
+                    } else {
+                        claiming.remove(key);
+                    }
+                }));
+    }
+
+    /** Gives all jobs up at a planned stop; true once nothing is being committed. */
+    boolean handOver() {
+        handingOver = true;
+        if (segments.committing() > 0) {
+            return false;
+        }
+        board.jobs().forEach(job -> board.remove(job.key()));
+        return true;
+    }
+
+    /** The claim's answer was lost: only the key tells whether it took effect. */
+    private void confirmClaim(JobKey key, String claimId) {
+        process.keyValue()
+                .read(Keys.owner(key))
+                .whenComplete((result, failure) -> process.loop().execute(() -> {
+                    Optional<KeyValueStore.Entry> own = failure != null
+                            ? Optional.empty()
+                            : result.first()
+                                    .filter(entry -> claimId.equals(new String(entry.value(), StandardCharsets.UTF_8)));
+                    if (own.isPresent()) {
+                        load(key, own.get().createRevision());
+                    } else {
+                        claiming.remove(key);
+                    }
+                }));
+    }
+
+    private void load(JobKey key, long fence) {
+        process.keyValue()
+                .read(Keys.job(key))
+                .thenCombine(
+                        process.keyValue().readPrefix(Keys.chunks(key), Keys.chunks(key), MAX_CHUNKS),
+                        (record, chunks) -> owned(key, fence, record, chunks))
+                .whenComplete((job, failure) -> process.loop().execute(() -> {
+                    claiming.remove(key);
+                    if (failure == null && job.isPresent() && lease.usable().isPresent() && !handingOver) {
+                        begin(job.get());
+                    } else {
+                        releaseClaim(key, fence);
+                    }
+                }));
+    }
+
+    private static Optional<OwnedJob> owned(
+            JobKey key, long fence, KeyValueStore.ReadResult record, KeyValueStore.ReadResult chunks) {
+        BitSet committed = new BitSet();
+        String prefix = Keys.chunks(key);
+        chunks.entries()
+                .forEach(entry -> committed.set(Integer.parseInt(entry.key().substring(prefix.length()))));
+        return record.first()
+                .flatMap(entry -> Json.read(entry.value(), JobRecord.class)
+                        .toJavaOptional()
+                        .filter(found -> found.state() == JobState.RUNNING)
+                        .map(found -> new OwnedJob(key, found, entry.modRevision(), fence, committed)));
+    }
+
+    private void begin(OwnedJob job) {
+        LOG.info("owns job {} with fence {}", job.key().path(), job.fence());
+        process.timeline().job("job.owned", job.key().path(), Optional.empty(), "fence " + job.fence());
+        board.add(job);
+        jobAdvanced(job);
+    }
+
+    private void jobAdvanced(OwnedJob job) {
+        if (job.isStopped()) {
+            return;
+        }
+        if (job.isComplete()) {
+            segments.finish(job);
+            board.remove(job.key());
+            return;
+        }
+        segments.loadMore(job);
+        if (job.hasWaiting(process.loop().nowNanos())) {
+            offerWork(job);
+        }
+    }
+
+    private void jobRefused(OwnedJob job) {
+        stop(job.key(), "its record or claim has changed");
+        // A cancelled job stays stopped when its record is read again; another claim may go on with it.
+        claim(job.key());
+    }
+
+    private void stop(JobKey key, String reason) {
+        board.remove(key).ifPresent(job -> {
+            process.timeline().job("job.stopped", key.path(), Optional.empty(), reason);
+            PeerMessage cancel = new PeerMessage.ItemsCancel(key.path(), job.fence());
+            process.present(Role.STEWARD).forEach(host -> process.tell(host, cancel));
+            releaseClaim(key, job.fence());
+        });
+    }
+
+    private void dropAll() {
+        board.jobs().forEach(job -> stop(job.key(), "the lease is gone"));
+    }
+
+    private void releaseClaim(JobKey key, long fence) {
+        process.keyValue()
+                .write(Transaction.builder()
+                        .ifCreatedAt(Keys.owner(key), fence)
+                        .delete(Keys.owner(key))
+                        .build());
+    }
+
+    private void offerWork(OwnedJob job) {
+        PeerMessage notice =
+                new PeerMessage.WorkNotice(job.record().service(), job.record().dueMillis());
+        process.present(Role.STEWARD).stream()
+                .filter(host -> !host.leaving())
+                .forEach(host -> process.tell(host, notice));
+    }
+
+    private void takeBackFromLost() {
+        for (OwnedJob job : board.jobs()) {
+            job.holders().stream().filter(this::isLost).forEach(board::stewardLost);
+        }
+    }
+
+    private boolean isLost(HostId steward) {
+        boolean self = steward.equals(process.settings().self().id());
+        Optional<HostState> state = process.membership().stateOf(steward);
+        return !self && (state.isEmpty() || state.get() == HostState.DEAD);
+    }
+
+    private void keepHouse() {
+        long now = process.loop().nowNanos();
+        for (OwnedJob job : board.jobs()) {
+            job.takeBackOlderThan(settings.maxHandoutMillis(), now);
+            segments.loadMore(job);
+        }
+        handOverForeign();
+    }
+
+    /** A job belongs to the host that all hosts' views name; a new host takes its share over in time. */
+    private void handOverForeign() {
+        List<Host> stewards = process.present(Role.STEWARD);
+        for (OwnedJob job : board.jobs()) {
+            boolean own = Ownership.ownerOfJob(job.key(), stewards)
+                    .filter(process::isSelf)
+                    .isPresent();
+            if (!own && job.running() == 0 && segments.committing() == 0) {
+                stop(job.key(), "another host is its owner now");
+            }
+        }
+    }
+
+    /** A cancel's notice may be lost: the record tells, at the latest when the next chunk is committed. */
+    private void checkRecords() {
+        for (OwnedJob job : board.jobs()) {
+            process.keyValue()
+                    .read(Keys.job(job.key()))
+                    .whenComplete((result, failure) -> process.loop().execute(() -> {
+                        boolean changed = failure == null
+                                && result.first()
+                                        .filter(entry -> entry.modRevision() == job.recordRevision())
+                                        .isEmpty();
+                        if (changed && !job.isStopped()) {
+                            jobRefused(job);
+                        }
+                    }));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/steward/JobScan.java
@@ -0,0 +1,76 @@
+package org.gooseberryhill.steward;
+
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.decision.ownership.Ownership;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.platform.KeyValueStore;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.process.HostProcess;
+
+/**
+ * Finds open jobs whose owner was lost or never heard of them. For the control thread.
+ *
+ * <p>Two stewards of the whole fleet read the index of open jobs; they tell each job's owner, which claims it if it
+ * has not.
+ */
+final class JobScan {
+    private static final int SCANNERS = 2;
+    private static final int PAGE = 1000;
+
+    private final HostProcess process;
+    private final StewardSettings settings;
+    private final JobOwner jobs;
+
+    JobScan(HostProcess process, StewardSettings settings, JobOwner jobs) {
+        this.process = process;
+        this.settings = settings;
+        this.jobs = jobs;
+    }
+
+    void start() {
+        process.loop().every(settings.jobScanPeriodMillis(), this::scan);
+    }
+
+    private void scan() {
+        List<Host> stewards = process.present(Role.STEWARD);
+        boolean chosen =
+                Ownership.rank("job-scan", stewards).stream().limit(SCANNERS).anyMatch(process::isSelf);
+        if (chosen) {
+            readPage(Keys.OPEN_JOBS, stewards);
+        }
+    }
+
+    private void readPage(String fromKey, List<Host> stewards) {
+        process.keyValue()
+                .readPrefix(Keys.OPEN_JOBS, fromKey, PAGE)
+                .whenComplete((result, failure) -> process.loop().execute(() -> {
+                    if (failure != null) {
+                        return;
+                    }
+                    result.entries().forEach(entry -> tellOwner(entry, stewards));
+                    if (result.more()) {
+                        String last = result.entries()
+                                .get(result.entries().size() - 1)
+                                .key();
+                        readPage(last + "\0", stewards);
+                    }
+                }));
+    }
+
+    private void tellOwner(KeyValueStore.Entry entry, List<Host> stewards) {
+        Optional<JobKey> key = JobKey.parse(entry.key().substring(Keys.OPEN_JOBS.length()));
+        Optional<Host> owner = key.flatMap(found -> Ownership.ownerOfJob(found, stewards));
+        if (owner.isEmpty()) {
+            return;
+        }
+        if (process.isSelf(owner.get())) {
+            jobs.claim(key.get());
+        } else {
+            process.tell(owner.get(), new PeerMessage.JobNotice(key.get().path(), false));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/steward/JobSegments.java
@@ -0,0 +1,167 @@
+package org.gooseberryhill.steward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.gooseberryhill.decision.job.ChunkCommit;
+import org.gooseberryhill.decision.job.ChunkRecord;
+import org.gooseberryhill.decision.job.ChunkResult;
+import org.gooseberryhill.decision.job.JobState;
+import org.gooseberryhill.decision.job.OwnedJob;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.platform.KeyValueStore;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.platform.Transaction;
+import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.store.SegmentNames;
+
+/** Loads the items of owned jobs and commits their results, chunk by chunk. For the control thread. */
+final class JobSegments {
+    private static final long RETRY_MILLIS = 500;
+
+    private final HostProcess process;
+    private final Consumer<OwnedJob> onRefused;
+    private final Consumer<OwnedJob> onAdvanced;
+    private int committing;
+
+    JobSegments(HostProcess process, Consumer<OwnedJob> onRefused, Consumer<OwnedJob> onAdvanced) {
+        this.process = process;
+        this.onRefused = onRefused;
+        this.onAdvanced = onAdvanced;
+    }
+
+    /** How many chunks are being committed. */
+    int committing() {
+        return committing;
+    }
+
+    /** Loads chunks while the job's window has room. */
+    void loadMore(OwnedJob job) {
+        Optional<Integer> chunk = job.nextChunkToLoad();
+        while (chunk.isPresent()) {
+            load(job, chunk.get());
+            chunk = job.nextChunkToLoad();
+        }
+    }
+
+    /** Stores a chunk's results in two zones, then commits them; tries again while the platform is out. */
+    void commit(OwnedJob job, ChunkResult result) {
+        committing++;
+        byte[] content = (String.join("\n", result.lines()) + "\n").getBytes(StandardCharsets.UTF_8);
+        String name = SegmentNames.results(job.key(), result.chunk(), job.fence(), content);
+        ChunkRecord record = new ChunkRecord(name, result.lines().size(), result.failed(), job.fence());
+        store(job, new Commit(result.chunk(), record, content));
+    }
+
+    /** Marks a job whose chunks are all committed as done. */
+    void finish(OwnedJob job) {
+        Transaction write = Transaction.builder()
+                .ifCreatedAt(Keys.owner(job.key()), job.fence())
+                .ifWrittenAt(Keys.job(job.key()), job.recordRevision())
+                .put(Keys.job(job.key()), Json.bytes(job.record().in(JobState.DONE)))
+                .delete(Keys.openJob(job.key()))
+                .delete(Keys.owner(job.key()))
+                .build();
+        process.keyValue()
+                .write(write)
+                .whenComplete((result, failure) -> process.loop().execute(() -> {
+                    // Without an answer the open job is found again by the scan, complete, and finished then.
+                    if (failure == null && result.succeeded()) {
+                        process.timeline().job("job.done", job.key().path(), Optional.empty(), "");
+                    }
+                }));
+    }
+
+    private void load(OwnedJob job, int chunk) {
+        process.segments()
+                .get(job.record().chunks().get(chunk))
+                .whenComplete((content, failure) -> process.loop().execute(() -> {
+                    if (failure != null || content.isEmpty()) {
+                        process.loop().after(RETRY_MILLIS, () -> {
+                            job.chunkNotLoaded(chunk);
+                            loadMore(job);
+                        });
+                        return;
+                    }
+                    String text = new String(content.get(), StandardCharsets.UTF_8);
+                    job.chunkLoaded(chunk, List.of(text.split("\n")));
+                    onAdvanced.accept(job);
+                }));
+    }
+
+    private void store(OwnedJob job, Commit commit) {
+        process.segments()
+                .put(commit.record.segment(), commit.content)
+                .whenComplete((done, failure) -> process.loop().execute(() -> {
+                    if (job.isStopped()) {
+                        committing--;
+                    } else if (failure != null) {
+                        process.loop().after(RETRY_MILLIS, () -> store(job, commit));
+                    } else {
+                        ChunkCommit decision = new ChunkCommit();
+                        follow(job, commit, decision, decision.begin());
+                    }
+                }));
+    }
+
+    private void follow(OwnedJob job, Commit commit, ChunkCommit decision, ChunkCommit.Step step) {
+        if (job.isStopped()) {
+            committing--;
+            return;
+        }
+        switch (step) {
+            case WRITE ->
+                process.keyValue()
+                        .write(write(job, commit))
+                        .whenComplete((result, failure) ->
+                                later(job, commit, decision, failure, () -> decision.written(result.succeeded())));
+            case READ ->
+                process.keyValue()
+                        .read(Keys.chunk(job.key(), commit.chunk))
+                        .whenComplete((result, failure) ->
+                                later(job, commit, decision, failure, () -> decision.read(found(result))));
+            case COMMITTED -> {
+                committing--;
+                job.chunkCommitted(commit.chunk);
+                process.timeline().job("chunk.committed", job.key().path(), Optional.empty(), "chunk " + commit.chunk);
+                onAdvanced.accept(job);
+            }
+            default -> {
+                committing--;
+                onRefused.accept(job);
+            }
+        }
+    }
+
+    private void later(
+            OwnedJob job, Commit commit, ChunkCommit decision, Throwable failure, Supplier<ChunkCommit.Step> answered) {
+        process.loop().execute(() -> {
+            if (failure == null) {
+                follow(job, commit, decision, answered.get());
+                return;
+            }
+            ChunkCommit.Step next = decision.unanswered();
+            process.loop().after(RETRY_MILLIS, () -> follow(job, commit, decision, next));
+        });
+    }
+
+    private static Transaction write(OwnedJob job, Commit commit) {
+        String key = Keys.chunk(job.key(), commit.chunk);
+        return Transaction.builder()
+                .ifCreatedAt(Keys.owner(job.key()), job.fence())
+                .ifWrittenAt(Keys.job(job.key()), job.recordRevision())
+                .ifAbsent(key)
+                .put(key, Json.bytes(commit.record))
+                .build();
+    }
+
+    private static Optional<ChunkRecord> found(KeyValueStore.ReadResult result) {
+        return result.first()
+                .flatMap(entry -> Json.read(entry.value(), ChunkRecord.class).toJavaOptional());
+    }
+
+    /** A chunk on its way. */
+    private record Commit(int chunk, ChunkRecord record, byte[] content) {}
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/steward/LoadPlaces.java
@@ -0,0 +1,63 @@
+package org.gooseberryhill.steward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.platform.Transaction;
+import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.process.LeaseKeeper;
+
+/**
+ * Bounds how many endpoints load a model at once over all hosts. For the control thread.
+ *
+ * <p>The weight store is rate-limited: an order to many endpoints at once would make most of their loads fail. A place
+ * is a key under the holder's lease, so a lost holder frees it. One load at a time per host.
+ */
+final class LoadPlaces {
+    private final HostProcess process;
+    private final int places;
+    private boolean busy;
+    private Optional<String> held = Optional.empty();
+    private int next;
+
+    LoadPlaces(HostProcess process, int places) {
+        this.process = process;
+        this.places = places;
+    }
+
+    /** Runs the action under a place, or the other if there is none now. */
+    void withPlace(LeaseKeeper lease, Runnable action, Runnable without) {
+        Optional<Long> usable = lease.usable();
+        if (busy || usable.isEmpty()) {
+            without.run();
+            return;
+        }
+        busy = true;
+        String key = Keys.load(next);
+        next = (next + 1) % places;
+        byte[] holder = process.settings().self().id().value().getBytes(StandardCharsets.UTF_8);
+        Transaction write = Transaction.builder()
+                .ifAbsent(key)
+                .putUnderLease(key, holder, usable.get())
+                .build();
+        process.keyValue()
+                .write(write)
+                .whenComplete((result, failure) -> process.loop().execute(() -> {
+                    if (failure == null && result.succeeded()) {
+                        held = Optional.of(key);
+                        action.run();
+                    } else {
+                        busy = false;
+                        without.run();
+                    }
+                }));
+    }
+
+    /** The load is over. */
+    void release() {
+        busy = false;
+        held.ifPresent(key ->
+                process.keyValue().write(Transaction.builder().delete(key).build()));
+        held = Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/steward/OrderDriver.java
@@ -0,0 +1,129 @@
+package org.gooseberryhill.steward;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhill.configuration.Configuration;
+import org.gooseberryhill.configuration.EndpointSettings;
+import org.gooseberryhill.configuration.ModelSettings;
+import org.gooseberryhill.decision.order.EndpointOrders;
+import org.gooseberryhill.decision.order.ModelHolding;
+import org.gooseberryhill.decision.order.OrderSettings;
+import org.gooseberryhill.decision.order.OrderStep;
+import org.gooseberryhill.http.ExchangeRequest;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.platform.Transaction;
+import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.process.LeaseKeeper;
+
+/** Gives the endpoints that this host stewards their model orders, under claims. For the control thread. */
+final class OrderDriver {
+    private static final int MAX_ANSWER_BYTES = 64 * 1024;
+
+    private final HostProcess process;
+    private final LeaseKeeper lease;
+    private final StewardSettings settings;
+    private final BatchDriver batch;
+    private final LoadPlaces places;
+    private final Map<String, EndpointOrders> orders = new HashMap<>();
+
+    OrderDriver(HostProcess process, LeaseKeeper lease, StewardSettings settings, BatchDriver batch) {
+        this.process = process;
+        this.lease = lease;
+        this.settings = settings;
+        this.batch = batch;
+        this.places = new LoadPlaces(process, settings.maxLoads());
+    }
+
+    void start() {
+        batch.onStatus(this::statusRead);
+        lease.onLost(() -> orders.values().forEach(EndpointOrders::claimLost));
+    }
+
+    private void statusRead(EndpointSettings endpoint, EndpointStatus status) {
+        Optional<ModelHolding> wanted = wanted(endpoint);
+        if (wanted.isEmpty()) {
+            return;
+        }
+        EndpointOrders decision = orders.computeIfAbsent(
+                endpoint.name(),
+                name -> new EndpointOrders(
+                        new OrderSettings(process.settings().leaseMillis(), settings.longestOrderMillis()),
+                        endpoint.checksFences()));
+        boolean leaseUsable = lease.usable().isPresent();
+        OrderStep step = decision.next(
+                Optional.of(status.held()),
+                wanted.get(),
+                leaseUsable,
+                process.loop().nowNanos());
+        if (step instanceof OrderStep.Claim) {
+            claim(endpoint, decision);
+        } else if (step instanceof OrderStep.Send send) {
+            places.withPlace(lease, () -> send(endpoint, decision, send), decision::orderEnded);
+        }
+    }
+
+    private Optional<ModelHolding> wanted(EndpointSettings endpoint) {
+        Configuration configuration = process.configuration().current();
+        return Optional.ofNullable(configuration.services().get(endpoint.service()))
+                .flatMap(service -> service.model())
+                .map(configuration.models()::get)
+                .map(OrderDriver::holding);
+    }
+
+    private static ModelHolding holding(ModelSettings model) {
+        return new ModelHolding(model.name(), model.version(), model.adapters());
+    }
+
+    private void claim(EndpointSettings endpoint, EndpointOrders decision) {
+        Optional<Long> usable = lease.usable();
+        if (usable.isEmpty()) {
+            decision.claimed(Optional.empty(), process.loop().nowNanos());
+            return;
+        }
+        String key = Keys.endpoint(endpoint.name());
+        byte[] holder = Json.bytes(process.settings().self().id());
+        Transaction write = Transaction.builder()
+                .ifAbsent(key)
+                .putUnderLease(key, holder, usable.get())
+                .build();
+        process.keyValue()
+                .write(write)
+                .whenComplete((result, failure) -> process.loop().execute(() -> {
+                    boolean own = failure == null && result.succeeded();
+                    // A lost answer leaves a claim that this host does not know of: it lapses with the lease.
+                    decision.claimed(
+                            own ? Optional.of(result.revision()) : Optional.empty(),
+                            process.loop().nowNanos());
+                }));
+    }
+
+    private void send(EndpointSettings endpoint, EndpointOrders decision, OrderStep.Send order) {
+        if (lease.usable().isEmpty()) {
+            decision.orderEnded();
+            places.release();
+            return;
+        }
+        process.timeline().endpoint("order.sent", endpoint.name(), "fence " + order.fence());
+        byte[] body = Json.bytes(Json.object()
+                .put("fence", order.fence())
+                .set("holding", Json.mapper().valueToTree(order.holding())));
+        ExchangeRequest request = new ExchangeRequest(
+                endpoint.address(),
+                "POST",
+                "/orders",
+                Map.of("content-type", "application/json"),
+                body,
+                (int) settings.longestOrderMillis(),
+                true);
+        process.http()
+                .call(request, MAX_ANSWER_BYTES)
+                .whenComplete((result, failure) -> process.loop().execute(() -> {
+                    String end = failure == null ? "status " + result.status() : "no answer";
+                    process.timeline().endpoint("order.ended", endpoint.name(), end);
+                    decision.orderEnded();
+                    places.release();
+                }));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/store/SegmentFolder.java
@@ -0,0 +1,144 @@
+package org.gooseberryhill.store;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The segments under one data folder. Thread-safe.
+ *
+ * <p>Invariants: a segment that {@link #put} returned for is on the disk; a segment is seen whole or not at all, since
+ * it is written beside its place, synced, and moved there in one step; a segment whose checksum does not fit is set
+ * aside and counts as missing, so that a copy from another zone replaces it. A name stands for one content for ever.
+ */
+public final class SegmentFolder {
+    private static final Logger LOG = LogManager.getLogger(SegmentFolder.class);
+    private static final Pattern VALID_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_.-]{0,250}");
+    private static final int MAGIC = 0x47425331;
+    private static final int HEADER_BYTES = 4 + 4 + 8;
+    private static final String SUFFIX = ".segment";
+
+    private final Path folder;
+    private final AtomicLong temporaryNumbers = new AtomicLong();
+
+    /** The segments under a folder, which is created if it is missing. */
+    public SegmentFolder(Path folder) {
+        this.folder = folder;
+        try {
+            Files.createDirectories(folder);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Whether a text may name a segment; it is safe as a file name. */
+    public static boolean isValidName(String name) {
+        return VALID_NAME.matcher(name).matches();
+    }
+
+    /** Stores a segment durably; storing it again changes nothing. */
+    public void put(String name, byte[] content) throws IOException {
+        requireValid(name);
+        if (Files.exists(path(name))) {
+            return;
+        }
+        Path temporary = folder.resolve(name + "." + temporaryNumbers.incrementAndGet() + ".tmp");
+        try (FileChannel channel =
+                FileChannel.open(temporary, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)) {
+            ByteBuffer buffer = frame(content);
+            while (buffer.hasRemaining()) {
+                channel.write(buffer);
+            }
+            channel.force(true);
+        }
+        Files.move(temporary, path(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        // Without this the file's name may be lost with the power although its content was synced.
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    /** A segment's content; empty if it is missing or damaged. */
+    public Optional<byte[]> get(String name) throws IOException {
+        requireValid(name);
+        byte[] file;
+        try {
+            file = Files.readAllBytes(path(name));
+        } catch (NoSuchFileException e) {
+            return Optional.empty();
+        }
+        Optional<byte[]> content = unframe(file);
+        if (content.isEmpty()) {
+            LOG.warn("segment {} is damaged and set aside", name);
+            Files.move(path(name), folder.resolve(name + ".damaged"), StandardCopyOption.REPLACE_EXISTING);
+        }
+        return content;
+    }
+
+    /** Whether a segment's file is there. */
+    public boolean has(String name) {
+        return isValidName(name) && Files.exists(path(name));
+    }
+
+    /** The names of all segments. */
+    public List<String> names() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(file -> file.getFileName().toString())
+                    .filter(name -> name.endsWith(SUFFIX))
+                    .map(name -> name.substring(0, name.length() - SUFFIX.length()))
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    private Path path(String name) {
+        return folder.resolve(name + SUFFIX);
+    }
+
+    private static ByteBuffer frame(byte[] content) {
+        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + content.length);
+        buffer.putInt(MAGIC).putInt(content.length).putLong(checksum(content, 0, content.length));
+        buffer.put(content).flip();
+        return buffer;
+    }
+
+    private static Optional<byte[]> unframe(byte[] file) {
+        if (file.length < HEADER_BYTES) {
+            return Optional.empty();
+        }
+        ByteBuffer buffer = ByteBuffer.wrap(file);
+        boolean headerFits = buffer.getInt() == MAGIC && buffer.getInt() == file.length - HEADER_BYTES;
+        if (!headerFits || buffer.getLong() != checksum(file, HEADER_BYTES, file.length - HEADER_BYTES)) {
+            return Optional.empty();
+        }
+        byte[] content = new byte[file.length - HEADER_BYTES];
+        buffer.get(content);
+        return Optional.of(content);
+    }
+
+    private static long checksum(byte[] bytes, int offset, int length) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(bytes, offset, length);
+        return checksum.getValue();
+    }
+
+    private static void requireValid(String name) {
+        if (!isValidName(name)) {
+            throw new IllegalArgumentException("not a segment's name: " + name);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/store/SegmentRepair.java
@@ -0,0 +1,127 @@
+package org.gooseberryhill.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.peer.PeerLane;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.HostProcess;
+
+/**
+ * Restores the copies of segments after a store is lost, damaged or replaced, with nobody's help.
+ *
+ * <p>Each store asks the stores that shall hold what it holds, and sends what they lack. A store that the placement
+ * does not name keeps its copy: it costs disk, never a result. Runs on the control thread and the disk threads.
+ */
+final class SegmentRepair {
+    private static final Logger LOG = LogManager.getLogger(SegmentRepair.class);
+    private static final int NAMES_PER_QUESTION = 500;
+    private static final long SEND_TIMEOUT_MILLIS = 10_000;
+
+    private final HostProcess process;
+    private final SegmentFolder folder;
+    private final Executor disk;
+    private final long periodMillis;
+    private boolean running;
+
+    SegmentRepair(HostProcess process, SegmentFolder folder, Executor disk, long periodMillis) {
+        this.process = process;
+        this.folder = folder;
+        this.disk = disk;
+        this.periodMillis = periodMillis;
+    }
+
+    void start() {
+        process.loop().every(periodMillis, this::round);
+    }
+
+    private void round() {
+        if (running) {
+            return;
+        }
+        running = true;
+        List<Host> stores = process.present(Role.STORE);
+        CompletableFuture.supplyAsync(() -> missingFrom(stores), disk)
+                .thenCompose(this::askAll)
+                .whenComplete((done, failure) -> process.loop().execute(() -> running = false));
+    }
+
+    private Map<Host, List<String>> missingFrom(List<Host> stores) {
+        Map<Host, List<String>> byStore = new HashMap<>();
+        try {
+            for (String name : folder.names()) {
+                for (Host store : SegmentNames.placement(name, stores)) {
+                    if (!process.isSelf(store)) {
+                        byStore.computeIfAbsent(store, key -> new ArrayList<>()).add(name);
+                    }
+                }
+            }
+        } catch (IOException e) {
+            LOG.warn("the segments can't be listed: {}", e.toString());
+        }
+        return byStore;
+    }
+
+    private CompletableFuture<Void> askAll(Map<Host, List<String>> byStore) {
+        CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
+        for (Map.Entry<Host, List<String>> entry : byStore.entrySet()) {
+            List<String> names = entry.getValue();
+            for (int from = 0; from < names.size(); from += NAMES_PER_QUESTION) {
+                List<String> page = names.subList(from, Math.min(names.size(), from + NAMES_PER_QUESTION));
+                all = all.thenCompose(done -> ask(entry.getKey(), List.copyOf(page)));
+            }
+        }
+        return all;
+    }
+
+    private CompletableFuture<Void> ask(Host store, List<String> names) {
+        return process.peers()
+                .ask(store.address(), PeerLane.BULK, new PeerMessage.SegmentHave(names), SEND_TIMEOUT_MILLIS)
+                .handle((reply, failure) ->
+                        reply instanceof PeerMessage.SegmentHave lacking ? lacking.names() : List.<String>of())
+                .thenCompose(lacking -> sendAll(store, lacking));
+    }
+
+    private CompletableFuture<Void> sendAll(Host store, List<String> names) {
+        CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
+        for (String name : names) {
+            all = all.thenCompose(done -> send(store, name));
+        }
+        return all;
+    }
+
+    private CompletableFuture<Void> send(Host store, String name) {
+        return CompletableFuture.supplyAsync(() -> read(name), disk).thenCompose(content -> {
+            if (content.isEmpty()) {
+                return CompletableFuture.completedFuture(null);
+            }
+            PeerMessage put = new PeerMessage.SegmentPut(name, content.get());
+            return process.peers()
+                    .ask(store.address(), PeerLane.BULK, put, SEND_TIMEOUT_MILLIS)
+                    .handle((reply, failure) -> {
+                        if (failure == null) {
+                            process.timeline().event("segment.copied", name + " to " + store.id());
+                        }
+                        return null;
+                    });
+        });
+    }
+
+    private Optional<byte[]> read(String name) {
+        try {
+            return folder.get(name);
+        } catch (IOException e) {
+            LOG.warn("segment {} can't be read: {}", name, e.toString());
+            return Optional.empty();
+        }
+    }
+}
