Prove retries, claims, edits and jobs by properties over the decision core

Cause: the mechanisms stood without proofs. Random interleavings of faults (lost answers, late writes, lapsed leases under a paused holder, duplicated reports, racing edits and submissions) now run against small models.

Ruled out: a simulator of the cluster; one fake of the key-value service's transactions is enough.

--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/FakeKeyValue.java
@@ -0,0 +1,99 @@
+package org.gooseberryhill.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * A key-value service in memory for tests of decisions: one write takes effect at once, later, or never, and its answer
+ * may be lost in each case.
+ */
+public final class FakeKeyValue<V> {
+    private final Random random;
+    private final int faultPercent;
+    private final Map<String, Stored<V>> values = new HashMap<>();
+    private final List<Runnable> delayed = new ArrayList<>();
+    private long revision = 1;
+
+    public FakeKeyValue(Random random, int faultPercent) {
+        this.random = random;
+        this.faultPercent = faultPercent;
+    }
+
+    /** Writes if all conditions hold; empty if the answer is lost. */
+    public Optional<Boolean> write(List<Condition> conditions, Map<String, V> writes) {
+        int fault = random.nextInt(100) < faultPercent ? random.nextInt(3) : -1;
+        return switch (fault) {
+            case 0 -> Optional.empty();
+            case 1 -> {
+                apply(conditions, writes);
+                yield Optional.empty();
+            }
+            case 2 -> {
+                delayed.add(() -> apply(conditions, writes));
+                yield Optional.empty();
+            }
+            default -> Optional.of(apply(conditions, writes));
+        };
+    }
+
+    /** Reads a key; empty if the answer is lost. */
+    public Optional<Optional<Stored<V>>> read(String key) {
+        boolean lost = random.nextInt(100) < faultPercent;
+        return lost ? Optional.empty() : Optional.of(now(key));
+    }
+
+    /** What the key holds, without faults. */
+    public Optional<Stored<V>> now(String key) {
+        return Optional.ofNullable(values.get(key));
+    }
+
+    public void delete(String key) {
+        revision++;
+        values.remove(key);
+    }
+
+    /** Lets one delayed write arrive. */
+    public void arriveDelayed() {
+        if (!delayed.isEmpty()) {
+            delayed.remove(random.nextInt(delayed.size())).run();
+        }
+    }
+
+    private boolean apply(List<Condition> conditions, Map<String, V> writes) {
+        for (Condition condition : conditions) {
+            Stored<V> stored = values.get(condition.key);
+            long actual = stored == null ? 0 : condition.created ? stored.created : stored.modified;
+            if (actual != condition.revision) {
+                return false;
+            }
+        }
+        revision++;
+        writes.forEach((key, value) -> {
+            Stored<V> old = values.get(key);
+            values.put(key, new Stored<>(value, old == null ? revision : old.created, revision));
+        });
+        return true;
+    }
+
+    /** A value with the revisions that created and last wrote it. */
+    public record Stored<V>(V value, long created, long modified) {}
+
+    /** A key's revision that must be as expected; 0 for absent. */
+    public record Condition(String key, boolean created, long revision) {
+        public static Condition absent(String key) {
+            return new Condition(key, true, 0);
+        }
+
+        public static Condition createdAt(String key, long revision) {
+            return new Condition(key, true, revision);
+        }
+
+        public static Condition modifiedAt(String key, long revision) {
+            return new Condition(key, false, revision);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/configuration/ConfigurationEditProperties.java
@@ -0,0 +1,71 @@
+package org.gooseberryhill.decision.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhill.decision.FakeKeyValue;
+import org.gooseberryhill.decision.FakeKeyValue.Condition;
+import org.gooseberryhill.decision.configuration.ConfigurationEdit.Step;
+
+/**
+ * Operators apply edits of the same text at the same moment, while answers are lost and writes arrive late. An edit
+ * that was accepted must have been in the service, and none may overwrite one that its author had not seen.
+ */
+class ConfigurationEditProperties {
+    private static final String KEY = "configuration";
+
+    @Property(seed = "20261203")
+    void oneOfTheEditsOfOneTextIsAcceptedAtTheMost(@ForAll long seed) {
+        Random random = new Random(seed);
+        FakeKeyValue<ConfigurationRecord> store = new FakeKeyValue<>(random, 30);
+        List<Operator> operators = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            operators.add(new Operator("edit-" + i));
+        }
+        for (int step = 0; step < 100; step++) {
+            operators.get(random.nextInt(operators.size())).advance(store);
+            if (random.nextInt(5) == 0) {
+                store.arriveDelayed();
+            }
+        }
+
+        List<Operator> accepted = operators.stream()
+                .filter(operator -> operator.step == Step.ACCEPTED)
+                .toList();
+        assertThat(accepted).hasSizeLessThanOrEqualTo(1);
+        accepted.forEach(operator ->
+                assertThat(store.now(KEY).orElseThrow().value().editId()).isEqualTo(operator.record.editId()));
+    }
+
+    /** An operator whose edit replaces the absent text. */
+    private static final class Operator {
+        private final ConfigurationRecord record;
+        private final ConfigurationEdit edit;
+        private Step step;
+
+        Operator(String editId) {
+            record = new ConfigurationRecord(editId, "operator", 0, "");
+            edit = new ConfigurationEdit(editId, 0);
+            step = edit.begin();
+        }
+
+        void advance(FakeKeyValue<ConfigurationRecord> store) {
+            if (step == Step.WRITE) {
+                Optional<Boolean> answer = store.write(List.of(Condition.modifiedAt(KEY, 0)), Map.of(KEY, record));
+                step = answer.map(edit::written).orElseGet(edit::unanswered);
+            } else if (step == Step.READ) {
+                step = store.read(KEY)
+                        .map(found -> edit.read(
+                                found.map(FakeKeyValue.Stored::value),
+                                found.map(FakeKeyValue.Stored::modified).orElse(0L)))
+                        .orElseGet(edit::unanswered);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/configuration/ConfigurationInForceTest.java
@@ -0,0 +1,60 @@
+package org.gooseberryhill.decision.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhill.decision.configuration.ConfigurationInForce.Offer;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationInForceTest {
+    private final ConfigurationInForce inForce = new ConfigurationInForce();
+
+    /** A watcher was cut off and pushes an old text when it is back; the newer one stays. */
+    @Test
+    void anOlderRevisionNeverReplacesANewerOne() {
+        inForce.offer(7, text("new"));
+
+        assertThat(inForce.offer(5, text("old"))).isEqualTo(Offer.NOT_NEWER);
+        assertThat(inForce.configuration().models()).containsKey("new");
+    }
+
+    /** A text was written past the command line's check: the last good one stays in force, with the findings kept. */
+    @Test
+    void aTextWithMistakesDoesNotComeIntoForce() {
+        inForce.offer(7, text("new"));
+
+        assertThat(inForce.offer(8, "services: [")).isEqualTo(Offer.INVALID);
+        assertThat(inForce.revision()).isEqualTo(7);
+        assertThat(inForce.findings()).isNotEmpty();
+        assertThat(inForce.offer(9, text("mended"))).isEqualTo(Offer.APPLIED);
+    }
+
+    /** Texts come by watch, push, heartbeat and reading, late, twice and out of order: the greatest revision stays. */
+    @Property(seed = "20261203")
+    void whateverTheOrderOfOffersTheGreatestRevisionIsInForce(@ForAll long seed) {
+        List<Integer> offers = new ArrayList<>();
+        for (int revision = 1; revision <= 10; revision++) {
+            offers.add(revision);
+            offers.add(revision);
+        }
+        Collections.shuffle(offers, new Random(seed));
+        ConfigurationInForce host = new ConfigurationInForce();
+        long before = 0;
+        for (int revision : offers) {
+            host.offer(revision, text("r" + revision));
+            assertThat(host.revision()).isGreaterThanOrEqualTo(before);
+            before = host.revision();
+        }
+
+        assertThat(host.configuration().models()).containsOnlyKeys("r10");
+    }
+
+    private static String text(String model) {
+        return "models: {" + model + ": {version: \"1\"}}\n";
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/idempotency/ClaimTest.java
@@ -0,0 +1,67 @@
+package org.gooseberryhill.decision.idempotency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Refusal;
+import org.junit.jupiter.api.Test;
+
+class ClaimTest {
+    private final ClaimRecord own = ClaimRecord.claimed("own", "hash", 0);
+    private final ClaimRecord others = ClaimRecord.claimed("other", "hash", 0);
+    private final Claim claim = new Claim(own);
+
+    @Test
+    void aResendGetsTheKeptAnswer() {
+        claim.created(false);
+
+        ClaimStep step = claim.read(Optional.of(others.answered(201, Map.of(), new byte[] {1})));
+
+        assertThat(step)
+                .isInstanceOfSatisfying(
+                        ClaimStep.Replay.class,
+                        replay -> assertThat(replay.record().status()).isEqualTo(201));
+    }
+
+    @Test
+    void aResendOfACallWhoseAnswerIsLostIsNotRepeated() {
+        assertThat(refusal(claim.read(Optional.of(others.answerLost()))).outcome())
+                .isEqualTo(Outcome.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void aResendDuringTheCallIsToldToComeBack() {
+        Refusal refusal = refusal(claim.read(Optional.of(others)));
+
+        assertThat(refusal.code()).isEqualTo(ErrorCode.IN_PROGRESS);
+        assertThat(refusal.retryAfterMillis()).isPresent();
+    }
+
+    @Test
+    void anotherRequestUnderTheSameKeyIsAConflict() {
+        ClaimRecord different = ClaimRecord.claimed("other", "another hash", 0);
+
+        assertThat(refusal(claim.read(Optional.of(different))).code()).isEqualTo(ErrorCode.CONFLICT);
+    }
+
+    /** The key-value service is out: the call can't be claimed, is never sent, and its caller hears that truly. */
+    @Test
+    void duringAnOutageTheCallIsRefusedAsNotRun() {
+        ClaimStep step = claim.unanswered();
+        while (step instanceof ClaimStep.Read) {
+            step = claim.unanswered();
+        }
+
+        assertThat(refusal(step).code()).isEqualTo(ErrorCode.PLATFORM_UNAVAILABLE);
+        assertThat(refusal(step).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(claim.isSent()).isFalse();
+        assertThat(claim.isUncertain()).isTrue();
+    }
+
+    private static Refusal refusal(ClaimStep step) {
+        return ((ClaimStep.Refuse) step).refusal();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/job/IntakeTest.java
@@ -0,0 +1,74 @@
+package org.gooseberryhill.decision.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhill.decision.FakeKeyValue;
+import org.gooseberryhill.decision.FakeKeyValue.Condition;
+import org.gooseberryhill.decision.job.Intake.Step;
+
+class IntakeTest {
+    private static final String KEY = "job";
+
+    /**
+     * The same job is sent through several hosts at once while another body comes under the same id, and answers are
+     * lost. All that are accepted are one and the same job; the other body is never taken for it.
+     */
+    @Property(seed = "20261203")
+    void allAcceptedSubmissionsOfAnIdAreOneJob(@ForAll long seed) {
+        Random random = new Random(seed);
+        FakeKeyValue<JobRecord> store = new FakeKeyValue<>(random, 25);
+        List<Submission> submissions = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            submissions.add(new Submission(i == 0 ? "other" : "same"));
+        }
+        for (int step = 0; step < 100; step++) {
+            submissions.get(random.nextInt(submissions.size())).advance(store);
+            if (random.nextInt(4) == 0) {
+                store.arriveDelayed();
+            }
+        }
+
+        Optional<String> kept = store.now(KEY).map(stored -> stored.value().bodyHash());
+        for (Submission submission : submissions) {
+            if (submission.step == Step.ACCEPTED || submission.step == Step.SAME_JOB) {
+                assertThat(kept).contains(submission.hash);
+            }
+            if (submission.step == Step.CONFLICT) {
+                assertThat(kept).isPresent().isNotEqualTo(Optional.of(submission.hash));
+            }
+        }
+    }
+
+    /** One submission through one host. */
+    private static final class Submission {
+        private final String hash;
+        private final Intake intake;
+        private Step step;
+
+        Submission(String hash) {
+            this.hash = hash;
+            intake = new Intake(hash);
+            step = intake.begin();
+        }
+
+        void advance(FakeKeyValue<JobRecord> store) {
+            if (step == Step.CREATE) {
+                JobRecord record = new JobRecord(JobState.RUNNING, hash, "s", "m", 0, 0, 1, 1, List.of("c"));
+                step = store.write(List.of(Condition.absent(KEY)), Map.of(KEY, record))
+                        .map(intake::created)
+                        .orElseGet(intake::unanswered);
+            } else if (step == Step.READ) {
+                step = store.read(KEY)
+                        .map(found -> intake.read(found.map(FakeKeyValue.Stored::value)))
+                        .orElseGet(intake::unanswered);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/job/JobModel.java
@@ -0,0 +1,203 @@
+package org.gooseberryhill.decision.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.decision.FakeKeyValue;
+import org.gooseberryhill.decision.FakeKeyValue.Condition;
+import org.gooseberryhill.host.HostId;
+
+/**
+ * A job, two hosts that may own it, and a key-value service with faults, as small as the properties need. A lease lapses
+ * while its holder is paused; the holder goes on as if nothing had happened until it is refused.
+ */
+final class JobModel {
+    static final String RECORD = "record";
+    static final String OWNER = "owner";
+    static final JobKey KEY = new JobKey("caller", "job");
+
+    private static final int ITEMS = 10;
+    private static final int CHUNK_ITEMS = 4;
+
+    final FakeKeyValue<Object> store;
+    final List<HostView> hosts = List.of(new HostView("a"), new HostView("b"));
+    final Map<Integer, Integer> chunkWrites = new HashMap<>();
+    boolean cancelled;
+    private final Random random;
+    private final JobRecord record =
+            new JobRecord(JobState.RUNNING, "hash", "s", "m", 1000, 0, ITEMS, CHUNK_ITEMS, List.of("c0", "c1", "c2"));
+    private long now;
+
+    JobModel(Random random, int faultPercent) {
+        this.random = random;
+        this.store = new FakeKeyValue<>(random, faultPercent);
+        while (store.now(RECORD).isEmpty()) {
+            store.write(List.of(Condition.absent(RECORD)), Map.of(RECORD, record));
+        }
+    }
+
+    void step(boolean faults) {
+        now += 500_000_000L;
+        HostView host = hosts.get(random.nextInt(hosts.size()));
+        switch (random.nextInt(faults ? 9 : 7)) {
+            case 0 -> host.claim();
+            case 1, 2 -> host.take();
+            case 3, 4 -> host.report();
+            case 5, 6 -> host.commit();
+            case 7 -> store.delete(OWNER);
+            default -> store.arriveDelayed();
+        }
+        countChunks();
+    }
+
+    /** The caller cancels; the answer comes only after the record says so. */
+    void cancel() {
+        FakeKeyValue.Stored<Object> stored = store.now(RECORD).orElseThrow();
+        JobRecord found = (JobRecord) stored.value();
+        if (found.state() == JobState.RUNNING) {
+            while (((JobRecord) store.now(RECORD).orElseThrow().value()).state() == JobState.RUNNING) {
+                store.write(
+                        List.of(Condition.modifiedAt(RECORD, stored.modified())),
+                        Map.of(RECORD, found.in(JobState.CANCELLED)));
+            }
+            cancelled = true;
+        }
+    }
+
+    int committedItems() {
+        int items = 0;
+        for (int chunk = 0; chunk < record.chunks().size(); chunk++) {
+            Optional<FakeKeyValue.Stored<Object>> stored = store.now("chunk" + chunk);
+            items += stored.map(found -> ((ChunkRecord) found.value()).items()).orElse(0);
+        }
+        return items;
+    }
+
+    private void countChunks() {
+        for (int chunk = 0; chunk < record.chunks().size(); chunk++) {
+            Optional<FakeKeyValue.Stored<Object>> stored = store.now("chunk" + chunk);
+            if (stored.isPresent()) {
+                int expectedItems = record.itemsInChunk(chunk);
+                assertThat(((ChunkRecord) stored.get().value()).items()).isEqualTo(expectedItems);
+                assertThat(stored.get().created())
+                        .as("chunk %d is written once", chunk)
+                        .isEqualTo(stored.get().modified());
+            }
+        }
+    }
+
+    /** What one host believes. */
+    final class HostView {
+        private final HostId id;
+        private final List<WorkItem> running = new ArrayList<>();
+        private final Map<Integer, ChunkResult> toCommit = new HashMap<>();
+        private Optional<OwnedJob> owned = Optional.empty();
+
+        HostView(String name) {
+            id = new HostId(name);
+        }
+
+        void claim() {
+            if (owned.isPresent()) {
+                return;
+            }
+            Optional<Boolean> answer = store.write(List.of(Condition.absent(OWNER)), Map.of(OWNER, id.value()));
+            if (answer.isEmpty() || !answer.get()) {
+                return;
+            }
+            FakeKeyValue.Stored<Object> stored = store.now(RECORD).orElseThrow();
+            if (((JobRecord) stored.value()).state() != JobState.RUNNING) {
+                return;
+            }
+            BitSet committed = new BitSet();
+            for (int chunk = 0; chunk < record.chunks().size(); chunk++) {
+                committed.set(chunk, store.now("chunk" + chunk).isPresent());
+            }
+            long fence = store.now(OWNER).orElseThrow().created();
+            OwnedJob job = new OwnedJob(KEY, record, stored.modified(), fence, committed);
+            running.clear();
+            toCommit.clear();
+            owned = Optional.of(job);
+        }
+
+        void take() {
+            owned.ifPresent(job -> {
+                job.nextChunkToLoad().ifPresent(chunk -> {
+                    List<String> bodies = new ArrayList<>();
+                    for (int i = 0; i < record.itemsInChunk(chunk); i++) {
+                        bodies.add("{}");
+                    }
+                    job.chunkLoaded(chunk, bodies);
+                });
+                job.take(id, now).ifPresent(running::add);
+            });
+        }
+
+        void report() {
+            if (running.isEmpty() || owned.isEmpty()) {
+                return;
+            }
+            WorkItem item = running.get(random.nextInt(running.size()));
+            // One in five reports comes twice, and an item may be reported after it was handed out again.
+            if (random.nextInt(5) > 0) {
+                running.remove(item);
+            }
+            if (random.nextInt(10) == 0) {
+                owned.get().stewardLost(id);
+            }
+            ItemEnd[] ends = ItemEnd.values();
+            ItemEnd end = random.nextInt(3) > 0 ? ItemEnd.COMPLETED : ends[random.nextInt(ends.length)];
+            ItemOutcome outcome = new ItemOutcome(item.index(), item.fence(), item.handout(), end, "text", 1);
+            owned.get().report(outcome, now).ifPresent(result -> {
+                assertThat(toCommit.put(result.chunk(), result)).isNull();
+            });
+        }
+
+        void commit() {
+            if (toCommit.isEmpty() || owned.isEmpty()) {
+                return;
+            }
+            ChunkResult result = toCommit.values().iterator().next();
+            OwnedJob job = owned.get();
+            ChunkCommit commit = new ChunkCommit();
+            ChunkCommit.Step step = commit.begin();
+            String key = "chunk" + result.chunk();
+            for (int tries = 0; tries < 20 && step != ChunkCommit.Step.COMMITTED; tries++) {
+                if (step == ChunkCommit.Step.REFUSED) {
+                    job.stop();
+                    owned = Optional.empty();
+                    return;
+                }
+                step = advance(job, result, commit, step, key);
+            }
+            if (step == ChunkCommit.Step.COMMITTED) {
+                toCommit.remove(result.chunk());
+                job.chunkCommitted(result.chunk());
+            }
+        }
+
+        private ChunkCommit.Step advance(
+                OwnedJob job, ChunkResult result, ChunkCommit commit, ChunkCommit.Step step, String key) {
+            if (step == ChunkCommit.Step.READ) {
+                return store.read(key)
+                        .map(found -> commit.read(found.map(stored -> (ChunkRecord) stored.value())))
+                        .orElseGet(commit::unanswered);
+            }
+            ChunkRecord chunk = new ChunkRecord("segment-" + id, result.lines().size(), result.failed(), job.fence());
+            List<Condition> conditions = List.of(
+                    Condition.createdAt(OWNER, job.fence()),
+                    Condition.modifiedAt(RECORD, job.recordRevision()),
+                    Condition.absent(key));
+            return store.write(conditions, Map.of(key, chunk))
+                    .map(commit::written)
+                    .orElseGet(commit::unanswered);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/job/JobProperties.java
@@ -0,0 +1,61 @@
+package org.gooseberryhill.decision.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/**
+ * Two hosts own a job in turns and sometimes both believe they do: a lease lapses under a paused holder, reports come
+ * late and twice, answers of the key-value service are lost and its writes arrive late.
+ */
+class JobProperties {
+    private static final int STEPS = 300;
+    private static final int ITEMS = 10;
+
+    @Property(seed = "20261203")
+    void eachItemIsCompletedOnceWhateverHappensToItsOwners(@ForAll long seed) {
+        JobModel model = new JobModel(new Random(seed), 20);
+        for (int step = 0; step < STEPS; step++) {
+            model.step(true);
+        }
+
+        assertThat(model.committedItems()).isLessThanOrEqualTo(ITEMS);
+    }
+
+    @Property(seed = "20261203")
+    void afterTheFaultsEndTheJobComesToItsEnd(@ForAll long seed) {
+        JobModel model = new JobModel(new Random(seed), 0);
+        for (int step = 0; step < STEPS; step++) {
+            model.step(step % 50 == 0);
+        }
+        for (int step = 0; step < 20 * STEPS; step++) {
+            model.step(false);
+            if (step % 500 == 0) {
+                // The lease of a holder that is gone lapses in the end.
+                model.store.delete(JobModel.OWNER);
+            }
+        }
+
+        assertThat(model.committedItems()).isEqualTo(ITEMS);
+    }
+
+    /** The caller's cancel is answered; commits that were on their way then must find the record changed. */
+    @Property(seed = "20261203")
+    void afterACancelNoResultAppears(@ForAll long seed) {
+        JobModel model = new JobModel(new Random(seed), 20);
+        int cancelAt = new Random(seed).nextInt(STEPS);
+        int committed = 0;
+        for (int step = 0; step < STEPS; step++) {
+            if (step == cancelAt) {
+                model.cancel();
+                committed = model.committedItems();
+            }
+            model.step(true);
+            if (step >= cancelAt) {
+                assertThat(model.committedItems()).isEqualTo(committed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/job/OwnedJobTest.java
@@ -0,0 +1,160 @@
+package org.gooseberryhill.decision.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.host.HostId;
+import org.junit.jupiter.api.Test;
+
+class OwnedJobTest {
+    private static final HostId STEWARD = new HostId("steward");
+    private static final long FENCE = 9;
+
+    private final OwnedJob job = job("caller", 2, 1000);
+    private long now;
+
+    @Test
+    void aChunkIsHandedOnWhenItsLastItemIsCompleted() {
+        WorkItem first = take();
+        WorkItem second = take();
+
+        assertThat(report(first, ItemEnd.COMPLETED)).isEmpty();
+        ChunkResult result = report(second, ItemEnd.COMPLETED).orElseThrow();
+
+        assertThat(result.lines()).hasSize(2);
+        assertThat(result.failed()).isZero();
+    }
+
+    /** The engine rejects one portfolio for good; that is its one completion, and the rest of the job goes on. */
+    @Test
+    void anItemThatCanNeverBeDoneCompletesAsFailed() {
+        report(take(), ItemEnd.REJECTED);
+
+        ChunkResult result = report(take(), ItemEnd.COMPLETED).orElseThrow();
+
+        assertThat(result.failed()).isEqualTo(1);
+        assertThat(result.lines().get(0)).contains("\"status\":\"failed\"").contains("rejected");
+    }
+
+    @Test
+    void anItemThatCrashesItsEndpointsIsGivenUpAfterTheThird() {
+        report(take(), ItemEnd.COMPLETED);
+        for (int crash = 1; crash <= 2; crash++) {
+            assertThat(report(take(), ItemEnd.CRASHED)).isEmpty();
+            later();
+        }
+        WorkItem last = take();
+
+        assertThat(last.suspect()).isTrue();
+        assertThat(report(last, ItemEnd.CRASHED).orElseThrow().lines().get(1)).contains("crashed-endpoints");
+    }
+
+    /** An item yields to a burst three times; it goes on from where it was, and no try is counted against it. */
+    @Test
+    void aYieldedItemGoesOnFromWhereItWas() {
+        WorkItem item = take();
+        for (int i = 0; i < 10; i++) {
+            job.report(new ItemOutcome(0, FENCE, item.handout(), ItemEnd.YIELDED, "so far", 2), now);
+            item = take();
+        }
+
+        assertThat(item.partial()).isEqualTo("so far");
+        assertThat(item.partialTokens()).isEqualTo(2);
+        assertThat(item.suspect()).isFalse();
+    }
+
+    /** A steward was thought lost, its item runs elsewhere, and then its late report comes: it changes nothing. */
+    @Test
+    void aReportOfAnEarlierHandOutChangesNothing() {
+        WorkItem early = take();
+        job.stewardLost(STEWARD);
+        WorkItem again = take();
+
+        assertThat(again.index()).isEqualTo(early.index());
+        report(early, ItemEnd.REJECTED);
+        report(again, ItemEnd.COMPLETED);
+        assertThat(report(take(), ItemEnd.COMPLETED).orElseThrow().failed()).isZero();
+    }
+
+    /** The host lost its claim and got it again: numbers of hand-outs begin anew, an old report must not fit one. */
+    @Test
+    void aReportUnderAnEarlierClaimChangesNothing() {
+        WorkItem item = take();
+
+        ItemOutcome old = new ItemOutcome(item.index(), FENCE - 1, item.handout(), ItemEnd.REJECTED, "", 0);
+
+        assertThat(job.report(old, now)).isEmpty();
+        assertThat(job.running()).isEqualTo(1);
+    }
+
+    @Test
+    void afterAStopNothingIsHandedOutAndNoReportCounts() {
+        WorkItem item = take();
+        job.stop();
+
+        assertThat(job.take(STEWARD, now)).isEmpty();
+        assertThat(report(item, ItemEnd.COMPLETED)).isEmpty();
+    }
+
+    @Test
+    void aLargeJobHasOnlyAWindowOfChunksInMemory() {
+        OwnedJob large = job("caller", 100, 1000);
+        int named = 0;
+        while (large.nextChunkToLoad().isPresent()) {
+            named++;
+        }
+
+        assertThat(named).isEqualTo(OwnedJob.CHUNK_WINDOW);
+    }
+
+    @Test
+    void urgentJobsGoFirstAndOtherwiseCallersTakeTurns() {
+        JobBoard board = new JobBoard(new EarliestDeadlineFairOrder());
+        OwnedJob late = loaded(job("many", 8, 10_000_000));
+        OwnedJob other = loaded(job("few", 8, 20_000_000));
+        OwnedJob urgent = loaded(job("many", 8, 100));
+        board.add(late);
+        board.add(other);
+        board.add(urgent);
+
+        List<WorkItem> items = board.take("s", 12, STEWARD, 0, 0);
+
+        assertThat(items.subList(0, 8)).allMatch(item -> item.job().equals("many/due-100"));
+        assertThat(items.subList(8, 12)).allMatch(item -> item.job().equals("few/due-20000000"));
+    }
+
+    private Optional<ChunkResult> report(WorkItem item, ItemEnd end) {
+        return job.report(new ItemOutcome(item.index(), item.fence(), item.handout(), end, "text", 4), now);
+    }
+
+    private WorkItem take() {
+        loaded(job);
+        return job.take(STEWARD, now).orElseThrow();
+    }
+
+    private void later() {
+        now += TimeUnit.SECONDS.toNanos(1);
+    }
+
+    private static OwnedJob loaded(OwnedJob job) {
+        Optional<Integer> chunk = job.nextChunkToLoad();
+        while (chunk.isPresent()) {
+            job.chunkLoaded(chunk.get(), List.of("{}", "{}"));
+            chunk = job.nextChunkToLoad();
+        }
+        return job;
+    }
+
+    private static OwnedJob job(String caller, int items, long dueMillis) {
+        List<String> chunks = IntStream.range(0, (items + 1) / 2)
+                .mapToObj(chunk -> "c" + chunk)
+                .toList();
+        JobRecord record = new JobRecord(JobState.RUNNING, "hash", "s", "m", dueMillis, 0, items, 2, chunks);
+        return new OwnedJob(new JobKey(caller, "due-" + dueMillis), record, 3, FENCE, new BitSet());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/online/OnlineCoreFixture.java
@@ -0,0 +1,41 @@
+package org.gooseberryhill.decision.online;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.configuration.Configuration;
+import org.gooseberryhill.configuration.ConfigurationReader;
+import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.decision.quarantine.CrashSuspects;
+import org.gooseberryhill.zone.AvailabilityZone;
+
+/** An entry's core over a few endpoints, and requests for it. */
+final class OnlineCoreFixture {
+    static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private OnlineCoreFixture() {}
+
+    static Configuration configuration(int endpoints) {
+        StringBuilder text =
+                new StringBuilder("models: {m: {version: \"1\"}}\nservices: {s: {model: m}}\nendpoints:\n");
+        for (int i = 0; i < endpoints; i++) {
+            text.append("  e%d: {service: s, address: \"10.0.0.1:%d\", zone: a, slots: 4}\n".formatted(i, 9000 + i));
+        }
+        text.append("callers: {c: {key-sha256: \"").append("0".repeat(64)).append("\", services: [s]}}\n");
+        return ConfigurationReader.read("test", text.toString()).get();
+    }
+
+    static OnlineCore core(int endpoints, long seed) {
+        OnlineCore core = new OnlineCore(
+                new AvailabilityZone("a"),
+                OnlinePolicies.product(new Random(seed)),
+                new CrashSuspects(TimeUnit.MINUTES.toMillis(10), 1000));
+        core.configure(configuration(endpoints));
+        return core;
+    }
+
+    static OnlineIntake intake(int number, boolean idempotent, long deadlineNanos) {
+        byte[] body = ("request " + number).getBytes(StandardCharsets.UTF_8);
+        return new OnlineIntake("r" + number, "c", "s", Fingerprint.of("s", body), 0, idempotent, deadlineNanos);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/online/OnlineCoreProperties.java
@@ -0,0 +1,143 @@
+package org.gooseberryhill.decision.online;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gooseberryhill.decision.online.OnlineCoreFixture.SECOND;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.retry.AttemptFailure;
+
+/**
+ * Random interleavings of arrivals, failures, crashes, leavings and time over the core, checked against a small model:
+ * what was sent, and what of it reached an endpoint.
+ */
+class OnlineCoreProperties {
+    private static final int STEPS = 300;
+
+    @Property(seed = "20261203")
+    void whatIsSaidOfARequestIsTrueOfWhatWasSent(@ForAll long seed) {
+        new Run(seed).play();
+    }
+
+    /** One run of the model beside the core. */
+    private static final class Run {
+        private final Random random;
+        private final OnlineCore core;
+        private final List<OnlineRequest> sent = new ArrayList<>();
+        private final Map<String, Integer> mayHaveRun = new HashMap<>();
+        private final Set<String> idempotent = new HashSet<>();
+        private final Set<String> finished = new HashSet<>();
+        private Set<String> leaving = Set.of();
+        private long now;
+
+        Run(long seed) {
+            random = new Random(seed);
+            core = OnlineCoreFixture.core(4, seed);
+        }
+
+        void play() {
+            for (int step = 0; step < STEPS; step++) {
+                now += random.nextInt((int) (SECOND / 10));
+                switch (random.nextInt(6)) {
+                    case 0, 1 -> arrive(step);
+                    case 2 -> succeed();
+                    case 3 -> fail(Outcome.NOT_RUN, false);
+                    case 4 -> fail(Outcome.MAY_HAVE_RUN, random.nextBoolean());
+                    default -> leave();
+                }
+            }
+            while (!sent.isEmpty()) {
+                succeed();
+            }
+            core.endpoints()
+                    .all()
+                    .forEach(endpoint -> assertThat(endpoint.ownInFlight())
+                            .as("in flight at %s after the last answer", endpoint.name())
+                            .isZero());
+        }
+
+        private void arrive(int number) {
+            boolean repeatable = random.nextBoolean();
+            OnlineIntake intake = OnlineCoreFixture.intake(number, repeatable, now + 20 * SECOND);
+            Either<Refusal, OnlineRequest> admitted = core.admit(intake, now);
+            if (admitted.isLeft()) {
+                assertThat(admitted.getLeft().outcome()).isEqualTo(Outcome.NOT_RUN);
+                return;
+            }
+            if (repeatable) {
+                idempotent.add(intake.id());
+            }
+            follow(admitted.get(), core.next(admitted.get(), now));
+        }
+
+        private void follow(OnlineRequest request, OnlineDecision decision) {
+            String id = request.intake().id();
+            if (decision instanceof OnlineDecision.AskPermit question) {
+                Optional<String> granted =
+                        random.nextBoolean() ? Optional.of(question.endpoints().get(0)) : Optional.empty();
+                follow(request, core.permitted(request, granted, now));
+            } else if (decision instanceof OnlineDecision.Send send) {
+                assertThat(leaving)
+                        .as("leaving endpoints")
+                        .doesNotContain(send.endpoint().name());
+                boolean repeated = mayHaveRun.getOrDefault(id, 0) > 0;
+                assertThat(repeated && !idempotent.contains(id))
+                        .as("%s sent again after it may have run", id)
+                        .isFalse();
+                sent.add(request);
+            } else if (decision instanceof OnlineDecision.Refuse refuse) {
+                boolean reached = mayHaveRun.getOrDefault(id, 0) > 0;
+                assertThat(refuse.refusal().outcome() == Outcome.MAY_HAVE_RUN)
+                        .as("%s may have run", id)
+                        .isEqualTo(reached);
+                finish(request);
+            }
+        }
+
+        private void succeed() {
+            if (!sent.isEmpty()) {
+                OnlineRequest request = sent.remove(random.nextInt(sent.size()));
+                core.attemptSucceeded(request, now);
+                finish(request);
+            }
+        }
+
+        private void fail(Outcome outcome, boolean crash) {
+            if (sent.isEmpty()) {
+                return;
+            }
+            OnlineRequest request = sent.remove(random.nextInt(sent.size()));
+            if (outcome == Outcome.MAY_HAVE_RUN) {
+                mayHaveRun.merge(request.intake().id(), 1, Integer::sum);
+            }
+            if (crash) {
+                String endpoint = request.endpoint().orElseThrow();
+                core.suspects().crashed(endpoint, List.of(request.intake().fingerprint()), now);
+            }
+            follow(request, core.attemptFailed(request, new AttemptFailure(outcome, crash, ""), now));
+        }
+
+        private void leave() {
+            leaving = random.nextBoolean() ? Set.of("e" + random.nextInt(4)) : Set.of();
+            core.endpoints().leaving(leaving);
+        }
+
+        private void finish(OnlineRequest request) {
+            assertThat(finished.add(request.intake().id()))
+                    .as("%s finished once", request.intake().id())
+                    .isTrue();
+            core.finished(request);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/online/OnlineCoreTest.java
@@ -0,0 +1,138 @@
+package org.gooseberryhill.decision.online;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gooseberryhill.decision.online.OnlineCoreFixture.SECOND;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.retry.AttemptFailure;
+import org.junit.jupiter.api.Test;
+
+class OnlineCoreTest {
+    private static final AttemptFailure CUT = new AttemptFailure(Outcome.MAY_HAVE_RUN, true, "cut");
+    private static final AttemptFailure UNREACHABLE = new AttemptFailure(Outcome.NOT_RUN, false, "refused");
+
+    private final OnlineCore core = OnlineCoreFixture.core(4, 1);
+
+    /**
+     * The first endpoint takes the booking and is lost; the second can't be reached. The caller must hear that the
+     * booking may have run, although the last attempt did not.
+     */
+    @Test
+    void onceAnAttemptMayHaveRunTheRequestMayHaveRun() {
+        OnlineRequest request = admit(1, true);
+        core.next(request, 0);
+        OnlineDecision decision = core.attemptFailed(request, CUT, 0);
+        while (decision instanceof OnlineDecision.Send || decision instanceof OnlineDecision.AskPermit) {
+            decision = core.attemptFailed(request, UNREACHABLE, 0);
+        }
+
+        Refusal refusal = ((OnlineDecision.Refuse) decision).refusal();
+        assertThat(refusal.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    }
+
+    @Test
+    void aRetryGoesToAnotherEndpoint() {
+        OnlineRequest request = admit(1, true);
+        OnlineDecision.Send first = (OnlineDecision.Send) core.next(request, 0);
+        OnlineDecision.Send second = (OnlineDecision.Send) core.attemptFailed(request, UNREACHABLE, 0);
+
+        assertThat(second.endpoint().name()).isNotEqualTo(first.endpoint().name());
+    }
+
+    @Test
+    void aLeavingEndpointGetsNoNewRequest() {
+        core.endpoints().leaving(Set.of("e0", "e1", "e2"));
+        for (int i = 0; i < 20; i++) {
+            OnlineDecision.Send send = (OnlineDecision.Send) core.next(admit(i, true), 0);
+            assertThat(send.endpoint().name()).isEqualTo("e3");
+            core.endpoints().abandoned("e3");
+        }
+    }
+
+    @Test
+    void withoutAnyEndpointARequestIsRefusedAsNotRun() {
+        core.endpoints().leaving(Set.of("e0", "e1", "e2", "e3"));
+
+        Refusal refusal =
+                core.admit(OnlineCoreFixture.intake(1, true, 10 * SECOND), 0).getLeft();
+
+        assertThat(refusal.code()).isEqualTo(ErrorCode.NO_ENDPOINT);
+        assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(refusal.retryAfterMillis()).isPresent();
+    }
+
+    /**
+     * All slots are taken and a request's deadline is near. It could only wait in vain, so it is refused at once and
+     * told when a slot is likely free.
+     */
+    @Test
+    void aRequestThatCannotBeAnsweredInTimeIsRefusedAtOnce() {
+        for (int i = 0; i < 64; i++) {
+            core.next(admit(i, true), 0);
+        }
+
+        Refusal refusal =
+                core.admit(OnlineCoreFixture.intake(99, true, SECOND / 100), 0).getLeft();
+
+        assertThat(refusal.code()).isEqualTo(ErrorCode.OVERLOADED);
+        assertThat(refusal.retryAfterMillis().orElseThrow()).isPositive();
+    }
+
+    /** A cut between this host and its zone looks like the failure of all endpoints: half of them stay in use. */
+    @Test
+    void failuresNeverEjectMoreThanHalfOfTheEndpoints() {
+        for (int i = 0; i < 40; i++) {
+            OnlineRequest request = admit(i, true);
+            OnlineDecision decision = core.next(request, 0);
+            if (decision instanceof OnlineDecision.Send) {
+                core.attemptFailed(request, UNREACHABLE, 0);
+            }
+        }
+
+        long ejected = core.endpoints().pool("s").orElseThrow().endpoints().stream()
+                .filter(endpoint -> endpoint.isEjected(0))
+                .count();
+        assertThat(ejected).isEqualTo(2);
+    }
+
+    @Test
+    void aSuspectRunsApartAndIsRefusedAtOnceAfterItsSecondCrash() {
+        OnlineRequest request = admit(1, true);
+        OnlineDecision.Send first = (OnlineDecision.Send) core.next(request, 0);
+        core.suspects()
+                .crashed(first.endpoint().name(), List.of(request.intake().fingerprint()), 0);
+        OnlineDecision.AskPermit question = (OnlineDecision.AskPermit) core.attemptFailed(request, CUT, 0);
+        String apart = question.endpoints().get(0);
+        core.permitted(request, Optional.of(apart), 0);
+        core.suspects().crashed(apart, List.of(request.intake().fingerprint()), 3 * SECOND);
+
+        OnlineDecision decision = core.attemptFailed(request, CUT, 3 * SECOND);
+        Refusal resent = core.admit(OnlineCoreFixture.intake(1, true, 10 * SECOND), 3 * SECOND)
+                .getLeft();
+
+        assertThat(((OnlineDecision.Refuse) decision).refusal().code()).isEqualTo(ErrorCode.QUARANTINED);
+        assertThat(resent.code()).isEqualTo(ErrorCode.QUARANTINED);
+        assertThat(resent.outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    @Test
+    void aSuspectThatCompletesIsCleared() {
+        OnlineRequest request = admit(1, true);
+        core.suspects().crashed("e0", List.of(request.intake().fingerprint()), 0);
+        core.next(request, 0);
+        core.permitted(request, Optional.of("e1"), 0);
+        core.attemptSucceeded(request, SECOND);
+
+        assertThat(core.suspects().size()).isZero();
+    }
+
+    private OnlineRequest admit(int number, boolean idempotent) {
+        return core.admit(OnlineCoreFixture.intake(number, idempotent, 100 * SECOND), 0)
+                .get();
+    }
+}
