Probe suspects until their time is over

A suspect had one chance: a rumor had to reach it and its refutation had to come back within 1.5 s, both over the links that had just lost messages.

Ruled out: a longer suspicion alone (it delays the finding of every real loss); more indirect probes (they cross more lossy links than a direct one).

Change: each host that suspects another probes it every 300 ms, and suspicion lasts 2.5 s. Dead hosts are told so with each probe and can refute.

Also: suspects wait up to 5 s for their turn to run apart instead of being refused; a claim whose holder was lost ends as may-have-run after 10 minutes instead of telling the caller to come back for ever.

--- a/src/main/java/org/gooseberryhill/decision/idempotency/Claim.java
+++ b/src/main/java/org/gooseberryhill/decision/idempotency/Claim.java
@@ -15,6 +15,9 @@
     private static final int MAX_UNCERTAIN_ANSWERS = 3;
     private static final long RETRY_AFTER_MILLIS = 2000;
 
+    /** After this a claim without an answer counts as one whose holder was lost; longer than any deadline. */
+    private static final long LOST_AFTER_MILLIS = 600_000;
+
     private final ClaimRecord own;
     private int uncertainAnswers;
     private boolean sent;
@@ -35,7 +38,7 @@
     }
 
     /** The record was read. */
-    public ClaimStep read(Optional<ClaimRecord> found) {
+    public ClaimStep read(Optional<ClaimRecord> found, long nowMillis) {
         if (found.isEmpty()) {
             // An unanswered creation that has not arrived yet carries the same claim id: creating again is safe.
             return countUncertain(new ClaimStep.Create());
@@ -48,7 +51,9 @@
             return new ClaimStep.Refuse(Refusal.notRun(
                     ErrorCode.CONFLICT, "the idempotency key belongs to another request of this caller"));
         }
-        return switch (record.state()) {
+        boolean holderLost =
+                record.state() == ClaimRecord.State.CLAIMED && nowMillis - record.claimedMillis() > LOST_AFTER_MILLIS;
+        return switch (holderLost ? ClaimRecord.State.ANSWER_LOST : record.state()) {
             case ANSWERED -> new ClaimStep.Replay(record);
             case ANSWER_LOST ->
                 new ClaimStep.Refuse(Refusal.mayHaveRun(
--- a/src/main/java/org/gooseberryhill/decision/membership/Membership.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/Membership.java
@@ -23,6 +23,7 @@
  */
 public final class Membership {
     private static final int RUMOR_REPEATS_PER_DOUBLING = 3;
+    private static final long SUSPECT_PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     private final HostId self;
     private final MembershipSettings settings;
@@ -68,6 +69,7 @@
     /** Advances the time: probes one peer a period, turns silence into suspicion and suspicion into death. */
     public void tick(long nowNanos, MembershipCommands commands) {
         peers.values().forEach(peer -> advance(peer, nowNanos, commands));
+        probeSuspects(nowNanos, commands);
         if (nowNanos < nextProbeNanos) {
             return;
         }
@@ -80,6 +82,21 @@
         });
     }
 
+    /**
+     * Failure: a few lost messages in a row make a suspect, and the rumor that would let it refute is lost too, so that
+     * a live host is thought dead. Until its time is over a suspect is probed again and again by each host that holds
+     * it for one; one answer clears it. Suspects are few, so the cost stays flat.
+     */
+    private void probeSuspects(long nowNanos, MembershipCommands commands) {
+        for (Peer peer : peers.values()) {
+            boolean due = nowNanos - peer.suspectProbedNanos >= SUSPECT_PROBE_NANOS;
+            if (peer.state == HostState.SUSPECT && due) {
+                peer.suspectProbedNanos = nowNanos;
+                commands.probe(peer.host, incarnation, rumorsFor(peer.host.id()));
+            }
+        }
+    }
+
     /** A sign of life came from a host: its own heartbeat, its reply, or another host's word for it. */
     public void heard(HostId from, long fromIncarnation, boolean leaving, List<Rumor> heardRumors, long nowNanos) {
         Peer peer = peers.get(from);
@@ -251,6 +268,7 @@
         private long incarnation;
         private long stateSinceNanos;
         private long probeSentNanos;
+        private long suspectProbedNanos;
         private boolean probeOpen;
         private boolean askedOthers;
         private boolean leaving;
--- a/src/main/java/org/gooseberryhill/decision/membership/MembershipSettings.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/MembershipSettings.java
@@ -16,5 +16,5 @@
         int indirectProbes,
         int rumorsPerMessage) {
     /** The defaults that docs/OPERATIONS.md names. */
-    public static final MembershipSettings DEFAULT = new MembershipSettings(400, 400, 1500, 2, 8);
+    public static final MembershipSettings DEFAULT = new MembershipSettings(400, 400, 2500, 2, 8);
 }
--- a/src/main/java/org/gooseberryhill/decision/online/OnlineCore.java
+++ b/src/main/java/org/gooseberryhill/decision/online/OnlineCore.java
@@ -33,6 +33,7 @@
 public final class OnlineCore {
     private static final long NO_ENDPOINT_RETRY_AFTER_MILLIS = 2000;
     private static final long SUSPECT_RETRY_AFTER_MILLIS = 1000;
+    private static final long PERMIT_RETRY_MILLIS = 50;
 
     private final AvailabilityZone zone;
     private final OnlinePolicies policies;
@@ -113,7 +114,9 @@
             request.permit(true);
             return send(request, granted.get(), nowNanos);
         }
-        // Waiting here for the other suspects would hold the caller's answer back; it is told when to come back.
+        if (request.mayWaitForPermit(nowNanos)) {
+            return new OnlineDecision.Wait(PERMIT_RETRY_MILLIS);
+        }
         return new OnlineDecision.Refuse(new Refusal(
                 ErrorCode.OVERLOADED,
                 request.outcome(),
--- a/src/main/java/org/gooseberryhill/decision/online/OnlineDecision.java
+++ b/src/main/java/org/gooseberryhill/decision/online/OnlineDecision.java
@@ -20,6 +20,13 @@
      */
     record AskPermit(List<String> endpoints) implements OnlineDecision {}
 
+    /**
+     * It is a suspect and others run apart just now: call {@link OnlineCore#next} after a while.
+     *
+     * @param delayMillis how long to wait, in milliseconds
+     */
+    record Wait(long delayMillis) implements OnlineDecision {}
+
     /**
      * Give the caller its final answer now.
      *
--- a/src/main/java/org/gooseberryhill/decision/online/OnlineRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/online/OnlineRequest.java
@@ -12,6 +12,8 @@
  * <p>Invariant: once an attempt may have run, the request may have run, whatever later attempts say.
  */
 public final class OnlineRequest {
+    private static final long MAX_PERMIT_WAIT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final OnlineIntake intake;
     private final Set<String> tried = new HashSet<>();
     private Optional<String> endpoint = Optional.empty();
@@ -20,6 +22,7 @@
     private boolean answerStarted;
     private int attempts;
     private long attemptStartNanos;
+    private Optional<Long> permitAskedNanos = Optional.empty();
 
     OnlineRequest(OnlineIntake intake) {
         this.intake = intake;
@@ -67,6 +70,18 @@
         holdsPermit = held;
     }
 
+    /**
+     * Whether a suspect may go on waiting for its turn to run apart. Most suspects are innocent, and their turn comes as
+     * fast as others complete; past the bound the caller is told at once when to come back.
+     */
+    boolean mayWaitForPermit(long nowNanos) {
+        if (permitAskedNanos.isEmpty()) {
+            permitAskedNanos = Optional.of(nowNanos);
+        }
+        long waitedNanos = nowNanos - permitAskedNanos.get();
+        return waitedNanos < MAX_PERMIT_WAIT_NANOS && remainingMillis(nowNanos) > 0;
+    }
+
     long remainingMillis(long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(intake.deadlineNanos() - nowNanos);
     }
--- a/src/main/java/org/gooseberryhill/entry/ClaimDriver.java
+++ b/src/main/java/org/gooseberryhill/entry/ClaimDriver.java
@@ -98,8 +98,10 @@
             process.keyValue()
                     .read(key)
                     .whenComplete((result, failure) -> process.loop()
-                            .execute(() ->
-                                    follow(failure == null ? claim.read(record(result.first())) : claim.unanswered())));
+                            .execute(() -> follow(
+                                    failure == null
+                                            ? claim.read(record(result.first()), System.currentTimeMillis())
+                                            : claim.unanswered())));
         } else if (step instanceof ClaimStep.Send) {
             onSend.run();
         } else if (step instanceof ClaimStep.Replay replay) {
--- a/src/main/java/org/gooseberryhill/entry/OnlineCall.java
+++ b/src/main/java/org/gooseberryhill/entry/OnlineCall.java
@@ -163,6 +163,8 @@
             send(send.endpoint());
         } else if (decision instanceof OnlineDecision.AskPermit question) {
             askPermit(question);
+        } else if (decision instanceof OnlineDecision.Wait wait) {
+            process().loop().after(wait.delayMillis(), this::proceed);
         } else if (decision instanceof OnlineDecision.Refuse refuse) {
             giveUp(refuse.refusal());
         }
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/batch/EndpointBatchTest.java
@@ -0,0 +1,130 @@
+package org.gooseberryhill.decision.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhill.configuration.EndpointSettings;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.zone.AvailabilityZone;
+import org.junit.jupiter.api.Test;
+
+class EndpointBatchTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final HostId ENTRY = new HostId("entry");
+    private static final HostId OTHER_ENTRY = new HostId("other");
+
+    private final EndpointBatch endpoint = endpoint(new LeftoverSlotsPolicy(0.125));
+    private long nextRun;
+
+    @Test
+    void batchFillsWhatOnlineLeavesButForAReserve() {
+        assertThat(endpoint.free(0)).isEqualTo(7);
+        endpoint.onlineReported(ENTRY, 3, false, 0);
+        assertThat(endpoint.free(0)).isEqualTo(4);
+        endpoint.onlineReported(OTHER_ENTRY, 3, false, 0);
+        assertThat(endpoint.free(0)).isEqualTo(1);
+    }
+
+    /** A class begins: ten times the requests come at once. Each report makes just enough batch items yield. */
+    @Test
+    void aBurstMakesBatchYieldInTheSameCall() {
+        fill();
+
+        List<RunningItem> yielded = endpoint.onlineReported(ENTRY, 5, false, 0);
+
+        assertThat(yielded).hasSize(5);
+        yielded.forEach(item -> endpoint.ended(item.run()));
+        assertThat(endpoint.onlineReported(ENTRY, 50, false, 0)).hasSize(2);
+    }
+
+    @Test
+    void theItemsWithTheLeastWorkYieldFirst() {
+        fill();
+        endpoint.running().forEach(item -> item.generated((int) item.run() * 10));
+
+        List<RunningItem> yielded = endpoint.onlineReported(ENTRY, 2, false, 0);
+
+        assertThat(yielded).extracting(RunningItem::run).containsExactly(1L, 2L);
+    }
+
+    /** An entry is lost with requests in flight: its last report counts for a time, then its room is given back. */
+    @Test
+    void theReportOfALostEntryFades() {
+        endpoint.onlineReported(ENTRY, 7, false, 0);
+
+        assertThat(endpoint.free(2000 * MILLI)).isZero();
+        assertThat(endpoint.free(3100 * MILLI)).isEqualTo(7);
+    }
+
+    /** No entry reaches this steward; the engine's own count, though late, keeps batch from crowding online out. */
+    @Test
+    void theEnginesOwnCountStandsInForReportsThatDoNotCome() {
+        fill();
+
+        assertThat(endpoint.engineReported(12, 0)).hasSize(5);
+    }
+
+    @Test
+    void aSlowTailHalvesTheBatchShareAndItComesBackSlowly() {
+        fill();
+
+        assertThat(endpoint.onlineReported(ENTRY, 0, true, 0)).hasSize(4);
+        List.copyOf(endpoint.running()).forEach(item -> endpoint.ended(item.run()));
+        assertThat(endpoint.free(0)).isEqualTo(3);
+        assertThat(endpoint.free(1100 * MILLI)).isEqualTo(5);
+    }
+
+    @Test
+    void aLeavingEndpointGetsNoItem() {
+        endpoint.leaving(true);
+
+        assertThat(endpoint.free(0)).isZero();
+    }
+
+    @Test
+    void theBaselineNeverYields() {
+        EndpointBatch fixed = endpoint(new FixedSlotsPolicy());
+
+        assertThat(fixed.onlineReported(ENTRY, 50, false, 0)).isEmpty();
+        assertThat(fixed.free(0)).isEqualTo(8);
+    }
+
+    /** Reports, starts and ends in any order: batch never takes more than what online leaves. */
+    @Property(seed = "20261203")
+    void batchIsNeverMoreThanWhatOnlineLeaves(@ForAll long seed) {
+        Random random = new Random(seed);
+        EndpointBatch any = endpoint(new LeftoverSlotsPolicy(0.125));
+        long now = 0;
+        int online = 0;
+        for (int step = 0; step < 200; step++) {
+            now += random.nextInt(100) * MILLI;
+            if (random.nextInt(3) == 0) {
+                online = random.nextInt(12);
+                any.onlineReported(ENTRY, online, random.nextInt(10) == 0, now).forEach(item -> any.ended(item.run()));
+            } else {
+                any.onlineReported(ENTRY, online, false, now).forEach(item -> any.ended(item.run()));
+                if (any.free(now) > 0) {
+                    any.started(new RunningItem(step, now));
+                }
+            }
+            assertThat(any.running().size()).isLessThanOrEqualTo(Math.max(0, 8 - online - 1));
+        }
+    }
+
+    private void fill() {
+        while (endpoint.free(0) > 0) {
+            endpoint.started(new RunningItem(++nextRun, nextRun));
+        }
+    }
+
+    private static EndpointBatch endpoint(BatchSlotPolicy policy) {
+        EndpointSettings settings = new EndpointSettings(
+                "e", "s", new Address("10.0.0.1", 9000), new AvailabilityZone("a"), 8, true, false);
+        return new EndpointBatch(settings, 100, policy, new LeastWorkLostOrder());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
@@ -0,0 +1,70 @@
+package org.gooseberryhill.decision.drain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.decision.drain.PlannedStop.Phase;
+import org.junit.jupiter.api.Test;
+
+class PlannedStopTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final PlannedStop stop = new PlannedStop(500, 10_000);
+
+    @Test
+    void aStopWaitsForWhatIsInProgress() {
+        stop.ask(0);
+
+        assertThat(stop.advance(3, 400 * MILLI)).isEqualTo(Phase.ANNOUNCED);
+        assertThat(stop.takesNew()).isTrue();
+        assertThat(stop.advance(3, 600 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(stop.takesNew()).isFalse();
+        assertThat(stop.advance(1, 9000 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(stop.advance(0, 9100 * MILLI)).isEqualTo(Phase.ENDED);
+    }
+
+    /** The operator loses patience and asks again: what is in progress still ends whole. */
+    @Test
+    void aSecondStopCutsNothing() {
+        stop.ask(0);
+        stop.advance(3, 600 * MILLI);
+        stop.ask(700 * MILLI);
+
+        assertThat(stop.advance(3, 1300 * MILLI)).isEqualTo(Phase.DRAINING);
+    }
+
+    @Test
+    void aStopEndsAtItsBound() {
+        stop.ask(0);
+        stop.advance(1, 600 * MILLI);
+
+        assertThat(stop.advance(1, 10_000 * MILLI)).isEqualTo(Phase.ENDED);
+    }
+
+    /** The host list lags; the endpoint itself has said that it is leaving, and later that it is back. */
+    @Test
+    void anEndpointIsLeavingWhileAnySourceSaysSo() {
+        LeavingEndpoints leaving = new LeavingEndpoints();
+        leaving.update(LeavingSource.ENDPOINT, "e1", true);
+        leaving.replace(LeavingSource.HOST_LIST, Set.of());
+        assertThat(leaving.all()).containsExactly("e1");
+
+        leaving.replace(LeavingSource.HOST_LIST, Set.of("e1"));
+        leaving.update(LeavingSource.ENDPOINT, "e1", false);
+        assertThat(leaving.all()).containsExactly("e1");
+
+        leaving.replace(LeavingSource.HOST_LIST, Set.of());
+        assertThat(leaving.all()).isEmpty();
+    }
+
+    /** Hearsay that is passed on as one's own knowledge would keep an endpoint out for ever. */
+    @Test
+    void hearsayIsNotPassedOn() {
+        LeavingEndpoints leaving = new LeavingEndpoints();
+        leaving.update(LeavingSource.PEER, "e1", true);
+
+        assertThat(leaving.all()).containsExactly("e1");
+        assertThat(leaving.firstHand()).isEmpty();
+    }
+}
--- a/src/test/java/org/gooseberryhill/decision/idempotency/ClaimProperties.java
+++ b/src/test/java/org/gooseberryhill/decision/idempotency/ClaimProperties.java
@@ -80,7 +80,7 @@
                 step = answer.map(claim::created).orElseGet(claim::unanswered);
             } else if (step instanceof ClaimStep.Read) {
                 step = store.read(KEY)
-                        .map(found -> claim.read(found.map(FakeKeyValue.Stored::value)))
+                        .map(found -> claim.read(found.map(FakeKeyValue.Stored::value), 0))
                         .orElseGet(claim::unanswered);
             } else if (step instanceof ClaimStep.Send) {
                 sent = true;
--- a/src/test/java/org/gooseberryhill/decision/idempotency/ClaimTest.java
+++ b/src/test/java/org/gooseberryhill/decision/idempotency/ClaimTest.java
@@ -18,7 +18,7 @@
     void aResendGetsTheKeptAnswer() {
         claim.created(false);
 
-        ClaimStep step = claim.read(Optional.of(others.answered(201, Map.of(), new byte[] {1})));
+        ClaimStep step = claim.read(Optional.of(others.answered(201, Map.of(), new byte[] {1})), 0);
 
         assertThat(step)
                 .isInstanceOfSatisfying(
@@ -28,23 +28,32 @@
 
     @Test
     void aResendOfACallWhoseAnswerIsLostIsNotRepeated() {
-        assertThat(refusal(claim.read(Optional.of(others.answerLost()))).outcome())
+        assertThat(refusal(claim.read(Optional.of(others.answerLost()), 0)).outcome())
                 .isEqualTo(Outcome.MAY_HAVE_RUN);
     }
 
     @Test
     void aResendDuringTheCallIsToldToComeBack() {
-        Refusal refusal = refusal(claim.read(Optional.of(others)));
+        Refusal refusal = refusal(claim.read(Optional.of(others), 0));
 
         assertThat(refusal.code()).isEqualTo(ErrorCode.IN_PROGRESS);
         assertThat(refusal.retryAfterMillis()).isPresent();
     }
 
+    /** The host that claimed was lost with the call on its way: in the end the caller hears that nothing will come. */
+    @Test
+    void aClaimWhoseHolderWasLostEndsAsMayHaveRun() {
+        Refusal refusal = refusal(claim.read(Optional.of(others), 700_000));
+
+        assertThat(refusal.code()).isEqualTo(ErrorCode.ENDPOINT_FAILED);
+        assertThat(refusal.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    }
+
     @Test
     void anotherRequestUnderTheSameKeyIsAConflict() {
         ClaimRecord different = ClaimRecord.claimed("other", "another hash", 0);
 
-        assertThat(refusal(claim.read(Optional.of(different))).code()).isEqualTo(ErrorCode.CONFLICT);
+        assertThat(refusal(claim.read(Optional.of(different), 0)).code()).isEqualTo(ErrorCode.CONFLICT);
     }
 
     /** The key-value service is out: the call can't be claimed, is never sent, and its caller hears that truly. */
--- a/src/test/java/org/gooseberryhill/decision/online/OnlineCoreProperties.java
+++ b/src/test/java/org/gooseberryhill/decision/online/OnlineCoreProperties.java
@@ -87,6 +87,9 @@
                 Optional<String> granted =
                         random.nextBoolean() ? Optional.of(question.endpoints().get(0)) : Optional.empty();
                 follow(request, core.permitted(request, granted, now));
+            } else if (decision instanceof OnlineDecision.Wait wait) {
+                now += wait.delayMillis() * 1_000_000;
+                follow(request, core.next(request, now));
             } else if (decision instanceof OnlineDecision.Send send) {
                 assertThat(leaving)
                         .as("leaving endpoints")
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/quarantine/SuspectArbiterTest.java
@@ -0,0 +1,41 @@
+package org.gooseberryhill.decision.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.contract.Fingerprint;
+import org.junit.jupiter.api.Test;
+
+class SuspectArbiterTest {
+    private static final List<String> ENDPOINTS = List.of("e1", "e2");
+    private static final Fingerprint ONE = new Fingerprint("one");
+    private static final Fingerprint TWO = new Fingerprint("two");
+
+    private final SuspectArbiter arbiter = new SuspectArbiter(1000);
+
+    @Test
+    void noTwoSuspectsShareAnEndpoint() {
+        assertThat(arbiter.ask(ONE, ENDPOINTS, 0)).contains("e1");
+        assertThat(arbiter.ask(TWO, ENDPOINTS, 0)).contains("e2");
+        assertThat(arbiter.ask(new Fingerprint("three"), ENDPOINTS, 0)).isEmpty();
+    }
+
+    /** The caller sends the suspect through a second host while it runs: it must not take down two endpoints at once. */
+    @Test
+    void aSuspectRunsAtOneEndpointAtATime() {
+        arbiter.ask(ONE, ENDPOINTS, 0);
+
+        assertThat(arbiter.ask(ONE, ENDPOINTS, 0)).isEmpty();
+        arbiter.release(ONE);
+        assertThat(arbiter.ask(ONE, ENDPOINTS, 0)).isPresent();
+    }
+
+    @Test
+    void theGrantOfALostHostEndsAfterItsTime() {
+        arbiter.ask(ONE, ENDPOINTS, 0);
+
+        assertThat(arbiter.ask(ONE, ENDPOINTS, TimeUnit.MILLISECONDS.toNanos(1001)))
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/routing/RoutePolicyTest.java
@@ -0,0 +1,105 @@
+package org.gooseberryhill.decision.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.gooseberryhill.configuration.Configuration;
+import org.gooseberryhill.configuration.ConfigurationReader;
+import org.gooseberryhill.zone.AvailabilityZone;
+import org.junit.jupiter.api.Test;
+
+class RoutePolicyTest {
+    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
+
+    private final EndpointTable table = table(12);
+    private final ServicePool pool = table.pool("s").orElseThrow();
+
+    @Test
+    void twoChoicesSpreadLoadEvenly() {
+        RoutePolicy policy = new TwoChoicesPolicy(new Random(1));
+        for (int i = 0; i < 48; i++) {
+            table.started(choose(policy, 0, Set.of()));
+        }
+
+        assertThat(pool.endpoints()).allMatch(endpoint -> endpoint.ownInFlight() >= 2 && endpoint.ownInFlight() <= 6);
+    }
+
+    @Test
+    void requestsWithTheSameBeginningGoToTheSameEndpointUntilItIsLoaded() {
+        RoutePolicy policy = new PrefixAffinityPolicy(new TwoChoicesPolicy(new Random(1)), 0.5);
+        Set<String> chosen = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            chosen.add(choose(policy, 4711, Set.of()));
+        }
+        assertThat(chosen).hasSize(1);
+
+        for (int i = 0; i < 16; i++) {
+            table.started(choose(policy, 4711, Set.of()));
+        }
+        assertThat(pool.endpoints().stream()
+                        .mapToDouble(EndpointState::load)
+                        .max()
+                        .orElseThrow())
+                .isLessThanOrEqualTo(0.75);
+    }
+
+    @Test
+    void anEndpointThatFailedTheRequestIsNotChosenAgain() {
+        for (RoutePolicy policy : new RoutePolicy[] {
+            new RoundRobinPolicy(),
+            new TwoChoicesPolicy(new Random(1)),
+            new PrefixAffinityPolicy(new TwoChoicesPolicy(new Random(1)), 0.5)
+        }) {
+            Set<String> tried = new HashSet<>();
+            for (int i = 0; i < 12; i++) {
+                assertThat(tried.add(choose(policy, 4711, tried))).isTrue();
+            }
+            assertThat(policy.choose(pool, new RouteRequest(ZONE, 4711, tried), 0))
+                    .isEmpty();
+        }
+    }
+
+    /** An endpoint joins; most prompts keep theirs, so that the engines' caches stay of use. */
+    @Test
+    void aNewEndpointTakesOnlyItsShareOfThePrefixes() {
+        RoutePolicy policy = new PrefixAffinityPolicy(new RoundRobinPolicy(), 0.5);
+        Map<Long, String> before = new HashMap<>();
+        Random hashes = new Random(3);
+        for (int i = 0; i < 1000; i++) {
+            long hash = hashes.nextLong();
+            before.put(hash, choose(policy, hash, Set.of()));
+        }
+        ServicePool larger = table(13).pool("s").orElseThrow();
+        long moved = before.entrySet().stream()
+                .filter(entry -> !policy.choose(larger, new RouteRequest(ZONE, entry.getKey(), Set.of()), 0)
+                        .orElseThrow()
+                        .name()
+                        .equals(entry.getValue()))
+                .count();
+
+        assertThat(moved).isLessThan(200);
+    }
+
+    private String choose(RoutePolicy policy, long prefixHash, Set<String> tried) {
+        return policy.choose(pool, new RouteRequest(ZONE, prefixHash, tried), 0)
+                .orElseThrow()
+                .name();
+    }
+
+    private static EndpointTable table(int endpoints) {
+        StringBuilder text =
+                new StringBuilder("models: {m: {version: \"1\"}}\nservices: {s: {model: m}}\nendpoints:\n");
+        for (int i = 0; i < endpoints; i++) {
+            text.append("  e%d: {service: s, address: \"10.0.0.1:%d\", zone: a, slots: 8}\n".formatted(i, 9000 + i));
+        }
+        Configuration configuration =
+                ConfigurationReader.read("test", text.toString()).get();
+        EndpointTable table = new EndpointTable();
+        table.configure(configuration);
+        return table;
+    }
+}
