--- a/src/main/java/org/gooseberryhill/configuration/PropertyReader.java
+++ b/src/main/java/org/gooseberryhill/configuration/PropertyReader.java
@@ -22,15 +22,18 @@
     private final PlacedNode.Mapping mapping;
     private final String path;
     private final Findings findings;
+    private final boolean readable;
 
     PropertyReader(PlacedNode node, String path, Findings findings) {
         this.path = path;
         this.findings = findings;
         if (node instanceof PlacedNode.Mapping found) {
             this.mapping = found;
+            this.readable = true;
         } else {
             this.mapping = new PlacedNode.Mapping(node.place(), Map.of(), Map.of());
-            if (!isBlank(node)) {
+            this.readable = isBlank(node);
+            if (!readable) {
                 findings.add(node.place(), path, "value.mapping");
             }
         }
@@ -88,7 +91,7 @@
     }
 
     String requiredText(String key) {
-        if (!mapping.entries().containsKey(key)) {
+        if (readable && !mapping.entries().containsKey(key)) {
             findings.add(mapping.place(), pathOf(key), "key.missing", key);
         }
         return optionalText(key).orElse("");
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -15,6 +15,7 @@
 final class ClientConnectionHandler extends SimpleChannelInboundHandler<HttpObject> {
     private ClientExchange exchange;
     private boolean keepAlive;
+    private boolean interim;
 
     void attach(ClientExchange newExchange) {
         exchange = newExchange;
@@ -40,6 +41,11 @@
         if (message instanceof HttpResponse response && !head(response)) {
             return;
         }
+        if (interim) {
+            // The end of an interim answer, which the codec shows like that of a whole one.
+            interim = !(message instanceof LastHttpContent);
+            return;
+        }
         if (message instanceof HttpContent content) {
             if (content.content().isReadable()) {
                 exchange.bytes(ByteBufUtil.getBytes(content.content()));
@@ -62,9 +68,9 @@
     }
 
     private boolean head(HttpResponse response) {
-        boolean interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        if (interim) {
-            return false;
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            interim = true;
+            return true;
         }
         boolean framed = HttpUtil.isTransferEncodingChunked(response)
                 || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/configuration/ConfigurationReaderTest.java
@@ -0,0 +1,91 @@
+package org.gooseberryhill.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.gooseberryhill.standin.SampleFleet;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationReaderTest {
+    private static final String DAMAGE = ":{}[]-#\"'\n &*!|>%@`\t";
+    private static final String SAMPLE = new SampleFleet(18400, 12).configuration();
+
+    @Test
+    void theSampleIsRead() {
+        Configuration configuration = ConfigurationReader.read("sample", SAMPLE).get();
+
+        assertThat(configuration.endpointsOf("tutor")).hasSize(12);
+        assertThat(configuration.serviceOfModel("tutor-7b").orElseThrow().name())
+                .isEqualTo("tutor");
+        assertThat(configuration.services().get("bookings").isNonIdempotent("POST", "/bookings?seat=4"))
+                .isTrue();
+        assertThat(configuration.services().get("bookings").isNonIdempotent("GET", "/bookings"))
+                .isFalse();
+        assertThat(configuration.services().get("bookings").isNonIdempotent("POST", "/bookings-list"))
+                .isFalse();
+    }
+
+    /** An operator's text has twenty mistakes: all of them come back at once, each with its place and its remedy. */
+    @Test
+    void allMistakesAreReportedTogetherWithTheirPlaces() throws IOException {
+        List<Finding> findings = ConfigurationReader.read("fleet.yaml", resource("twenty-mistakes.yaml"))
+                .getLeft();
+
+        String expected = resource("twenty-mistakes.expected").strip();
+        String actual = String.join(
+                "\n",
+                findings.stream()
+                        .map(finding -> "%d:%d %s %s"
+                                .formatted(
+                                        finding.place().line(),
+                                        finding.place().column(),
+                                        finding.key(),
+                                        finding.messageKey()))
+                        .toList());
+        assertThat(actual).isEqualTo(expected);
+        assertThat(findings).hasSize(20).allMatch(finding -> !finding.remedy().isBlank());
+    }
+
+    @Test
+    void aTextThatIsNotYamlIsReportedWithItsPlace() {
+        Finding finding =
+                ConfigurationReader.read("f", "services:\n  a: [\n").getLeft().get(0);
+
+        assertThat(finding.messageKey()).isEqualTo("yaml.syntax");
+        assertThat(finding.place().line()).isGreaterThan(1);
+    }
+
+    @Test
+    void anEmptyTextIsAnEmptyConfiguration() {
+        assertThat(ConfigurationReader.read("f", "").get().services()).isEmpty();
+    }
+
+    /** Whatever an operator's editor or a broken copy makes of the text, reading it ends with findings, not a crash. */
+    @Property(seed = "20261203")
+    void anyDamagedTextEndsInAConfigurationOrFindings(@ForAll long seed) {
+        Random random = new Random(seed);
+        StringBuilder text = new StringBuilder(SAMPLE);
+        for (int i = 0; i < 1 + random.nextInt(10); i++) {
+            int place = random.nextInt(text.length());
+            switch (random.nextInt(3)) {
+                case 0 -> text.deleteCharAt(place);
+                case 1 -> text.insert(place, DAMAGE.charAt(random.nextInt(DAMAGE.length())));
+                default -> text.setLength(Math.max(1, place));
+            }
+        }
+
+        assertThat(ConfigurationReader.read("f", text.toString())).isNotNull();
+    }
+
+    private static String resource(String name) throws IOException {
+        try (InputStream stream = ConfigurationReaderTest.class.getResourceAsStream(name)) {
+            return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/HttpClientTest.java
@@ -0,0 +1,127 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gooseberryhill.http.RawEndpoint.ascii;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.link.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class HttpClientTest {
+    private static final String LENGTH_ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+    private static final String CHUNKED_ANSWER =
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
+
+    private final EventLoopGroup group = Loopback.group();
+    private final HttpClient client = new HttpClient(group);
+
+    @AfterEach
+    void close() {
+        client.close();
+        group.shutdownGracefully();
+    }
+
+    /**
+     * The endpoint's answer ends at each byte in turn, by a close and by a reset. The caller of the exchange must never
+     * take a part for the whole, and must always hear that the request may have run.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {LENGTH_ANSWER, CHUNKED_ANSWER})
+    void anAnswerCutAtAnyByteIsAFailureThatMayHaveRun(String answer) throws IOException {
+        for (int length = 0; length < answer.length(); length++) {
+            byte[] part = Arrays.copyOf(ascii(answer), length);
+            try (RawEndpoint endpoint = new RawEndpoint(part, length % 2 == 0)) {
+                ExchangeFailure failure = failure(endpoint.address());
+                assertThat(failure.outcome()).as("cut after %d bytes", length).isEqualTo(Outcome.MAY_HAVE_RUN);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {LENGTH_ANSWER, CHUNKED_ANSWER})
+    void aWholeAnswerComesWhole(String answer) throws IOException {
+        try (RawEndpoint endpoint = new RawEndpoint(ascii(answer), false)) {
+            assertThat(client.call(request(endpoint.address(), 1000), 100)
+                            .join()
+                            .body())
+                    .isEqualTo(ascii("hello"));
+        }
+    }
+
+    @Test
+    void anEndpointThatCannotBeReachedDidNotRunTheRequest() {
+        ExchangeFailure failure = failure(Loopback.freeAddress());
+
+        assertThat(failure.kind()).isEqualTo(ExchangeFailure.Kind.CONNECT_FAILED);
+        assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    /** Such an answer ends with its connection, so that a cut one looks like a whole one. */
+    @Test
+    void anAnswerWithoutLengthOrEndMarkIsAFailure() throws IOException {
+        try (RawEndpoint endpoint = new RawEndpoint(ascii("HTTP/1.1 200 OK\r\n\r\nhello"), false)) {
+            assertThat(failure(endpoint.address()).kind()).isEqualTo(ExchangeFailure.Kind.MALFORMED);
+        }
+    }
+
+    @Test
+    void anAnswerThatIsNotHttpIsAFailure() throws IOException {
+        try (RawEndpoint endpoint = new RawEndpoint(ascii("no such thing\r\n\r\n"), false)) {
+            assertThat(failure(endpoint.address()).kind()).isEqualTo(ExchangeFailure.Kind.MALFORMED);
+        }
+    }
+
+    /** The endpoint sends a second answer that nobody asked for; the next exchange must not take it for its own. */
+    @Test
+    void aDuplicatedAnswerIsNotTakenByTheNextExchange() throws IOException {
+        try (RawEndpoint endpoint = new RawEndpoint(ascii(LENGTH_ANSWER + LENGTH_ANSWER), false)) {
+            client.call(request(endpoint.address(), 1000), 100).join();
+            client.call(request(endpoint.address(), 1000), 100).join();
+
+            assertThat(endpoint.requests()).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void anInterimAnswerIsPassedOver() throws IOException {
+        String interim = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + LENGTH_ANSWER;
+        try (RawEndpoint endpoint = new RawEndpoint(ascii(interim), false)) {
+            HttpResult result =
+                    client.call(request(endpoint.address(), 1000), 100).join();
+            assertThat(result.status()).isEqualTo(200);
+            assertThat(result.body()).isEqualTo(ascii("hello"));
+        }
+    }
+
+    @Test
+    void aSilentEndpointFailsTheExchange() throws IOException {
+        try (ServerSocket silent = new ServerSocket(0)) {
+            ExchangeFailure failure = failure(new Address("127.0.0.1", silent.getLocalPort()));
+            assertThat(failure.kind()).isEqualTo(ExchangeFailure.Kind.SILENT);
+            assertThat(failure.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+        }
+    }
+
+    private ExchangeFailure failure(Address address) {
+        try {
+            client.call(request(address, 300), 100).join();
+        } catch (CompletionException e) {
+            return ((ExchangeException) e.getCause()).failure();
+        }
+        throw new AssertionError("the exchange did not fail");
+    }
+
+    private static ExchangeRequest request(Address address, int silenceMillis) {
+        return new ExchangeRequest(address, "GET", "/", Map.of(), new byte[0], silenceMillis, false);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -0,0 +1,110 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.link.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class HttpServerTest {
+    private static final HttpLimits LIMITS = new HttpLimits(512, 256, 200, 1024 * 1024);
+
+    private final EventLoopGroup group = Loopback.group();
+    private final Address address = Loopback.freeAddress();
+    private final AtomicInteger disconnects = new AtomicInteger();
+    private final HttpServer server = HttpServer.start(group, address, LIMITS, this::handle);
+
+    @AfterEach
+    void close() {
+        server.close();
+        group.shutdownGracefully();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "what is this\r\n\r\n",
+                "GET / HTTP/1.1\r\nbad header\u0001: x\r\n\r\n",
+                "POST / HTTP/1.1\r\ncontent-length: many\r\n\r\n",
+                "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"
+            })
+    void brokenHttpGetsAClearErrorAndAClosedConnection(String request) throws IOException {
+        String answer = send(request);
+
+        assertThat(answer).startsWith("HTTP/1.1 400").contains("\"code\":\"invalid-request\"", "connection: close");
+    }
+
+    @Test
+    void headersBeyondTheirBoundAreRefused() throws IOException {
+        assertThat(send("GET / HTTP/1.1\r\nx: " + "y".repeat(1000) + "\r\n\r\n"))
+                .startsWith("HTTP/1.1 400");
+        assertThat(send("GET /" + "y".repeat(1000) + " HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 400");
+    }
+
+    /** Two requests come in one piece; their answers must come in their order, each whole. */
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+        String answer = send("GET /one HTTP/1.1\r\n\r\nGET /two HTTP/1.1\r\nconnection: close\r\n\r\n");
+
+        assertThat(answer.indexOf("/one")).isPositive().isLessThan(answer.indexOf("/two"));
+    }
+
+    @Test
+    void anIdleConnectionIsClosed() throws IOException {
+        assertThat(send("")).isEmpty();
+    }
+
+    /** The caller goes away while its answer streams; the handler hears of it and can stop the work. */
+    @Test
+    void aCallerThatGoesAwayIsNoticed() throws IOException {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            socket.getOutputStream().write(RawEndpoint.ascii("GET /stream HTTP/1.1\r\n\r\n"));
+            assertThat(socket.getInputStream().read()).isPositive();
+        }
+
+        Loopback.await("the disconnect", () -> disconnects.get() == 1);
+    }
+
+    /** A streamed answer is broken off: the connection must end without the end mark. */
+    @Test
+    void aBrokenOffStreamHasNoEndMark() throws IOException {
+        String answer = send("GET /abort HTTP/1.1\r\n\r\n");
+
+        assertThat(answer).contains("part").doesNotContain("\r\n0\r\n");
+    }
+
+    private HttpBody handle(HttpCall call) {
+        call.onDisconnect(disconnects::incrementAndGet);
+        if (call.path().equals("/stream")) {
+            call.beginStream(200, Map.of());
+            call.write(RawEndpoint.ascii("part"));
+            return new WholeBody(100, body -> {}, () -> {});
+        }
+        if (call.path().equals("/abort")) {
+            call.beginStream(200, Map.of());
+            call.write(RawEndpoint.ascii("part")).whenComplete((done, failure) -> call.abortStream());
+            return new WholeBody(100, body -> {}, () -> {});
+        }
+        return new WholeBody(
+                100,
+                body -> call.reply(200, Map.of(), RawEndpoint.ascii(call.path())),
+                () -> call.reply(413, Map.of(), new byte[0]));
+    }
+
+    private String send(String request) throws IOException {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/platform/KeyValueStoreContractTest.java
@@ -0,0 +1,204 @@
+package org.gooseberryhill.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.http.HttpClient;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.platform.KeyValueStore.Entry;
+import org.gooseberryhill.platform.KeyValueStore.WatchListener;
+import org.gooseberryhill.standin.KeyValueFaults;
+import org.gooseberryhill.standin.KeyValueStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What the system relies on from the key-value service; the stand-in passes it too. */
+class KeyValueStoreContractTest {
+    private final EventLoopGroup group = Loopback.group();
+    private final Address address = Loopback.freeAddress();
+    private final KeyValueStandin standin = new KeyValueStandin(group, address);
+    private final HttpClient http = new HttpClient(group);
+    private final KeyValueStore store = new EtcdKeyValueStore(http, address, 500);
+
+    @AfterEach
+    void close() {
+        http.close();
+        standin.close();
+        group.shutdownGracefully();
+    }
+
+    @Test
+    void aKeyIsCreatedOnlyWhereNoneIs() {
+        assertThat(create("k", "one")).isTrue();
+        assertThat(create("k", "two")).isFalse();
+
+        assertThat(value("k")).contains("one");
+    }
+
+    @Test
+    void aWriteTakesEffectOnlyAtTheExpectedRevision() {
+        create("k", "one");
+        Entry first = entry("k").orElseThrow();
+        write(Transaction.builder().ifWrittenAt("k", first.modRevision()).put("k", bytes("two")));
+
+        assertThat(write(Transaction.builder()
+                        .ifWrittenAt("k", first.modRevision())
+                        .put("k", bytes("three"))))
+                .isFalse();
+        assertThat(value("k")).contains("two");
+        assertThat(entry("k").orElseThrow().createRevision()).isEqualTo(first.createRevision());
+    }
+
+    @Test
+    void writesOfOneTransactionTakeEffectTogetherOrNotAtAll() {
+        create("guard", "x");
+        Transaction.Builder refused =
+                Transaction.builder().ifAbsent("guard").put("a", bytes("1")).delete("guard");
+
+        assertThat(write(refused)).isFalse();
+        assertThat(value("a")).isEmpty();
+        assertThat(value("guard")).isPresent();
+    }
+
+    @Test
+    void theAnswerToACreationCarriesTheKeysRevision() {
+        KeyValueStore.WriteResult result = store.write(
+                        Transaction.builder().ifAbsent("k").put("k", bytes("v")).build())
+                .join();
+
+        assertThat(entry("k").orElseThrow().createRevision()).isEqualTo(result.revision());
+    }
+
+    @Test
+    void aPrefixIsReadInOrderAndInPages() {
+        for (String key : List.of("/p/c", "/p/a", "/q/x", "/p/b")) {
+            create(key, "v");
+        }
+
+        KeyValueStore.ReadResult page = store.readPrefix("/p/", "/p/", 2).join();
+
+        assertThat(page.entries()).extracting(Entry::key).containsExactly("/p/a", "/p/b");
+        assertThat(page.more()).isTrue();
+        assertThat(store.readPrefix("/p/", "/p/b\0", 2).join().entries())
+                .extracting(Entry::key)
+                .containsExactly("/p/c");
+    }
+
+    @Test
+    void keysUnderALeaseEndWithIt() {
+        long lease = store.grantLease(60_000).join();
+        write(Transaction.builder().putUnderLease("k", bytes("v"), lease));
+        assertThat(store.renewLease(lease).join()).isPositive();
+
+        standin.lapseAllLeases();
+
+        assertThat(value("k")).isEmpty();
+        assertThat(store.renewLease(lease).join()).isZero();
+    }
+
+    @Test
+    void aKeyCannotBePutUnderALeaseThatIsGone() {
+        long lease = store.grantLease(60_000).join();
+        store.revokeLease(lease).join();
+
+        assertThat(write(Transaction.builder().putUnderLease("k", bytes("v"), lease)))
+                .isFalse();
+    }
+
+    @Test
+    void aWatchTellsWritesAndDeletionsFromItsRevisionOn() throws IOException {
+        create("/w/before", "1");
+        long revision = store.read("/w/before").join().revision();
+        List<String> seen = new CopyOnWriteArrayList<>();
+        create("/w/between", "2");
+        try (Closeable watch = store.watch("/w/", revision + 1, listener(seen, new AtomicBoolean()))) {
+            create("/w/after", "3");
+            create("/other", "4");
+            write(Transaction.builder().delete("/w/after"));
+            Loopback.await("three events", () -> seen.size() == 3);
+        }
+
+        assertThat(seen).containsExactly("/w/between=2", "/w/after=3", "/w/after deleted");
+    }
+
+    /** The service goes out: calls fail as unanswered, watches end and say so. */
+    @Test
+    void anOutageFailsCallsAndEndsWatches() throws IOException {
+        AtomicBoolean ended = new AtomicBoolean();
+        try (Closeable watch = store.watch("/w/", 0, listener(new CopyOnWriteArrayList<>(), ended))) {
+            create("/w/key", "v");
+            standin.faults(new KeyValueFaults(true, 0, 0, false));
+
+            assertThatThrownBy(() -> store.read("k").join()).hasCauseInstanceOf(PlatformException.class);
+            Loopback.await("the end of the watch", ended::get);
+        }
+    }
+
+    @Test
+    void anEffectWhoseAnswerIsLostIsAFailureWithTheEffectDone() {
+        standin.faults(new KeyValueFaults(false, 0, 1, false));
+
+        assertThatThrownBy(() -> create("k", "v")).isInstanceOf(CompletionException.class);
+        assertThat(value("k")).contains("v");
+    }
+
+    @Test
+    void aServiceThatIsTooSlowCountsAsUnanswered() {
+        standin.faults(new KeyValueFaults(false, 2000, 0, false));
+
+        assertThatThrownBy(() -> store.read("k").join()).hasCauseInstanceOf(PlatformException.class);
+    }
+
+    @Test
+    void eachCallIsCountedByKind() {
+        create("k", "v");
+        value("k");
+
+        assertThat(standin.meter()).containsEntry("/v3/kv/txn", 1L).containsEntry("/v3/kv/range", 1L);
+    }
+
+    private boolean create(String key, String value) {
+        return write(Transaction.builder().ifAbsent(key).put(key, bytes(value)));
+    }
+
+    private boolean write(Transaction.Builder transaction) {
+        return store.write(transaction.build()).join().succeeded();
+    }
+
+    private Optional<Entry> entry(String key) {
+        return store.read(key).join().first();
+    }
+
+    private Optional<String> value(String key) {
+        return entry(key).map(found -> new String(found.value(), StandardCharsets.UTF_8));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static WatchListener listener(List<String> seen, AtomicBoolean ended) {
+        return new WatchListener() {
+            @Override
+            public void onChange(String key, Optional<Entry> entry) {
+                seen.add(entry.map(found -> key + "=" + new String(found.value(), StandardCharsets.UTF_8))
+                        .orElse(key + " deleted"));
+            }
+
+            @Override
+            public void onEnd() {
+                ended.set(true);
+            }
+        };
+    }
+}
