Prove jobs and online requests under failure over a whole small system

Cause: the decision core was proved alone; the adapters between it and the wire were not.

Found: closing a killed host twice failed in the traffic threads; close is idempotent now.

A request that crashes each runner, sent nine times in turn through three hosts, took down 2 of 6 runners; 24 innocent streams beside it ended whole. A job of 600 items ended with each item right once after the loss of its owner, lapsed leases, an outage and lost answers.

Ruled out: timing assertions; all tests wait for outcomes.

--- a/src/main/java/org/gooseberryhill/entry/EntryProcess.java
+++ b/src/main/java/org/gooseberryhill/entry/EntryProcess.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.decision.routing.EndpointState;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.http.HttpServer;
 import org.gooseberryhill.peer.PeerMessage;
@@ -48,6 +49,16 @@
         return process;
     }
 
+    /** Whether this entry sends an endpoint nothing new; for the control thread. */
+    public boolean knowsLeaving(String endpoint) {
+        return context.traffic()
+                .core()
+                .endpoints()
+                .find(endpoint)
+                .filter(EndpointState::isLeaving)
+                .isPresent();
+    }
+
     @Override
     public void close() {
         server.ifPresent(HttpServer::close);
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -65,6 +66,7 @@
     private final ConfigurationDriver configuration;
     private final SegmentClient segments;
     private final PlannedStop stop;
+    private final AtomicBoolean closed = new AtomicBoolean();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final List<Runnable> membershipListeners = new ArrayList<>();
     private final List<HostListListener> hostListListeners = new CopyOnWriteArrayList<>();
@@ -245,6 +247,9 @@
 
     @Override
     public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
         loop.close();
         if (peerServer != null) {
             peerServer.close();
--- a/src/main/java/org/gooseberryhill/standin/EngineStandin.java
+++ b/src/main/java/org/gooseberryhill/standin/EngineStandin.java
@@ -47,6 +47,7 @@
     private volatile ModelHolding held = new ModelHolding("", "", List.of());
     private volatile HttpServer server;
     private volatile boolean closed;
+    private volatile boolean busy;
     private long highestFence;
     private boolean stepping;
 
@@ -89,6 +90,11 @@
         return held;
     }
 
+    /** Whether it runs nothing and nothing waits in it. */
+    public boolean isIdle() {
+        return !busy;
+    }
+
     /** How often it crashed. */
     public int crashes() {
         return crashes.get();
@@ -151,6 +157,7 @@
         Generation generation = new Generation(call, json, resumeFrom);
         engine.execute(() -> {
             queue.add(generation);
+            busy = true;
             scheduleStep();
         });
     }
@@ -222,7 +229,8 @@
                 all.remove();
             }
         }
-        if (!active.isEmpty() || !queue.isEmpty()) {
+        busy = !active.isEmpty() || !queue.isEmpty();
+        if (busy) {
             scheduleStep();
         }
     }
--- a/src/main/java/org/gooseberryhill/steward/StewardProcess.java
+++ b/src/main/java/org/gooseberryhill/steward/StewardProcess.java
@@ -60,6 +60,13 @@
         return process;
     }
 
+    /** Items in flight at endpoints, and ends of items that their owners have not taken yet; from any thread. */
+    public int inProgress() {
+        CompletableFuture<Integer> answer = new CompletableFuture<>();
+        process.loop().execute(() -> answer.complete(batch.inProgress()));
+        return answer.join();
+    }
+
     @Override
     public void close() {
         process.close();
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
@@ -0,0 +1,217 @@
+package org.gooseberryhill.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.standin.EngineFaults;
+import org.gooseberryhill.standin.EngineStandin;
+import org.gooseberryhill.standin.KeyValueFaults;
+import org.gooseberryhill.standin.SampleFleet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Jobs over a whole small system, while its parts fail. */
+class JobFailuresTest {
+    private static final int ITEMS = 600;
+
+    @TempDir
+    private Path folder;
+
+    private SystemFixture fixture;
+
+    @BeforeEach
+    void start() {
+        fixture = new SystemFixture(folder, 4, SystemFixture.FAST);
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    /**
+     * The steward that owns the job is lost with items in flight. Its lease lapses, another claims the job and goes on
+     * from the committed chunks: each item has its right result once.
+     */
+    @Test
+    void aJobGoesOnWhenItsOwnerIsLost() {
+        fixture.submit(fixture.coordinator, "lot", ITEMS);
+        int owner = fixture.ownerOf("lot");
+        fixture.system.stewards().get(owner).close();
+
+        fixture.awaitJob("lot", "done");
+        assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
+        assertThat(fixture.results("lot")).hasSize(ITEMS);
+    }
+
+    /** All leases lapse at once while their holders work on: they stop, claim anew, and nothing is done twice. */
+    @Test
+    void aJobGoesOnWhenAllLeasesLapse() {
+        fixture.submit(fixture.coordinator, "lot", ITEMS);
+        fixture.ownerOf("lot");
+        fixture.system.platform().keyValue().lapseAllLeases();
+
+        fixture.awaitJob("lot", "done");
+        assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
+    }
+
+    /** The key-value service goes out in the middle of a job and comes back: the job ends with each item done once. */
+    @Test
+    void aJobGoesOnAfterAnOutageOfTheKeyValueService() {
+        fixture.submit(fixture.coordinator, "lot", ITEMS);
+        fixture.ownerOf("lot");
+        fixture.system.platform().keyValue().faults(new KeyValueFaults(true, 0, 0, false));
+        Loopback.await("work during the outage", () -> served() > ITEMS / 4);
+        fixture.system.platform().keyValue().faults(KeyValueFaults.NONE);
+
+        fixture.awaitJob("lot", "done");
+        assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
+    }
+
+    /** The answers to the next writes are lost although they took effect: the claim and the commits still stand. */
+    @Test
+    void aJobEndsWhenAnswersOfTheKeyValueServiceAreLost() {
+        fixture.system.platform().keyValue().faults(new KeyValueFaults(false, 0, 3, false));
+        HttpResult accepted = fixture.submit(fixture.coordinator, "lot", ITEMS);
+
+        assertThat(accepted.status()).isEqualTo(201);
+        fixture.awaitJob("lot", "done");
+        assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
+    }
+
+    /** The caller sends the same job through two hosts at once, then another body under the same id. */
+    @Test
+    void aResentJobIsTheSameJobAndAnotherBodyIsAConflict() {
+        try (EntryClient other = fixture.system.client(1, SampleFleet.COORDINATORS_KEY)) {
+            CompletableFuture<HttpResult> one =
+                    CompletableFuture.supplyAsync(() -> fixture.submit(fixture.coordinator, "lot", ITEMS));
+            CompletableFuture<HttpResult> two =
+                    CompletableFuture.supplyAsync(() -> fixture.submit(other, "lot", ITEMS));
+            HttpResult different = fixture.coordinator.call(
+                    "PUT", "/v1/jobs/other?model=tutor-7b", SystemFixture.jobBody("other", 3, "portfolio"));
+
+            assertThat(List.of(one.join().status(), two.join().status())).containsExactlyInAnyOrder(201, 200);
+            assertThat(different.status()).isEqualTo(201);
+            HttpResult conflict =
+                    other.call("PUT", "/v1/jobs/lot?model=tutor-7b", SystemFixture.jobBody("lot", ITEMS, "another"));
+            assertThat(conflict.status()).isEqualTo(409);
+            assertThat(SystemFixture.error(conflict).path("code").asText()).isEqualTo("conflict");
+        }
+        fixture.awaitJob("lot", "done");
+        assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
+    }
+
+    /** The caller cancels in the middle: once it has the answer no further result appears, and the work stops. */
+    @Test
+    void aCancelledJobStops() {
+        fixture.submit(fixture.coordinator, "lot", 4 * ITEMS);
+        Loopback.await(
+                "a first chunk", () -> fixture.job("lot").path("completed").asInt() > 0);
+        HttpResult cancelled = fixture.coordinator.call("DELETE", "/v1/jobs/lot", new byte[0]);
+        int completed = fixture.job("lot").path("completed").asInt();
+
+        assertThat(cancelled.status()).isEqualTo(200);
+        Loopback.await(
+                "the end of all work",
+                () -> fixture.system.stewards().stream().allMatch(steward -> steward.inProgress() == 0));
+        assertThat(fixture.job("lot").path("completed").asInt()).isEqualTo(completed);
+        assertThat(fixture.job("lot").path("state").asText()).isEqualTo("cancelled");
+    }
+
+    /**
+     * A store is lost with its disk after the job was done. The results are read from the other zone, and the missing
+     * copies come back to another store by themselves.
+     */
+    @Test
+    void resultsOutliveALostStoreAndTheirCopiesAreRestored() throws IOException {
+        fixture.submit(fixture.coordinator, "lot", ITEMS);
+        fixture.awaitJob("lot", "done");
+        long segments = distinctSegments(List.of(0, 1, 2));
+        fixture.system.stores().get(0).close();
+
+        assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
+        Loopback.await("two copies of each segment", () -> copies(1) == segments && copies(2) == segments);
+    }
+
+    /** One item crashes each engine that runs it. The job ends, with that item failed and all others right. */
+    @Test
+    void anItemThatCrashesEnginesFailsAndTheRestIsDone() {
+        for (EngineStandin engine : fixture.system.platform().engines()) {
+            engine.faults(new EngineFaults(Optional.of("portfolio lot 7\""), 300, true, false));
+        }
+        byte[] body = new String(SystemFixture.jobBody("lot", 40, "portfolio"), StandardCharsets.UTF_8)
+                .replace("portfolio lot 7\"", "portfolio lot 7\\\"\"")
+                .getBytes(StandardCharsets.UTF_8);
+        fixture.coordinator.call("PUT", "/v1/jobs/lot?model=tutor-7b", body);
+
+        fixture.awaitJob("lot", "done");
+        List<JsonNode> results = fixture.results("lot");
+        assertThat(results).hasSize(40);
+        assertThat(results.get(7).path("error").path("code").asText()).isEqualTo("crashed-endpoints");
+        assertThat(fixture.rightResults("lot")).isEqualTo(39);
+    }
+
+    /** Line 40,000 is broken: it is named, and nothing of the job is accepted. */
+    @Test
+    void aBodyWithAMistakeIsRefusedWhole() {
+        String line = "{\"prompt\":\"x\"}\n";
+        byte[] body = (line.repeat(39_999) + "{\"prompt\":\n" + line).getBytes(StandardCharsets.UTF_8);
+
+        HttpResult refused = fixture.coordinator.call("PUT", "/v1/jobs/lot?model=tutor-7b", body);
+
+        assertThat(refused.status()).isEqualTo(400);
+        assertThat(SystemFixture.error(refused).path("message").asText()).contains("line 40000");
+        assertThat(fixture.coordinator.call("GET", "/v1/jobs/lot", new byte[0]).status())
+                .isEqualTo(404);
+    }
+
+    @Test
+    void aCallerSeesOnlyItsOwnJobs() {
+        fixture.submit(fixture.coordinator, "lot", 3);
+
+        assertThat(fixture.tutor.call("GET", "/v1/jobs/lot", new byte[0]).status())
+                .isEqualTo(404);
+        try (EntryClient stranger = fixture.system.client(0, "no such key")) {
+            assertThat(stranger.call("GET", "/v1/jobs/lot", new byte[0]).status())
+                    .isEqualTo(401);
+        }
+    }
+
+    private int served() {
+        return fixture.system.platform().engines().stream()
+                .mapToInt(EngineStandin::served)
+                .sum();
+    }
+
+    private long copies(int store) {
+        return names(store).count();
+    }
+
+    private long distinctSegments(List<Integer> stores) {
+        return stores.stream().flatMap(this::names).distinct().count();
+    }
+
+    private Stream<String> names(int store) {
+        try (Stream<Path> files = Files.list(fixture.system.storeFolder(store))) {
+            return files
+                    .map(file -> file.getFileName().toString())
+                    .filter(name -> name.endsWith(".segment"))
+                    .toList()
+                    .stream();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
@@ -0,0 +1,283 @@
+package org.gooseberryhill.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.program.CheckedStream.End;
+import org.gooseberryhill.standin.EngineFaults;
+import org.gooseberryhill.standin.EngineStandin;
+import org.gooseberryhill.standin.KeyValueFaults;
+import org.gooseberryhill.standin.PlainServiceStandin;
+import org.gooseberryhill.standin.SampleFleet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Online requests over a whole small system, while its parts fail. */
+class OnlineFailuresTest {
+    private static final int ENGINES = 6;
+
+    @TempDir
+    private Path folder;
+
+    private SystemFixture fixture;
+
+    @BeforeEach
+    void start() {
+        fixture = new SystemFixture(folder, ENGINES, SystemFixture.FAST);
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    /** Runners are killed under streams, one after the other: each stream goes on elsewhere and ends whole. */
+    @Test
+    void streamsOutliveKilledRunners() {
+        List<CompletableFuture<CheckedStream.Result>> answers = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            answers.add(fixture.stream(fixture.tutor, "sketch " + i, 60));
+        }
+        Loopback.await("streams on their way", () -> active() > 0);
+        engine(0).crash();
+        engine(1).crash();
+
+        assertThat(answers).allMatch(answer -> answer.join().end() == End.WHOLE);
+    }
+
+    /**
+     * A booking takes effect while its answer is lost. The caller hears that it may have run, sends it again through
+     * another host, and hears the same: the seat is booked once.
+     */
+    @Test
+    void aBookingWhoseAnswerIsLostIsNotRepeated() {
+        fixture.system.platform().plainServices().forEach(service -> service.loseAnswers(1));
+        HttpResult first = fixture.book(fixture.student, "seat-1", "key-1");
+
+        assertThat(first.status()).isEqualTo(502);
+        assertThat(SystemFixture.error(first).path("outcome").asText()).isEqualTo("may-have-run");
+        Loopback.await(
+                "the mark of the lost answer", () -> resend("seat-1", "key-1").status() == 502);
+        assertThat(fixture.bookings("seat-1")).isEqualTo(1);
+    }
+
+    /** The same booking without a key: it is sent once and not repeated by the system. */
+    @Test
+    void aBookingWithoutAKeyIsSentOnce() {
+        fixture.system.platform().plainServices().forEach(service -> service.loseAnswers(1));
+        HttpResult result = fixture.student.call(
+                "POST", "/services/bookings/bookings", "{\"seat\":\"seat-2\"}".getBytes(StandardCharsets.UTF_8));
+
+        assertThat(result.status()).isEqualTo(502);
+        assertThat(fixture.bookings("seat-2")).isEqualTo(1);
+    }
+
+    @Test
+    void aResentBookingGetsTheKeptAnswer() {
+        HttpResult first = fixture.book(fixture.student, "seat-3", "key-3");
+        HttpResult second = resend("seat-3", "key-3");
+
+        assertThat(first.status()).isEqualTo(201);
+        assertThat(second.status()).isEqualTo(201);
+        assertThat(second.body()).isEqualTo(first.body());
+        assertThat(second.headers().get("x-replayed")).isEqualTo("true");
+        assertThat(fixture.bookings("seat-3")).isEqualTo(1);
+    }
+
+    /** The student presses the button again while the first booking is on its way. */
+    @Test
+    void aBookingSentTwiceAtOnceRunsOnce() {
+        fixture.system.platform().plainServices().forEach(service -> service.holdAnswers(1));
+        CompletableFuture<HttpResult> first =
+                CompletableFuture.supplyAsync(() -> fixture.book(fixture.student, "seat-4", "key-4"));
+        Loopback.await("the booking", () -> fixture.bookings("seat-4") == 1);
+        HttpResult second = resend("seat-4", "key-4");
+        fixture.system.platform().plainServices().forEach(PlainServiceStandin::answerHeld);
+
+        assertThat(second.status()).isEqualTo(409);
+        assertThat(SystemFixture.error(second).path("code").asText()).isEqualTo("in-progress");
+        assertThat(first.join().status()).isEqualTo(201);
+        assertThat(fixture.bookings("seat-4")).isEqualTo(1);
+    }
+
+    /** The key-value service is out: the booking can't be claimed and is refused as not run, which is true. */
+    @Test
+    void duringAnOutageABookingIsRefusedAsNotRun() {
+        fixture.system.platform().keyValue().faults(new KeyValueFaults(true, 0, 0, false));
+        HttpResult refused = fixture.book(fixture.student, "seat-5", "key-5");
+
+        assertThat(refused.status()).isEqualTo(503);
+        assertThat(SystemFixture.error(refused).path("outcome").asText()).isEqualTo("not-run");
+        assertThat(refused.headers().get("retry-after")).isNotNull();
+        assertThat(fixture.bookings("seat-5")).isZero();
+        fixture.system.platform().keyValue().faults(KeyValueFaults.NONE);
+        Loopback.await(
+                "the booking",
+                () -> fixture.book(fixture.student, "seat-5", "key-5").status() == 201);
+        assertThat(fixture.bookings("seat-5")).isEqualTo(1);
+    }
+
+    /** The claim takes effect while its answer is lost: the host finds its own claim and sends the booking once. */
+    @Test
+    void aClaimWhoseAnswerIsLostStillLeadsToOneBooking() {
+        fixture.system.platform().keyValue().faults(new KeyValueFaults(false, 0, 1, false));
+
+        assertThat(fixture.book(fixture.student, "seat-6", "key-6").status()).isEqualTo(201);
+        assertThat(fixture.bookings("seat-6")).isEqualTo(1);
+    }
+
+    @Test
+    void recordsArePassedThroughWhole() {
+        HttpResult record = fixture.student.call("GET", "/services/bookings/records/r7", new byte[0]);
+
+        assertThat(record.body()).isEqualTo(PlainServiceStandin.record("r7"));
+        assertThat(record.headers().get("x-record")).isEqualTo("yes");
+        assertThat(fixture.student
+                        .call("GET", "/services/bookings/none", new byte[0])
+                        .status())
+                .isEqualTo(404);
+    }
+
+    /**
+     * A request crashes each runner that runs it, and its caller sends it again through every host. It takes down two
+     * runners, then it is refused everywhere at once; requests that ran beside it get their answers.
+     */
+    @Test
+    void aRequestThatCrashesRunnersTakesDownTwoAndIsRefusedEverywhere() {
+        fixture.system
+                .platform()
+                .engines()
+                .forEach(engine -> engine.faults(new EngineFaults(Optional.of("poison"), 200, true, false)));
+        List<CompletableFuture<CheckedStream.Result>> innocent = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            innocent.add(fixture.stream(fixture.tutor, "sketch " + i, 60));
+        }
+        List<Integer> statuses = new ArrayList<>();
+        for (int attempt = 0; attempt < 9; attempt++) {
+            try (EntryClient client = fixture.system.client(attempt % 3, SampleFleet.TUTORS_KEY)) {
+                statuses.add(client.call("POST", "/v1/chat/completions", SystemFixture.chatBody("poison", 20))
+                        .status());
+            }
+        }
+
+        assertThat(crashes()).isEqualTo(2);
+        assertThat(statuses).containsOnly(422);
+        assertThat(innocent).allMatch(answer -> answer.join().end() == End.WHOLE);
+    }
+
+    /**
+     * An engine says that it is leaving while the host list lags. What it has ends whole; after a few seconds it gets
+     * nothing new, online or batch.
+     */
+    @Test
+    void aLeavingEngineEndsWhatItHasAndGetsNothingNew() {
+        List<CompletableFuture<CheckedStream.Result>> before = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            before.add(fixture.stream(fixture.tutor, "before " + i, 100));
+        }
+        fixture.submit(fixture.coordinator, "lot", 600);
+        engine(0).faults(new EngineFaults(Optional.empty(), 0, true, true));
+        Loopback.await(
+                "all hosts know",
+                () -> fixture.system.entries().stream()
+                                .allMatch(entry ->
+                                        SystemFixture.onLoop(entry.process(), () -> entry.knowsLeaving("tutor-00")))
+                        && engine(0).isIdle());
+        int served = engine(0).served();
+        List<CompletableFuture<CheckedStream.Result>> after = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            after.add(fixture.stream(fixture.tutor, "after " + i, 10));
+        }
+
+        assertThat(after).allMatch(answer -> answer.join().end() == End.WHOLE);
+        assertThat(before).allMatch(answer -> answer.join().end() == End.WHOLE);
+        fixture.awaitJob("lot", "done");
+        assertThat(engine(0).served()).isEqualTo(served);
+    }
+
+    /** An entry is stopped as planned, twice, with streams in progress, and a runner is lost meanwhile. */
+    @Test
+    void aPlannedStopOfAnEntryCutsNothingAlsoWhenARunnerIsLost() {
+        List<CompletableFuture<CheckedStream.Result>> answers = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            answers.add(fixture.stream(fixture.tutor, "sketch " + i, 100));
+        }
+        Loopback.await("streams on their way", () -> active() > 0);
+        EntryClient late = fixture.system.client(0, SampleFleet.TUTORS_KEY);
+        fixture.system.entries().get(0).process().askStop();
+        engine(2).crash();
+        fixture.system.entries().get(0).process().askStop();
+
+        assertThat(answers).allMatch(answer -> answer.join().end() == End.WHOLE);
+        fixture.system.entries().get(0).process().ended().join();
+        HttpResult refused = late.call("POST", "/v1/chat/completions", SystemFixture.chatBody("late", 4));
+        assertThat(refused.status()).isEqualTo(503);
+        assertThat(SystemFixture.error(refused).path("code").asText()).isEqualTo("stopping");
+        late.close();
+    }
+
+    /** A steward is stopped as planned in the middle of a job: its items go on elsewhere from where they were. */
+    @Test
+    void aPlannedStopOfAStewardLosesNoItem() {
+        fixture.submit(fixture.coordinator, "lot", 600);
+        int owner = fixture.ownerOf("lot");
+        Loopback.await("items on their way", () -> active() > 0);
+        fixture.system.stewards().get(owner).process().askStop();
+        fixture.system.stewards().get(owner).process().ended().join();
+        fixture.system.stewards().get(owner).close();
+
+        fixture.awaitJob("lot", "done");
+        assertThat(fixture.rightResults("lot")).isEqualTo(600);
+    }
+
+    @Test
+    void wrongRequestsGetClearErrors() {
+        Map<String, Integer> expected = Map.of(
+                "{\"model\":\"no such\",\"prompt\":\"x\"}", 404,
+                "{\"model\":\"tutor-7b\"}", 400,
+                "not json", 400);
+        expected.forEach((body, status) -> {
+            HttpResult result = fixture.tutor.call("POST", "/v1/completions", body.getBytes(StandardCharsets.UTF_8));
+            assertThat(result.status()).isEqualTo(status);
+            assertThat(SystemFixture.error(result).path("outcome").asText()).isEqualTo("not-run");
+        });
+        HttpResult large = fixture.tutor.call("POST", "/v1/completions", new byte[5 * 1024 * 1024]);
+        assertThat(large.status()).isEqualTo(413);
+        assertThat(fixture.student
+                        .call("POST", "/v1/completions", SystemFixture.chatBody("x", 1))
+                        .status())
+                .isEqualTo(404);
+    }
+
+    private HttpResult resend(String seat, String key) {
+        try (EntryClient other = fixture.system.client(1, SampleFleet.STUDENTS_KEY)) {
+            return fixture.book(other, seat, key);
+        }
+    }
+
+    private EngineStandin engine(int number) {
+        return fixture.system.platform().engines().get(number);
+    }
+
+    private long active() {
+        return fixture.system.platform().engines().stream()
+                .filter(engine -> !engine.isIdle())
+                .count();
+    }
+
+    private int crashes() {
+        return fixture.system.platform().engines().stream()
+                .mapToInt(EngineStandin::crashes)
+                .sum();
+    }
+}
