--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/configuration/TextChange.java
@@ -0,0 +1,64 @@
+package org.gooseberryhill.decision.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhill.contract.Fingerprint;
+
+/**
+ * What changed between two texts: the lines between a common beginning and a common end. Immutable.
+ *
+ * <p>Failure that the hash is for: a change that is put on another text than the one it was made from would give a
+ * text that nobody wrote. The result is taken only if its hash is that of the new text; else the whole is asked for.
+ *
+ * @param sameAtBegin how many lines at the beginning stay
+ * @param sameAtEnd how many lines at the end stay
+ * @param between the new lines between them
+ * @param newHash the SHA-256 of the new text
+ */
+public record TextChange(int sameAtBegin, int sameAtEnd, List<String> between, String newHash) {
+    private static final String LINE_END = "\n";
+
+    /** The change from one text to another. */
+    public static TextChange between(String oldText, String newText) {
+        List<String> oldLines = lines(oldText);
+        List<String> newLines = lines(newText);
+        int shorter = Math.min(oldLines.size(), newLines.size());
+        int begin = 0;
+        while (begin < shorter && oldLines.get(begin).equals(newLines.get(begin))) {
+            begin++;
+        }
+        int end = 0;
+        while (end < shorter - begin
+                && oldLines.get(oldLines.size() - 1 - end).equals(newLines.get(newLines.size() - 1 - end))) {
+            end++;
+        }
+        return new TextChange(begin, end, newLines.subList(begin, newLines.size() - end), hash(newText));
+    }
+
+    /** The new text; empty if the change was not made from this one. */
+    public Optional<String> applyTo(String oldText) {
+        List<String> oldLines = lines(oldText);
+        if (sameAtBegin < 0 || sameAtEnd < 0 || sameAtBegin + sameAtEnd > oldLines.size()) {
+            return Optional.empty();
+        }
+        StringBuilder text = new StringBuilder();
+        append(text, oldLines.subList(0, sameAtBegin));
+        append(text, between);
+        append(text, oldLines.subList(oldLines.size() - sameAtEnd, oldLines.size()));
+        String newText = text.substring(0, Math.max(0, text.length() - 1));
+        return Optional.of(newText).filter(found -> hash(found).equals(newHash));
+    }
+
+    private static void append(StringBuilder text, List<String> lines) {
+        lines.forEach(line -> text.append(line).append(LINE_END));
+    }
+
+    private static List<String> lines(String text) {
+        return List.of(text.split(LINE_END, -1));
+    }
+
+    private static String hash(String text) {
+        return Fingerprint.sha256Hex(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- a/src/main/java/org/gooseberryhill/decision/job/ItemSlot.java
+++ b/src/main/java/org/gooseberryhill/decision/job/ItemSlot.java
@@ -25,7 +25,7 @@
     private boolean failedForGood;
     private long handout;
     private long handedOutNanos;
-    private long notBeforeNanos = Long.MIN_VALUE;
+    private Optional<Long> notBeforeNanos = Optional.empty();
     private int failures;
     private int crashes;
     private String partial = "";
@@ -35,10 +35,9 @@
         this.body = body;
     }
 
-    boolean isWaiting(long nowNanos) {
-        return holder.isEmpty()
-                && completion.isEmpty()
-                && (notBeforeNanos == Long.MIN_VALUE || nowNanos - notBeforeNanos >= 0);
+    /** When the item may run again; empty if at once. */
+    Optional<Long> notBeforeNanos() {
+        return notBeforeNanos;
     }
 
     boolean isRunning() {
@@ -91,13 +90,14 @@
             return false;
         }
         holder = Optional.empty();
+        notBeforeNanos = Optional.empty();
         switch (outcome.end()) {
             case COMPLETED -> completion = Optional.of(succeededLine(outcome));
             case REJECTED -> fail(outcome.index(), "rejected", outcome.text());
             case YIELDED -> keepPartial(outcome);
             case CRASHED -> crashed(outcome, nowNanos, backoffNanos);
             case FAILED -> failedOnce(outcome, nowNanos, backoffNanos);
-            case NOT_RUN -> notBeforeNanos = nowNanos + backoffNanos;
+            case NOT_RUN -> notBeforeNanos = Optional.of(nowNanos + backoffNanos);
             default -> throw new IllegalStateException("unknown end " + outcome.end());
         }
         return true;
@@ -112,7 +112,7 @@
 
     private void crashed(ItemOutcome outcome, long nowNanos, long backoffNanos) {
         crashes++;
-        notBeforeNanos = nowNanos + backoffNanos;
+        notBeforeNanos = Optional.of(nowNanos + backoffNanos);
         if (crashes >= MAX_CRASHES) {
             fail(outcome.index(), "crashed-endpoints", "each of " + crashes + " endpoints that ran it crashed");
         }
@@ -120,7 +120,7 @@
 
     private void failedOnce(ItemOutcome outcome, long nowNanos, long backoffNanos) {
         failures++;
-        notBeforeNanos = nowNanos + backoffNanos * failures;
+        notBeforeNanos = Optional.of(nowNanos + backoffNanos * failures);
         if (failures >= MAX_FAILURES) {
             fail(outcome.index(), "endpoint-failed", outcome.text());
         }
--- a/src/main/java/org/gooseberryhill/decision/job/JobBoard.java
+++ b/src/main/java/org/gooseberryhill/decision/job/JobBoard.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.gooseberryhill.contract.JobKey;
 import org.gooseberryhill.host.HostId;
 
@@ -49,15 +48,18 @@
     /** Hands out up to a number of items of a service to a steward. */
     public List<WorkItem> take(String service, int max, HostId steward, long nowNanos, long nowMillis) {
         List<WorkItem> items = new ArrayList<>();
-        while (items.size() < max) {
-            List<OwnedJob> ready = ready(service, nowNanos);
-            Optional<OwnedJob> chosen =
-                    order.pick(ready, new DispatchContext(nowMillis, runningByCaller(), meanItemMillis));
-            Optional<WorkItem> item = chosen.flatMap(job -> job.take(steward, nowNanos));
-            if (item.isEmpty()) {
-                break;
+        List<OwnedJob> ready = new ArrayList<>(ready(service, nowNanos));
+        Map<String, Integer> running = runningByCaller();
+        while (items.size() < max && !ready.isEmpty()) {
+            OwnedJob job = order.pick(ready, new DispatchContext(nowMillis, running, meanItemMillis))
+                    .orElseThrow();
+            job.take(steward, nowNanos).ifPresent(item -> {
+                items.add(item);
+                running.merge(job.key().caller(), 1, Integer::sum);
+            });
+            if (!job.hasWaiting(nowNanos)) {
+                ready.remove(job);
             }
-            items.add(item.get());
         }
         return items;
     }
@@ -73,12 +75,6 @@
         return work;
     }
 
-    /** The earliest due time of the waiting items of a service. */
-    public OptionalLong earliestDueMillis(String service, long nowNanos) {
-        Long due = waitingWork(nowNanos).get(service);
-        return due == null ? OptionalLong.empty() : OptionalLong.of(due);
-    }
-
     /** A steward is lost: what it had waits again. */
     public void stewardLost(HostId steward) {
         jobs.values().forEach(job -> job.stewardLost(steward));
--- a/src/main/java/org/gooseberryhill/decision/job/OwnedJob.java
+++ b/src/main/java/org/gooseberryhill/decision/job/OwnedJob.java
@@ -1,10 +1,10 @@
 package org.gooseberryhill.decision.job;
 
-import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -33,7 +33,9 @@
     private final BitSet closedChunks = new BitSet();
     private final BitSet requestedChunks = new BitSet();
     private final Map<Integer, List<ItemSlot>> openChunks = new TreeMap<>();
+    private final WaitingItems waiting = new WaitingItems();
     private long handouts;
+    private int completedItems;
     private int running;
     private boolean stopped;
 
@@ -51,6 +53,7 @@
         this.fence = fence;
         closedChunks.or(committed);
         requestedChunks.or(committed);
+        completedItems = committed.stream().map(record::itemsInChunk).sum();
     }
 
     /** The job's key. */
@@ -83,14 +86,9 @@
         return stopped;
     }
 
-    /** How many items are left, those in flight included. */
+    /** How many items have no completion yet, those in flight included. */
     public int remainingItems() {
-        int closed = closedChunks.stream().map(record::itemsInChunk).sum();
-        int completed = (int) openChunks.values().stream()
-                .flatMap(List::stream)
-                .filter(slot -> slot.completion().isPresent())
-                .count();
-        return record.items() - closed - completed;
+        return record.items() - completedItems;
     }
 
     /** Whether each chunk is committed. */
@@ -120,53 +118,40 @@
             return;
         }
         openChunks.put(chunk, bodies.stream().map(ItemSlot::new).toList());
+        for (int place = 0; place < bodies.size(); place++) {
+            waiting.add(chunk * record.chunkItems() + place);
+        }
     }
 
     /** Whether an item waits that may run now. */
     public boolean hasWaiting(long nowNanos) {
-        return !stopped
-                && openChunks.values().stream().flatMap(List::stream).anyMatch(slot -> slot.isWaiting(nowNanos));
+        return !stopped && waiting.hasReady(nowNanos);
     }
 
     /** Hands out the first waiting item. */
     public Optional<WorkItem> take(HostId steward, long nowNanos) {
-        if (stopped) {
+        OptionalInt index = stopped ? OptionalInt.empty() : waiting.poll(nowNanos);
+        if (index.isEmpty()) {
             return Optional.empty();
         }
-        for (Map.Entry<Integer, List<ItemSlot>> chunk : openChunks.entrySet()) {
-            List<ItemSlot> slots = chunk.getValue();
-            for (int i = 0; i < slots.size(); i++) {
-                if (slots.get(i).isWaiting(nowNanos)) {
-                    running++;
-                    int index = chunk.getKey() * record.chunkItems() + i;
-                    return Optional.of(slots.get(i).handOut(key.path(), index, fence, ++handouts, steward, nowNanos));
-                }
-            }
-        }
-        return Optional.empty();
+        running++;
+        return slot(index.getAsInt())
+                .map(slot -> slot.handOut(key.path(), index.getAsInt(), fence, ++handouts, steward, nowNanos));
     }
 
     /** Takes in a report; a chunk whose last item it completes is handed on for commit. */
     public Optional<ChunkResult> report(ItemOutcome outcome, long nowNanos) {
-        int chunk = outcome.index() / record.chunkItems();
-        List<ItemSlot> slots = openChunks.get(chunk);
-        int place = outcome.index() % record.chunkItems();
-        if (stopped || outcome.fence() != fence || slots == null || place >= slots.size()) {
-            return Optional.empty();
-        }
-        if (!slots.get(place).report(outcome, nowNanos, BACKOFF_NANOS)) {
+        Optional<ItemSlot> slot = stopped || outcome.fence() != fence ? Optional.empty() : slot(outcome.index());
+        if (slot.isEmpty() || !slot.get().report(outcome, nowNanos, BACKOFF_NANOS)) {
             return Optional.empty();
         }
         running--;
-        boolean whole = slots.stream().allMatch(slot -> slot.completion().isPresent());
-        if (!whole) {
+        if (slot.get().completion().isEmpty()) {
+            waitAgain(outcome.index(), slot.get());
             return Optional.empty();
         }
-        openChunks.remove(chunk);
-        int failed = (int) slots.stream().filter(ItemSlot::isFailedForGood).count();
-        List<String> lines =
-                slots.stream().map(slot -> slot.completion().orElseThrow()).toList();
-        return Optional.of(new ChunkResult(chunk, lines, failed));
+        completedItems++;
+        return closeIfWhole(outcome.index() / record.chunkItems());
     }
 
     /** A chunk's commit took effect. */
@@ -208,13 +193,42 @@
     public void stop() {
         stopped = true;
         openChunks.clear();
+        waiting.clear();
         running = 0;
     }
 
+    private Optional<ChunkResult> closeIfWhole(int chunk) {
+        List<ItemSlot> slots = openChunks.get(chunk);
+        boolean whole = slots.stream().allMatch(slot -> slot.completion().isPresent());
+        if (!whole) {
+            return Optional.empty();
+        }
+        openChunks.remove(chunk);
+        int failed = (int) slots.stream().filter(ItemSlot::isFailedForGood).count();
+        List<String> lines =
+                slots.stream().map(slot -> slot.completion().orElseThrow()).toList();
+        return Optional.of(new ChunkResult(chunk, lines, failed));
+    }
+
+    private Optional<ItemSlot> slot(int index) {
+        List<ItemSlot> slots = openChunks.get(index / record.chunkItems());
+        int place = index % record.chunkItems();
+        return slots == null || place >= slots.size() ? Optional.empty() : Optional.of(slots.get(place));
+    }
+
+    private void waitAgain(int index, ItemSlot slot) {
+        slot.notBeforeNanos().ifPresentOrElse(time -> waiting.addDelayed(index, time), () -> waiting.add(index));
+    }
+
     private void takeBackWhere(Predicate<ItemSlot> condition) {
-        List<ItemSlot> affected = new ArrayList<>();
-        openChunks.values().forEach(slots -> slots.stream().filter(condition).forEach(affected::add));
-        affected.forEach(ItemSlot::takeBack);
-        running -= affected.size();
+        openChunks.forEach((chunk, slots) -> {
+            for (int place = 0; place < slots.size(); place++) {
+                if (condition.test(slots.get(place))) {
+                    slots.get(place).takeBack();
+                    running--;
+                    waiting.add(chunk * record.chunkItems() + place);
+                }
+            }
+        });
     }
 }
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/Curve.java
@@ -0,0 +1,116 @@
+package org.gooseberryhill.load;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+
+/** The runs of a deployment as a table and a plot: medians over the repeats, with the spread. Stateless. */
+public final class Curve {
+    private static final int WIDTH = 640;
+    private static final int HEIGHT = 420;
+    private static final int MARGIN = 60;
+
+    private Curve() {}
+
+    /** A table in Markdown. */
+    public static String table(List<RunResult> runs) {
+        StringBuilder text = new StringBuilder();
+        text.append("| decisions | batch share | faults | batch items/s | batch tokens/s | first token p50 ms | "
+                + "p95 ms | p99 ms | between tokens p95 ms | plain p99 ms | whole / wrong / cut / refused |\n");
+        text.append("|---|---|---|---|---|---|---|---|---|---|---|\n");
+        byPoint(runs)
+                .forEach((point, repeats) -> text.append("| %s | %d%% | %s | %s | %s | %s | %s | %s | %s | %s | %s |%n"
+                        .formatted(
+                                point.baseline() ? "baseline" : "product",
+                                point.batchPercent(),
+                                point.faults() ? "yes" : "no",
+                                spread(repeats, RunResult::itemsPerSecond),
+                                spread(repeats, RunResult::batchTokensPerSecond),
+                                spread(repeats, RunResult::firstTokenP50Millis),
+                                spread(repeats, RunResult::firstTokenP95Millis),
+                                spread(repeats, RunResult::firstTokenP99Millis),
+                                spread(repeats, RunResult::gapP95Millis),
+                                spread(repeats, RunResult::plainP99Millis),
+                                ends(repeats))));
+        return text.toString();
+    }
+
+    /** A plot of batch throughput against online p99, as SVG. */
+    public static String svg(String title, List<RunResult> runs) {
+        double maxX = runs.stream().mapToDouble(RunResult::itemsPerSecond).max().orElse(1) * 1.1 + 1;
+        double maxY =
+                runs.stream().mapToDouble(RunResult::firstTokenP99Millis).max().orElse(1) * 1.1 + 1;
+        StringBuilder svg = new StringBuilder();
+        svg.append("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\" "
+                .formatted(WIDTH, HEIGHT));
+        svg.append("font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n");
+        svg.append(text(WIDTH / 2.0 - 160, 24, title + ": batch throughput against online p99"));
+        svg.append(text(WIDTH / 2.0 - 60, HEIGHT - 12, "batch items a second"));
+        svg.append(text(8, MARGIN - 24, "first token p99, ms (o product, x baseline; filled: with faults)"));
+        axes(svg, maxX, maxY);
+        byPoint(runs).forEach((point, repeats) -> {
+            double x = MARGIN + median(repeats, RunResult::itemsPerSecond) / maxX * (WIDTH - 2 * MARGIN);
+            double y = HEIGHT - MARGIN - median(repeats, RunResult::firstTokenP99Millis) / maxY * (HEIGHT - 2 * MARGIN);
+            mark(svg, point, x, y);
+        });
+        return svg.append("</svg>\n").toString();
+    }
+
+    private static void axes(StringBuilder svg, double maxX, double maxY) {
+        svg.append("<path d=\"M%d %d V%d H%d\" stroke=\"black\" fill=\"none\"/>%n"
+                .formatted(MARGIN, MARGIN, HEIGHT - MARGIN, WIDTH - MARGIN));
+        for (int tick = 0; tick <= 4; tick++) {
+            double share = tick / 4.0;
+            svg.append(text(
+                    MARGIN + share * (WIDTH - 2 * MARGIN) - 10, HEIGHT - MARGIN + 18, "%.0f".formatted(share * maxX)));
+            svg.append(text(18, HEIGHT - MARGIN - share * (HEIGHT - 2 * MARGIN) + 4, "%.0f".formatted(share * maxY)));
+        }
+    }
+
+    private static void mark(StringBuilder svg, Experiment.Point point, double x, double y) {
+        String label = point.batchPercent() + "%";
+        if (point.baseline()) {
+            svg.append("<path d=\"M%.1f %.1f l10 10 m0 -10 l-10 10\" stroke=\"#b00\" stroke-width=\"2\"/>%n"
+                    .formatted(x - 5, y - 5));
+        } else {
+            svg.append("<circle cx=\"%.1f\" cy=\"%.1f\" r=\"6\" stroke=\"#06c\" stroke-width=\"2\" fill=\"%s\"/>%n"
+                    .formatted(x, y, point.faults() ? "#06c" : "none"));
+        }
+        svg.append(text(x + 9, y - 6, label));
+    }
+
+    private static String text(double x, double y, String content) {
+        return "<text x=\"%.1f\" y=\"%.1f\">%s</text>%n".formatted(x, y, content);
+    }
+
+    private static Map<Experiment.Point, List<RunResult>> byPoint(List<RunResult> runs) {
+        Map<Experiment.Point, List<RunResult>> byPoint = new LinkedHashMap<>();
+        runs.forEach(run ->
+                byPoint.computeIfAbsent(run.point(), key -> new ArrayList<>()).add(run));
+        return byPoint;
+    }
+
+    private static String spread(List<RunResult> runs, ToDoubleFunction<RunResult> figure) {
+        double min = runs.stream().mapToDouble(figure).min().orElse(0);
+        double max = runs.stream().mapToDouble(figure).max().orElse(0);
+        return String.format(Locale.ROOT, "%.1f (%.1f to %.1f)", median(runs, figure), min, max);
+    }
+
+    private static double median(List<RunResult> runs, ToDoubleFunction<RunResult> figure) {
+        double[] sorted = runs.stream().mapToDouble(figure).sorted().toArray();
+        return sorted[sorted.length / 2];
+    }
+
+    private static String ends(List<RunResult> runs) {
+        int[] sum = new int[4];
+        for (RunResult run : runs) {
+            for (int i = 0; i < sum.length; i++) {
+                sum[i] += run.ends()[i];
+            }
+        }
+        return sum[0] + " / " + sum[1] + " / " + sum[2] + " / " + sum[3];
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/EaselAndOchreDeployment.java
@@ -0,0 +1,41 @@
+package org.gooseberryhill.load;
+
+import java.util.List;
+
+/** Art classes: tutors ask for critiques and exercises in bursts when a class begins, students book. Immutable. */
+public final class EaselAndOchreDeployment implements Deployment {
+    private static final List<RequestKind> KINDS = List.of(
+            new RequestKind("critique", 5, false, 800, 40),
+            new RequestKind("exercises", 3, false, 300, 60),
+            new RequestKind("bookings", 2, true, 0, 0));
+
+    @Override
+    public String name() {
+        return "easel";
+    }
+
+    @Override
+    public List<RequestKind> kinds() {
+        return KINDS;
+    }
+
+    @Override
+    public double requestsPerSecond() {
+        return 24;
+    }
+
+    @Override
+    public double burstFactor() {
+        return 3.5;
+    }
+
+    @Override
+    public int itemPromptCharacters() {
+        return 1200;
+    }
+
+    @Override
+    public int itemTokens() {
+        return 40;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/Experiment.java
@@ -0,0 +1,183 @@
+package org.gooseberryhill.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
+import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.program.EntryClient;
+import org.gooseberryhill.program.SampleSystem;
+import org.gooseberryhill.standin.EngineSpeed;
+import org.gooseberryhill.standin.EngineStandin;
+import org.gooseberryhill.standin.KeyValueFaults;
+import org.gooseberryhill.standin.SampleFleet;
+
+/** One run of a deployment's workload over a small system, with a job that never ends beside it. Used by one thread. */
+public final class Experiment {
+    private static final EngineSpeed SPEED = new EngineSpeed(8, 20, 256, 16);
+    private static final int ENGINES = 12;
+    private static final int JOB_ITEMS = 20_000;
+    private static final long WARM_UP_MILLIS = 1500;
+    private static final long READY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final double CRASH_AT = 0.25;
+    private static final double OUTAGE_AT = 0.65;
+    private static final double OUTAGE_END = 0.85;
+
+    private final Deployment deployment;
+    private final double seconds;
+    private final int basePort;
+
+    /** Runs of a deployment over a window. */
+    public Experiment(Deployment deployment, double seconds, int basePort) {
+        this.deployment = deployment;
+        this.seconds = seconds;
+        this.basePort = basePort;
+    }
+
+    /** Runs once. */
+    public RunResult run(Point point, long seed) throws IOException {
+        Path folder = Files.createTempDirectory("gooseberry-load");
+        SampleFleet fleet = new SampleFleet(basePort, ENGINES);
+        try (SampleSystem system = new SampleSystem(fleet, SPEED, folder, point.baseline())) {
+            system.applyConfiguration(withWeight(fleet.configuration(), point.batchPercent()));
+            awaitReady(system);
+            return measure(system, point, seed);
+        } finally {
+            deleteAll(folder);
+        }
+    }
+
+    private RunResult measure(SampleSystem system, Point point, long seed) {
+        Measurement measurement = new Measurement();
+        List<Arrivals.Arrival> arrivals = Arrivals.of(deployment, seconds, seed);
+        try (EntryClient coordinator = system.client(0, SampleFleet.COORDINATORS_KEY);
+                OnlineSender sender = new OnlineSender(system, measurement)) {
+            if (point.batchPercent() > 0) {
+                submit(coordinator);
+            }
+            pause(WARM_UP_MILLIS);
+            int servedBefore = served(system);
+            long begin = System.nanoTime();
+            FaultPlan faults = new FaultPlan(system, point.faults());
+            sender.send(arrivals, begin, faults::advance);
+            int servedAfter = served(system);
+            double elapsedSeconds = (System.nanoTime() - begin) / (double) TimeUnit.SECONDS.toNanos(1);
+            int online = measurement.wholeModelAnswers();
+            sender.awaitAnswers();
+            double itemsPerSecond = Math.max(0, servedAfter - servedBefore - online) / elapsedSeconds;
+            return new RunResult(
+                    point,
+                    itemsPerSecond,
+                    itemsPerSecond * deployment.itemTokens(),
+                    measurement.firstTokenMillis(50),
+                    measurement.firstTokenMillis(95),
+                    measurement.firstTokenMillis(99),
+                    measurement.gapMillis(95),
+                    measurement.plainMillis(99),
+                    measurement.ends());
+        }
+    }
+
+    private void submit(EntryClient coordinator) {
+        StringBuilder lines = new StringBuilder();
+        for (int i = 0; i < JOB_ITEMS; i++) {
+            String prompt = OnlineSender.text("item " + i, deployment.itemPromptCharacters());
+            lines.append(Json.text(Map.of("prompt", prompt, "max_tokens", deployment.itemTokens())))
+                    .append('\n');
+        }
+        HttpResult result = coordinator.call(
+                "PUT",
+                "/v1/jobs/lot?model=" + SampleFleet.MODEL.model(),
+                lines.toString().getBytes(StandardCharsets.UTF_8));
+        if (!result.isSuccess()) {
+            throw new IllegalStateException("the job was not accepted: " + result.status());
+        }
+    }
+
+    private static String withWeight(String configuration, int percent) {
+        return configuration.replace(
+                "    model: tutor-7b\n", "    model: tutor-7b\n    batch-weight-percent: " + percent + "\n");
+    }
+
+    private static int served(SampleSystem system) {
+        return system.platform().engines().stream()
+                .mapToInt(EngineStandin::served)
+                .sum();
+    }
+
+    private static void awaitReady(SampleSystem system) {
+        long until = System.nanoTime() + READY_TIMEOUT_NANOS;
+        for (int i = 0; i < SampleSystem.HOSTS_PER_ROLE; i++) {
+            try (EntryClient client = system.client(i, SampleFleet.TUTORS_KEY)) {
+                while (System.nanoTime() < until && !isReady(client)) {
+                    pause(50);
+                }
+            }
+        }
+        pause(500);
+    }
+
+    private static boolean isReady(EntryClient client) {
+        HttpResult result = client.call("GET", "/readyz", new byte[0]);
+        JsonNode answer = Json.tree(result.body()).getOrElse(Json.object());
+        return answer.path("ready").asBoolean(false);
+    }
+
+    private static void pause(long millis) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    private static void deleteAll(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /**
+     * What a run varies. Immutable.
+     *
+     * @param baseline whether the baseline's decisions are used
+     * @param batchPercent how much of what batch may have it gets, 0 for no batch
+     * @param faults whether a runner crashes and the key-value service goes out on the way
+     */
+    public record Point(boolean baseline, int batchPercent, boolean faults) {}
+
+    /** Brings the faults about at their times. Used by one thread. */
+    private final class FaultPlan {
+        private final SampleSystem system;
+        private final boolean wanted;
+        private int next;
+
+        FaultPlan(SampleSystem system, boolean wanted) {
+            this.system = system;
+            this.wanted = wanted;
+        }
+
+        void advance(long nanos) {
+            double share = nanos / (seconds * TimeUnit.SECONDS.toNanos(1));
+            if (!wanted) {
+                return;
+            }
+            if (next == 0 && share >= CRASH_AT) {
+                system.platform().engines().get(3).crash();
+                next++;
+            } else if (next == 1 && share >= OUTAGE_AT) {
+                system.platform().keyValue().faults(new KeyValueFaults(true, 0, 0, 0, false));
+                next++;
+            } else if (next == 2 && share >= OUTAGE_END) {
+                system.platform().keyValue().faults(KeyValueFaults.NONE);
+                next++;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/OnlineSender.java
@@ -0,0 +1,109 @@
+package org.gooseberryhill.load;
+
+import java.io.Closeable;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongConsumer;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.program.CheckedStream;
+import org.gooseberryhill.program.EntryClient;
+import org.gooseberryhill.program.SampleSystem;
+import org.gooseberryhill.standin.PlainServiceStandin;
+import org.gooseberryhill.standin.SampleAnswers;
+import org.gooseberryhill.standin.SampleFleet;
+
+/**
+ * Sends online requests at their intended times, whether or not earlier ones were answered, and checks each answer
+ * whole. Used by one thread.
+ */
+public final class OnlineSender implements Closeable {
+    private final List<EntryClient> models = new ArrayList<>();
+    private final List<EntryClient> plains = new ArrayList<>();
+    private final Measurement measurement;
+    private final List<CompletableFuture<?>> open = new ArrayList<>();
+
+    /** A sender through all entries of a system. */
+    public OnlineSender(SampleSystem system, Measurement measurement) {
+        this.measurement = measurement;
+        for (int i = 0; i < SampleSystem.HOSTS_PER_ROLE; i++) {
+            models.add(system.client(i, SampleFleet.TUTORS_KEY));
+            plains.add(system.client(i, SampleFleet.STUDENTS_KEY));
+        }
+    }
+
+    /** Sends all arrivals; the action runs between them with the time since the beginning, in nanoseconds. */
+    public void send(List<Arrivals.Arrival> arrivals, long beginNanos, LongConsumer between) {
+        for (Arrivals.Arrival arrival : arrivals) {
+            long intended = beginNanos + arrival.atNanos();
+            while (System.nanoTime() < intended) {
+                LockSupport.parkNanos(intended - System.nanoTime());
+            }
+            between.accept(arrival.atNanos());
+            send(arrival, intended);
+        }
+    }
+
+    /** Waits for the ends of all answers. */
+    public void awaitAnswers() {
+        CompletableFuture.allOf(open.toArray(CompletableFuture[]::new)).join();
+    }
+
+    @Override
+    public void close() {
+        models.forEach(EntryClient::close);
+        plains.forEach(EntryClient::close);
+    }
+
+    private void send(Arrivals.Arrival arrival, long intended) {
+        RequestKind kind = arrival.kind();
+        if (kind.plain()) {
+            sendPlain(arrival, intended);
+            return;
+        }
+        String prompt = text(kind.name() + " " + arrival.number(), kind.promptCharacters());
+        CheckedStream stream = new CheckedStream(SampleAnswers.chat(prompt, kind.tokens()), intended);
+        byte[] body = Json.bytes(Map.of(
+                "model",
+                SampleFleet.MODEL.model(),
+                "stream",
+                true,
+                "max_tokens",
+                kind.tokens(),
+                "messages",
+                List.of(Map.of("role", "user", "content", prompt))));
+        open.add(stream.result().thenAccept(measurement::answered));
+        models.get(arrival.number() % models.size()).start("POST", "/v1/chat/completions", body, stream);
+    }
+
+    private void sendPlain(Arrivals.Arrival arrival, long intended) {
+        EntryClient client = plains.get(arrival.number() % plains.size());
+        boolean booking = arrival.kind().name().equals("bookings");
+        String name = "r" + arrival.number();
+        byte[] body = booking ? Json.bytes(Map.of("seat", name)) : new byte[0];
+        CompletableFuture<Void> end = CompletableFuture.supplyAsync(() -> booking
+                        ? client.call("POST", "/services/bookings/bookings", body, Map.of("idempotency-key", name))
+                        : client.call("GET", "/services/bookings/records/" + name, body))
+                .handle((result, failure) -> {
+                    boolean right = failure == null
+                            && result.isSuccess()
+                            && (booking || Arrays.equals(result.body(), PlainServiceStandin.record(name)));
+                    measurement.plainAnswered(right, System.nanoTime() - intended);
+                    return null;
+                });
+        open.add(end);
+    }
+
+    /** A text of a length that begins with a name, so that few prompts share a beginning. */
+    static String text(String name, int characters) {
+        StringBuilder text = new StringBuilder(name);
+        while (text.length() < characters) {
+            text.append(" lorem ipsum");
+        }
+        text.setLength(Math.max(name.length(), characters));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/slope/SampleTexts.java
@@ -0,0 +1,34 @@
+package org.gooseberryhill.load.slope;
+
+import org.gooseberryhill.contract.Fingerprint;
+
+/** Operators' texts of any size, in the planned proportions of endpoints, callers and models. Stateless. */
+final class SampleTexts {
+    private static final int MODELS = 5;
+
+    private SampleTexts() {}
+
+    /** A text with a number of endpoints and callers. */
+    static String configuration(int endpoints, int callers) {
+        StringBuilder text = new StringBuilder("models:\n");
+        for (int i = 0; i < MODELS; i++) {
+            text.append("  model-%d: {version: \"1\"}%n".formatted(i));
+        }
+        text.append("services:\n");
+        for (int i = 0; i < MODELS; i++) {
+            text.append("  service-%d: {model: model-%d}%n".formatted(i, i));
+        }
+        text.append("endpoints:\n");
+        for (int i = 0; i < Math.max(MODELS, endpoints); i++) {
+            text.append(
+                    "  runner-%04d: {service: service-%d, address: \"10.%d.%d.%d:8000\", zone: zone-%d, slots: 16}%n"
+                            .formatted(i, i % MODELS, i / 250 % 250, i % 250, i % 200, i % 4));
+        }
+        text.append("callers:\n");
+        for (int i = 0; i < callers; i++) {
+            String hash = Fingerprint.sha256Hex(new byte[] {(byte) i, (byte) (i >> 8)});
+            text.append("  caller-%04d: {key-sha256: %s, services: [service-%d]}%n".formatted(i, hash, i % MODELS));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/slope/Slope.java
@@ -0,0 +1,45 @@
+package org.gooseberryhill.load.slope;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A straight line through the points of a probe, by least squares. Immutable.
+ *
+ * @param probe what was measured
+ * @param points the costs, in the order of the probe's sizes
+ * @param intercept the cost at size 0
+ * @param perUnit the cost of one more
+ * @param worstErrorPercent the largest distance of a point from the line, as a share of the largest cost
+ */
+public record Slope(SlopeProbe probe, List<Double> points, double intercept, double perUnit, double worstErrorPercent) {
+    private static final double PERCENT = 100;
+
+    /** Measures all points of a probe and fits the line. */
+    public static Slope of(SlopeProbe probe) {
+        List<Double> points = new ArrayList<>();
+        probe.sizes().forEach(size -> points.add(probe.measure(size)));
+        int number = points.size();
+        double meanX =
+                probe.sizes().stream().mapToInt(Integer::intValue).average().orElse(0);
+        double meanY =
+                points.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+        double covariance = 0;
+        double variance = 0;
+        for (int i = 0; i < number; i++) {
+            double distance = probe.sizes().get(i) - meanX;
+            covariance += distance * (points.get(i) - meanY);
+            variance += distance * distance;
+        }
+        double perUnit = covariance / variance;
+        double intercept = meanY - perUnit * meanX;
+        double worst = 0;
+        double largest = 0;
+        for (int i = 0; i < number; i++) {
+            double line = intercept + perUnit * probe.sizes().get(i);
+            worst = Math.max(worst, Math.abs(points.get(i) - line));
+            largest = Math.max(largest, Math.abs(points.get(i)));
+        }
+        return new Slope(probe, points, intercept, perUnit, largest == 0 ? 0 : PERCENT * worst / largest);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/slope/SlopeProbes.java
@@ -0,0 +1,160 @@
+package org.gooseberryhill.load.slope;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.configuration.ConfigurationReader;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.decision.configuration.ConfigurationInForce;
+import org.gooseberryhill.decision.configuration.ConfigurationRecord;
+import org.gooseberryhill.decision.configuration.TextChange;
+import org.gooseberryhill.decision.job.JobRecord;
+import org.gooseberryhill.decision.job.JobState;
+import org.gooseberryhill.decision.job.OwnedJob;
+import org.gooseberryhill.decision.membership.HostState;
+import org.gooseberryhill.decision.membership.Membership;
+import org.gooseberryhill.decision.membership.MembershipSettings;
+import org.gooseberryhill.decision.membership.Rumor;
+import org.gooseberryhill.decision.routing.EndpointTable;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.host.Role;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.peer.PeerMessageSize;
+import org.gooseberryhill.process.ConfigurationCodec;
+import org.gooseberryhill.zone.AvailabilityZone;
+
+/** All probes that docs/CAPACITY.md stands on. Stateless. */
+public final class SlopeProbes {
+    private static final int TIMED_RUNS = 15;
+    private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final int ITEMS = 296;
+    private static final int ITEM_BYTES = 500;
+
+    private SlopeProbes() {}
+
+    /** The probes; the last one starts small systems on 100 ports from the base port. */
+    public static List<SlopeProbe> all(int basePort) {
+        return List.of(
+                new MessageBytesProbe("heartbeat", "rumors", SlopeProbes::heartbeat),
+                new MessageBytesProbe("online load report", "endpoints", SlopeProbes::onlineLoad),
+                new MessageBytesProbe("answer to a load report", "endpoints", SlopeProbes::endpointLoads),
+                new TextProbe("operators' text", "bytes", String::length),
+                new TextProbe("stored configuration", "bytes", SlopeProbes::storedBytes),
+                new TextProbe("push of a one-line change", "bytes", SlopeProbes::pushBytes),
+                new TextProbe("reading a changed text", "ms", SlopeProbes::readMillis),
+                new HeapProbe(
+                        "configuration and routing table",
+                        "endpoints (with 2400 callers per 2600 of them)",
+                        List.of(130, 650, 1300, 2600),
+                        SlopeProbes::routingTable),
+                new HeapProbe("membership", "hosts", List.of(50, 100, 200, 380), SlopeProbes::membership),
+                new HeapProbe(
+                        "owned jobs of " + ITEMS + " items of " + ITEM_BYTES + " bytes",
+                        "jobs",
+                        List.of(10, 40, 80, 142),
+                        SlopeProbes::ownedJobs),
+                new SystemCallsProbe(basePort));
+    }
+
+    private static PeerMessage heartbeat(int rumors) {
+        List<Rumor> list = new ArrayList<>();
+        for (int i = 0; i < rumors; i++) {
+            list.add(new Rumor(new HostId("steward-%04d".formatted(i)), HostState.SUSPECT, i));
+        }
+        return new PeerMessage.Heartbeat(3, false, 1_000_000, list, Map.of("service-1", 1_796_256_000_000L));
+    }
+
+    private static PeerMessage onlineLoad(int endpoints) {
+        return new PeerMessage.OnlineLoad(counts(endpoints), List.of());
+    }
+
+    private static PeerMessage endpointLoads(int endpoints) {
+        return new PeerMessage.EndpointLoads(counts(endpoints), counts(endpoints), List.of());
+    }
+
+    private static Map<String, Integer> counts(int endpoints) {
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < endpoints; i++) {
+            counts.put("runner-%04d".formatted(i), i);
+        }
+        return counts;
+    }
+
+    private static double storedBytes(String text) {
+        return ConfigurationCodec.encode(new ConfigurationRecord("edit", "operator", 0, text)).length;
+    }
+
+    private static double pushBytes(String text) {
+        String changed = text.replaceFirst("slots: 16", "slots: 12");
+        return PeerMessageSize.bytes(
+                new PeerMessage.ConfigurationChange(1_000_000, 1_000_001, TextChange.between(text, changed)));
+    }
+
+    private static double readMillis(String text) {
+        double best = Double.MAX_VALUE;
+        for (int run = 0; run < TIMED_RUNS; run++) {
+            ConfigurationInForce inForce = new ConfigurationInForce();
+            EndpointTable table = new EndpointTable();
+            long begin = System.nanoTime();
+            inForce.offer(1, text);
+            table.configure(inForce.configuration());
+            best = Math.min(best, (System.nanoTime() - begin) / NANOS_PER_MILLI);
+        }
+        return best;
+    }
+
+    private static Object routingTable(int endpoints) {
+        String text = SampleTexts.configuration(endpoints, endpoints * 2400 / 2600);
+        ConfigurationInForce inForce = new ConfigurationInForce();
+        inForce.offer(1, text);
+        EndpointTable table = new EndpointTable();
+        table.configure(ConfigurationReader.read("slope", text).get());
+        return List.of(inForce, table);
+    }
+
+    private static Object membership(int hosts) {
+        List<Host> all = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            all.add(new Host(
+                    new HostId("steward-%04d".formatted(i)),
+                    Role.STEWARD,
+                    new AvailabilityZone("zone-" + i % 4),
+                    new Address("10.0." + i / 250 + "." + i % 250, 7000),
+                    false));
+        }
+        Membership membership = new Membership(new HostId("self"), MembershipSettings.DEFAULT, new Random(1));
+        membership.candidates(all, 0);
+        return membership;
+    }
+
+    private static Object ownedJobs(int jobs) {
+        List<OwnedJob> owned = new ArrayList<>();
+        for (int i = 0; i < jobs; i++) {
+            JobRecord record =
+                    new JobRecord(JobState.RUNNING, "hash", "s", "m", 0, 0, ITEMS, 256, List.of("chunk-0", "chunk-1"));
+            OwnedJob job = new OwnedJob(new JobKey("caller", "job-" + i), record, 1, 1, new BitSet());
+            for (int chunk = 0; chunk < 2; chunk++) {
+                job.nextChunkToLoad();
+                job.chunkLoaded(chunk, bodies(record.itemsInChunk(chunk)));
+            }
+            owned.add(job);
+        }
+        return owned;
+    }
+
+    private static List<String> bodies(int number) {
+        List<String> bodies = new ArrayList<>();
+        for (int i = 0; i < number; i++) {
+            String filler = "x".repeat(ITEM_BYTES - 40);
+            bodies.add(Json.text(Map.of("prompt", i + filler, "max_tokens", 40)));
+        }
+        return bodies;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/load/slope/SystemCallsProbe.java
@@ -0,0 +1,96 @@
+package org.gooseberryhill.load.slope;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.program.EntryClient;
+import org.gooseberryhill.program.SampleSystem;
+import org.gooseberryhill.standin.EngineSpeed;
+import org.gooseberryhill.standin.SampleFleet;
+
+/**
+ * The writes that a job costs the key-value service, from its submission to its end, by the stand-in's meter. Used by
+ * one thread.
+ */
+final class SystemCallsProbe implements SlopeProbe {
+    private static final EngineSpeed FAST = new EngineSpeed(16, 1, 1024, 16);
+    private static final int CHUNK_ITEMS = 256;
+    private static final int ENGINES = 6;
+    private static final long READY_MILLIS = 1500;
+    private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private final int basePort;
+
+    SystemCallsProbe(int basePort) {
+        this.basePort = basePort;
+    }
+
+    @Override
+    public String name() {
+        return "writes of a job in the key-value service";
+    }
+
+    @Override
+    public String unit() {
+        return "transactions";
+    }
+
+    @Override
+    public String varied() {
+        return "chunks of " + CHUNK_ITEMS + " items";
+    }
+
+    @Override
+    public List<Integer> sizes() {
+        return List.of(1, 2, 4, 8);
+    }
+
+    @Override
+    public double measure(int chunks) {
+        try {
+            Path folder = Files.createTempDirectory("gooseberry-slope");
+            try (SampleSystem system = new SampleSystem(new SampleFleet(basePort, ENGINES), FAST, folder, false);
+                    EntryClient client = system.client(0, SampleFleet.COORDINATORS_KEY)) {
+                pause(READY_MILLIS);
+                long before = writes(system);
+                runJob(client, chunks * CHUNK_ITEMS);
+                return writes(system) - before;
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void runJob(EntryClient client, int items) {
+        String body = "{\"prompt\":\"x\",\"max_tokens\":1}\n".repeat(items);
+        HttpResult accepted = client.call(
+                "PUT", "/v1/jobs/slope?model=" + SampleFleet.MODEL.model(), body.getBytes(StandardCharsets.UTF_8));
+        if (!accepted.isSuccess()) {
+            throw new IllegalStateException("the job was not accepted: " + accepted.status());
+        }
+        long until = System.nanoTime() + TIMEOUT_NANOS;
+        String state = "";
+        while (!state.equals("done") && System.nanoTime() < until) {
+            pause(100);
+            HttpResult status = client.call("GET", "/v1/jobs/slope", new byte[0]);
+            state = Json.tree(status.body())
+                    .map(json -> json.path("state").asText())
+                    .getOrElse("");
+        }
+    }
+
+    private static long writes(SampleSystem system) {
+        return system.platform().keyValue().meter().getOrDefault("/v3/kv/txn", 0L);
+    }
+
+    private static void pause(long millis) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+}
--- a/src/main/java/org/gooseberryhill/peer/PeerMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.gooseberryhill.decision.configuration.TextChange;
 import org.gooseberryhill.decision.job.ItemEnd;
 import org.gooseberryhill.decision.job.WorkItem;
 import org.gooseberryhill.decision.membership.Rumor;
@@ -22,6 +23,7 @@
     @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
     @JsonSubTypes.Type(value = PeerMessage.ProbeThrough.class, name = "via"),
     @JsonSubTypes.Type(value = PeerMessage.ConfigurationPush.class, name = "cfg"),
+    @JsonSubTypes.Type(value = PeerMessage.ConfigurationChange.class, name = "cfg+"),
     @JsonSubTypes.Type(value = PeerMessage.ConfigurationAsk.class, name = "cfg?"),
     @JsonSubTypes.Type(value = PeerMessage.OnlineLoad.class, name = "load"),
     @JsonSubTypes.Type(value = PeerMessage.EndpointLoads.class, name = "loads"),
@@ -82,6 +84,15 @@
      */
     record ConfigurationPush(long revision, String text) implements PeerMessage {}
 
+    /**
+     * What a new configuration changes, pushed on; a host that has another base asks for the whole.
+     *
+     * @param baseRevision the revision that the change was made from
+     * @param revision the revision of the new text
+     * @param change the change
+     */
+    record ConfigurationChange(long baseRevision, long revision, TextChange change) implements PeerMessage {}
+
     /**
      * Asks for a newer configuration; the reply is a push or Ack if there is none.
      *
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/PeerMessageSize.java
@@ -0,0 +1,25 @@
+package org.gooseberryhill.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.HybridTimestamp;
+
+/** How many bytes a message takes on the wire, its frame and length included. Stateless. */
+public final class PeerMessageSize {
+    private static final int LENGTH_BYTES = 4;
+    private static final HostId SENDER = new HostId("steward-0123");
+    private static final HybridTimestamp TIME = HybridTimestamp.ofMillis(1_796_256_000_000L);
+    private static final long NUMBER = 100_000;
+
+    private PeerMessageSize() {}
+
+    /** The bytes of a message, without what TCP and IP add. */
+    public static int bytes(PeerMessage message) {
+        try {
+            return LENGTH_BYTES + PeerCodec.encode(new PeerFrame(NUMBER, false, TIME, SENDER, message)).length;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/src/main/java/org/gooseberryhill/platform/EtcdKeyValueStore.java
+++ b/src/main/java/org/gooseberryhill/platform/EtcdKeyValueStore.java
@@ -48,6 +48,17 @@
                 .thenApply(EtcdJson::readResult);
     }
 
+    @Override
+    public CompletableFuture<Long> readRevision(String key) {
+        return call(
+                        "/v3/kv/range",
+                        Json.object().put("key", EtcdJson.encode(key)).put("keys_only", true))
+                .thenApply(answer -> EtcdJson.readResult(answer)
+                        .first()
+                        .map(Entry::modRevision)
+                        .orElse(0L));
+    }
+
     @Override
     public CompletableFuture<ReadResult> readPrefix(String prefix, String fromKey, int limit) {
         ObjectNode body = Json.object()
--- a/src/main/java/org/gooseberryhill/platform/KeyValueStore.java
+++ b/src/main/java/org/gooseberryhill/platform/KeyValueStore.java
@@ -14,6 +14,9 @@
     /** Reads one key. */
     CompletableFuture<ReadResult> read(String key);
 
+    /** Reads only the revision that last wrote a key; 0 if it is absent. */
+    CompletableFuture<Long> readRevision(String key);
+
     /** Reads up to a number of keys that begin with a prefix, in the order of the keys, from a key on. */
     CompletableFuture<ReadResult> readPrefix(String prefix, String fromKey, int limit);
 
--- a/src/main/java/org/gooseberryhill/process/ConfigurationDriver.java
+++ b/src/main/java/org/gooseberryhill/process/ConfigurationDriver.java
@@ -12,6 +12,7 @@
 import org.gooseberryhill.configuration.Configuration;
 import org.gooseberryhill.decision.configuration.ConfigurationInForce;
 import org.gooseberryhill.decision.configuration.ConfigurationInForce.Offer;
+import org.gooseberryhill.decision.configuration.TextChange;
 import org.gooseberryhill.decision.ownership.Ownership;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
@@ -64,7 +65,7 @@
         process.onMembershipChange(this::watchIfChosen);
         process.loop().every(REREAD_MILLIS, () -> {
             if (watch.isPresent()) {
-                readKey();
+                checkRevision();
             }
         });
     }
@@ -85,7 +86,11 @@
         });
     }
 
-    Optional<CompletableFuture<PeerMessage>> handle(PeerMessage message) {
+    Optional<CompletableFuture<PeerMessage>> handle(HostId from, PeerMessage message) {
+        if (message instanceof PeerMessage.ConfigurationChange change) {
+            takeChange(from, change);
+            return Optional.of(MessageHandler.reply(new PeerMessage.Ack()));
+        }
         if (message instanceof PeerMessage.ConfigurationPush push) {
             offer(push.revision(), push.text(), "push");
             return Optional.of(MessageHandler.reply(new PeerMessage.Ack()));
@@ -140,6 +145,17 @@
                 }));
     }
 
+    /** A watch may be cut off without a sign; the revision alone is read, since the text is large. */
+    private void checkRevision() {
+        process.keyValue()
+                .readRevision(Keys.CONFIGURATION)
+                .whenComplete((revision, failure) -> process.loop().execute(() -> {
+                    if (failure == null && revision > inForce.revision()) {
+                        readKey();
+                    }
+                }));
+    }
+
     private void readKey() {
         process.keyValue()
                 .read(Keys.CONFIGURATION)
@@ -156,7 +172,20 @@
                 .onFailure(failure -> LOG.warn("the configuration's value can't be read: {}", failure.toString()));
     }
 
+    private void takeChange(HostId from, PeerMessage.ConfigurationChange change) {
+        Optional<String> text = change.baseRevision() == inForce.revision()
+                ? change.change().applyTo(inForce.text())
+                : Optional.empty();
+        if (text.isPresent()) {
+            offer(change.revision(), text.get(), "push");
+        } else {
+            heardRevision(from, change.revision());
+        }
+    }
+
     private void offer(long revision, String text, String source) {
+        long baseRevision = inForce.revision();
+        String baseText = inForce.text();
         Offer offer = inForce.offer(revision, text);
         if (offer == Offer.INVALID) {
             LOG.warn("revision {} is not valid and stays out of force: {}", revision, inForce.findings());
@@ -168,12 +197,13 @@
         LOG.info("configuration revision {} is in force, by {}", revision, source);
         listeners.forEach(listener -> listener.accept(inForce.configuration()));
         if (watch.isPresent()) {
-            pushToZone();
+            TextChange change = TextChange.between(baseText, inForce.text());
+            pushToZone(new PeerMessage.ConfigurationChange(baseRevision, inForce.revision(), change));
         }
     }
 
-    private void pushToZone() {
-        PeerMessage push = new PeerMessage.ConfigurationPush(inForce.revision(), inForce.text());
+    /** Only what changed: a whole text to each host of a zone would be most of what a watcher may send. */
+    private void pushToZone(PeerMessage push) {
         process.membership().present().stream()
                 .filter(host -> host.zone().equals(process.settings().self().zone()))
                 .forEach(host -> process.tell(host, push));
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -314,7 +314,7 @@
 
     private CompletableFuture<PeerMessage> dispatch(HostId from, PeerMessage message) {
         Optional<CompletableFuture<PeerMessage>> common =
-                membershipDriver.handle(from, message).or(() -> configuration.handle(message));
+                membershipDriver.handle(from, message).or(() -> configuration.handle(from, message));
         return common.orElseGet(() -> roleHandler.handle(from, message));
     }
 
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/program/SlopesCommand.java
@@ -0,0 +1,71 @@
+package org.gooseberryhill.program;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import org.gooseberryhill.load.slope.Slope;
+import org.gooseberryhill.load.slope.SlopeProbe;
+import org.gooseberryhill.load.slope.SlopeProbes;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The slopes that docs/CAPACITY.md stands on. */
+@Command(
+        name = "slopes",
+        mixinStandardHelpOptions = true,
+        description = "Measures how costs grow with sizes, and writes the table that docs/CAPACITY.md stands on")
+final class SlopesCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--base-port", defaultValue = "18800", description = "First of 100 ports (default 18800)")
+    private int basePort;
+
+    @Option(names = "--out", defaultValue = "run/load", description = "Folder for the table (default run/load)")
+    private Path out;
+
+    @Override
+    public Integer call() throws IOException {
+        StringBuilder table = new StringBuilder();
+        table.append("| cost | varied | sizes | measured | at 0 | each one more | worst error |\n");
+        table.append("|---|---|---|---|---|---|---|\n");
+        PrintWriter console = spec.commandLine().getOut();
+        for (SlopeProbe probe : SlopeProbes.all(basePort)) {
+            String row = row(Slope.of(probe));
+            table.append(row);
+            console.print(row);
+            console.flush();
+        }
+        Files.createDirectories(out);
+        Files.writeString(out.resolve("slopes.md"), table.toString());
+        return Commands.OK;
+    }
+
+    private static String row(Slope slope) {
+        SlopeProbe probe = slope.probe();
+        return String.format(
+                Locale.ROOT,
+                "| %s, %s | %s | %s | %s | %.1f | %.3f | %.1f%% |%n",
+                probe.name(),
+                probe.unit(),
+                probe.varied(),
+                join(probe.sizes().stream().map(String::valueOf).toList()),
+                join(slope.points().stream()
+                        .map(point -> String.format(Locale.ROOT, "%.1f", point))
+                        .toList()),
+                slope.intercept(),
+                slope.perUnit(),
+                slope.worstErrorPercent());
+    }
+
+    private static String join(List<String> texts) {
+        return texts.stream().collect(Collectors.joining(", "));
+    }
+}
--- a/src/main/java/org/gooseberryhill/standin/KeyValueStandin.java
+++ b/src/main/java/org/gooseberryhill/standin/KeyValueStandin.java
@@ -177,7 +177,8 @@
                     && hiddenByStaleness != null
                     && hiddenByStaleness.key().equals(entry.getKey());
             if (!hidden) {
-                entries.add(keyValue(entry.getKey(), entry.getValue()));
+                ObjectNode node = keyValue(entry.getKey(), entry.getValue());
+                entries.add(json.path("keys_only").asBoolean(false) ? node.without("value") : node);
             }
         }
         answer.put("count", Integer.toString(found.size()));
--- a/src/main/java/org/gooseberryhill/steward/JobOwner.java
+++ b/src/main/java/org/gooseberryhill/steward/JobOwner.java
@@ -40,7 +40,7 @@
 final class JobOwner {
     private static final Logger LOG = LogManager.getLogger(JobOwner.class);
     private static final long HOUSEKEEPING_MILLIS = 250;
-    private static final long RECORD_CHECK_MILLIS = 5000;
+    private static final long RECORD_CHECK_MILLIS = 15_000;
     private static final int MAX_CHUNKS = 10_000;
     private static final long HOLDER_CHECK_MILLIS = 1000;
 
@@ -315,12 +315,9 @@
     private void checkRecords() {
         for (OwnedJob job : board.jobs()) {
             process.keyValue()
-                    .read(Keys.job(job.key()))
-                    .whenComplete((result, failure) -> process.loop().execute(() -> {
-                        boolean changed = failure == null
-                                && result.first()
-                                        .filter(entry -> entry.modRevision() == job.recordRevision())
-                                        .isEmpty();
+                    .readRevision(Keys.job(job.key()))
+                    .whenComplete((revision, failure) -> process.loop().execute(() -> {
+                        boolean changed = failure == null && revision != job.recordRevision();
                         if (changed && !job.isStopped()) {
                             jobRefused(job);
                         }
--- a/src/test/java/org/gooseberryhill/platform/KeyValueStoreContractTest.java
+++ b/src/test/java/org/gooseberryhill/platform/KeyValueStoreContractTest.java
@@ -59,6 +59,15 @@
         assertThat(entry("k").orElseThrow().createRevision()).isEqualTo(first.createRevision());
     }
 
+    @Test
+    void theRevisionOfAKeyIsReadWithoutItsValue() {
+        create("k", "v");
+
+        assertThat(store.readRevision("k").join())
+                .isEqualTo(entry("k").orElseThrow().modRevision());
+        assertThat(store.readRevision("none").join()).isZero();
+    }
+
     @Test
     void writesOfOneTransactionTakeEffectTogetherOrNotAtAll() {
         create("guard", "x");
