--- a/src/main/java/org/gooseberryhill/entry/CallRouter.java
+++ b/src/main/java/org/gooseberryhill/entry/CallRouter.java
@@ -4,9 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.vavr.control.Try;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
@@ -26,6 +24,7 @@
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.http.WholeBody;
 import org.gooseberryhill.link.Json;
+import org.gooseberryhill.process.AdminServer;
 
 /** Sends each call of the callers' interface to what answers it. Thread-safe. */
 final class CallRouter {
@@ -174,12 +173,9 @@
     }
 
     private void metrics(HttpCall call) {
-        ByteArrayOutputStream text = new ByteArrayOutputStream();
-        Try.run(() -> PrometheusTextFormatWriter.create()
-                        .write(text, context.metrics().registry().scrape()))
-                .onSuccess(done -> call.reply(
-                        200, Map.of("content-type", PrometheusTextFormatWriter.CONTENT_TYPE), text.toByteArray()))
-                .onFailure(failure -> call.reply(500, JSON, new byte[0]));
+        context.process()
+                .loop()
+                .execute(() -> AdminServer.replyMetrics(call, context.metrics().registry()));
     }
 
     private long deadlineNanos(HttpCall call) {
--- a/src/main/java/org/gooseberryhill/entry/EntryProcess.java
+++ b/src/main/java/org/gooseberryhill/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.http.HttpServer;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.process.AdminServer;
 import org.gooseberryhill.process.HostProcess;
 import org.gooseberryhill.process.HostSettings;
 import org.gooseberryhill.process.MessageHandler;
@@ -28,7 +29,9 @@
         OnlineTraffic traffic = new OnlineTraffic(process, settings);
         AccessControl access = new AccessControl();
         process.configuration().onChange(access::configure);
-        this.context = new EntryContext(process, settings, traffic, access, new EntryMetrics());
+        EntryMetrics metrics = new EntryMetrics();
+        AdminServer.registerMetrics(process, metrics.registry());
+        this.context = new EntryContext(process, settings, traffic, access, metrics);
         process.roleHandler(this::handle);
     }
 
--- a/src/main/java/org/gooseberryhill/entry/OnlineCall.java
+++ b/src/main/java/org/gooseberryhill/entry/OnlineCall.java
@@ -3,6 +3,9 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.configuration.EndpointSettings;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Outcome;
@@ -25,6 +28,8 @@
  * attempt, so that no late answer is waited for.
  */
 abstract class OnlineCall {
+    private static final Logger LOG = LogManager.getLogger(OnlineCall.class);
+
     final EntryContext context;
     final HttpCall call;
     final OnlineIntake intake;
@@ -99,6 +104,10 @@
                     failure.kind() == ExchangeFailure.Kind.CONNECTION_LOST && failure.outcome() == Outcome.MAY_HAVE_RUN;
             String endpoint = request.endpoint().orElse("");
             process().timeline().request("attempt.failed", intake.id(), Optional.of(endpoint), failure.detail());
+            try (CloseableThreadContext.Instance ignored =
+                    CloseableThreadContext.put("request", intake.id()).put("endpoint", endpoint)) {
+                LOG.warn("attempt {} failed, {}: {}", attempt, failure.outcome().wireName(), failure.detail());
+            }
             if (cut) {
                 context.traffic().crashed(endpoint, intake.fingerprint());
             }
--- a/src/main/java/org/gooseberryhill/peer/PeerClient.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerClient.java
@@ -22,6 +22,7 @@
     private final HybridClock clock;
     private final Bootstrap bootstrap;
     private final Map<Target, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final PeerTraffic traffic = new PeerTraffic();
     private final LongAdder sentMessages = new LongAdder();
 
     /** A client on the process's traffic threads. */
@@ -43,13 +44,18 @@
     public CompletableFuture<PeerMessage> ask(Address address, PeerLane lane, PeerMessage message, long timeoutMillis) {
         sentMessages.increment();
         PeerConnection connection = connections.computeIfAbsent(
-                new Target(address, lane), target -> new PeerConnection(bootstrap, address, self, clock));
+                new Target(address, lane), target -> new PeerConnection(bootstrap, address, self, clock, traffic));
         return connection
                 .ask(message)
                 .orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .thenApply(PeerClient::requireServed);
     }
 
+    /** The bytes exchanged so far, also those of this process's server. */
+    public PeerTraffic traffic() {
+        return traffic;
+    }
+
     /** How many messages were sent so far. */
     public long sentMessages() {
         return sentMessages.sum();
--- a/src/main/java/org/gooseberryhill/peer/PeerCodec.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerCodec.java
@@ -25,11 +25,17 @@
             .registerModule(new Jdk8Module())
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+    private final PeerTraffic traffic;
+
+    private PeerCodec(PeerTraffic traffic) {
+        this.traffic = traffic;
+    }
+
     /** Adds the framing and the codec to a connection. */
-    static void addTo(ChannelPipeline pipeline) {
+    static void addTo(ChannelPipeline pipeline, PeerTraffic traffic) {
         pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                .addLast(new PeerCodec());
+                .addLast(new PeerCodec(traffic));
     }
 
     /** The bytes of a frame without its length; also what the cost per message is measured from. */
@@ -43,11 +49,14 @@
 
     @Override
     protected void encode(ChannelHandlerContext context, PeerFrame frame, List<Object> out) throws IOException {
-        out.add(Unpooled.wrappedBuffer(encode(frame)));
+        byte[] bytes = encode(frame);
+        traffic.sent(LENGTH_BYTES + bytes.length);
+        out.add(Unpooled.wrappedBuffer(bytes));
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws IOException {
+        traffic.received(LENGTH_BYTES + buffer.readableBytes());
         out.add(decode(ByteBufUtil.getBytes(buffer)));
     }
 }
--- a/src/main/java/org/gooseberryhill/peer/PeerConnection.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerConnection.java
@@ -29,11 +29,11 @@
     private final AtomicLong numbers = new AtomicLong();
     private ChannelFuture connecting;
 
-    PeerConnection(Bootstrap bootstrap, Address address, HostId self, HybridClock clock) {
+    PeerConnection(Bootstrap bootstrap, Address address, HostId self, HybridClock clock, PeerTraffic traffic) {
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                PeerCodec.addTo(channel.pipeline());
+                PeerCodec.addTo(channel.pipeline(), traffic);
                 channel.pipeline().addLast(new ReplyHandler());
             }
         });
--- a/src/main/java/org/gooseberryhill/peer/PeerServer.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerServer.java
@@ -31,7 +31,13 @@
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
     /** Starts listening; throws the bind's failure if the address is taken. */
-    public PeerServer(EventLoopGroup group, HostId self, Address address, HybridClock clock, PeerHandler handler) {
+    public PeerServer(
+            EventLoopGroup group,
+            HostId self,
+            Address address,
+            HybridClock clock,
+            PeerTraffic traffic,
+            PeerHandler handler) {
         this.self = self;
         this.clock = clock;
         this.handler = handler;
@@ -44,7 +50,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         connections.add(channel);
-                        PeerCodec.addTo(channel.pipeline());
+                        PeerCodec.addTo(channel.pipeline(), traffic);
                         channel.pipeline().addLast(new ServingHandler());
                     }
                 })
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/PeerTraffic.java
@@ -0,0 +1,27 @@
+package org.gooseberryhill.peer;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts the bytes that a process exchanges with others, frames included. Thread-safe. */
+public final class PeerTraffic {
+    private final LongAdder sent = new LongAdder();
+    private final LongAdder received = new LongAdder();
+
+    /** Bytes sent so far. */
+    public long sentBytes() {
+        return sent.sum();
+    }
+
+    /** Bytes received so far. */
+    public long receivedBytes() {
+        return received.sum();
+    }
+
+    void sent(int bytes) {
+        sent.add(bytes);
+    }
+
+    void received(int bytes) {
+        received.add(bytes);
+    }
+}
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -98,7 +98,8 @@
 
     /** Starts listening to peers and reading the platform; the role's handler must be set before. */
     public void start() {
-        peerServer = new PeerServer(group, settings.self().id(), settings.self().address(), clock, this::handle);
+        peerServer = new PeerServer(
+                group, settings.self().id(), settings.self().address(), clock, peers.traffic(), this::handle);
         timeline.event(
                 "process.started",
                 settings.self().role() + " in " + settings.self().zone());
--- a/src/main/java/org/gooseberryhill/program/DemoCommand.java
+++ b/src/main/java/org/gooseberryhill/program/DemoCommand.java
@@ -114,7 +114,7 @@
             }
             if (i == LEAVE_AT_REQUEST) {
                 EngineStandin leaving = system.platform().engines().get(2);
-                leaving.faults(new EngineFaults(Optional.empty(), 0, true, true));
+                leaving.faults(new EngineFaults(Optional.empty(), 0, true, true, false));
             }
             String prompt = "critique of sketch " + i;
             CheckedStream stream = new CheckedStream(SampleAnswers.chat(prompt, REQUEST_TOKENS), System.nanoTime());
--- a/src/main/java/org/gooseberryhill/program/SettingsReader.java
+++ b/src/main/java/org/gooseberryhill/program/SettingsReader.java
@@ -34,6 +34,11 @@
         return address.orElse(NO_ADDRESS);
     }
 
+    /** An IP number and a port that may be left out. */
+    Optional<Address> optionalAddress(String flag, String value) {
+        return value == null || value.isBlank() ? Optional.empty() : Optional.of(address(flag, value));
+    }
+
     /** A whole number within a range. */
     long number(String flag, String value, long min, long max) {
         try {
--- a/src/main/java/org/gooseberryhill/program/StewardMain.java
+++ b/src/main/java/org/gooseberryhill/program/StewardMain.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.program;
 
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.gooseberryhill.decision.batch.BatchSlotPolicy;
 import org.gooseberryhill.decision.batch.FixedSlotsPolicy;
@@ -9,6 +10,8 @@
 import org.gooseberryhill.decision.job.EarliestDeadlineFairOrder;
 import org.gooseberryhill.decision.job.FirstComeOrder;
 import org.gooseberryhill.host.Role;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.process.AdminServer;
 import org.gooseberryhill.process.HostSettings;
 import org.gooseberryhill.steward.StewardProcess;
 import org.gooseberryhill.steward.StewardSettings;
@@ -33,6 +36,12 @@
     @Mixin
     private HostOptions host = new HostOptions();
 
+    @Option(
+            names = "--admin-address",
+            defaultValue = "${env:GOOSEBERRY_ADMIN_ADDRESS:-}",
+            description = "ip:port for /healthz, /readyz and /metrics; none if not set")
+    private String adminAddress;
+
     @Option(
             names = "--status-period-millis",
             defaultValue = "${env:GOOSEBERRY_STATUS_PERIOD_MILLIS:-1000}",
@@ -97,10 +106,12 @@
                 reader.number("--job-scan-period-millis", jobScanPeriodMillis, 100, MAX_MILLIS),
                 reader.number("--longest-order-millis", longestOrderMillis, 100, MAX_MILLIS),
                 (int) reader.number("--max-loads", maxLoads, 1, MAX_LOADS));
+        Optional<Address> admin = reader.optionalAddress("--admin-address", adminAddress);
         reader.requireNone();
         StewardProcess steward = new StewardProcess(
                 hostSettings, settings, hostSettings.self().id().hashCode());
         steward.start();
+        admin.ifPresent(address -> new AdminServer(steward.process(), address));
         ProcessLife.runUntilStopped(steward.process(), steward);
         return Commands.OK;
     }
--- a/src/main/java/org/gooseberryhill/program/StoreMain.java
+++ b/src/main/java/org/gooseberryhill/program/StoreMain.java
@@ -2,8 +2,11 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.gooseberryhill.host.Role;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.process.AdminServer;
 import org.gooseberryhill.process.HostSettings;
 import org.gooseberryhill.store.StoreProcess;
 import picocli.CommandLine.Command;
@@ -22,6 +25,12 @@
     @Mixin
     private HostOptions host = new HostOptions();
 
+    @Option(
+            names = "--admin-address",
+            defaultValue = "${env:GOOSEBERRY_ADMIN_ADDRESS:-}",
+            description = "ip:port for /healthz, /readyz and /metrics; none if not set")
+    private String adminAddress;
+
     @Option(
             names = "--data-folder",
             defaultValue = "${env:GOOSEBERRY_DATA_FOLDER:-}",
@@ -45,10 +54,12 @@
         HostSettings settings = host.settings(Role.STORE, reader);
         Path folder = Path.of(reader.required("--data-folder", dataFolder));
         long repairMillis = reader.number("--repair-period-millis", repairPeriodMillis, 100, MAX_MILLIS);
+        Optional<Address> admin = reader.optionalAddress("--admin-address", adminAddress);
         reader.requireNone();
         StoreProcess store = new StoreProcess(
                 settings, folder, repairMillis, settings.self().id().hashCode());
         store.start();
+        admin.ifPresent(address -> new AdminServer(store.process(), address));
         ProcessLife.runUntilStopped(store.process(), store);
         return Commands.OK;
     }
--- a/src/main/java/org/gooseberryhill/standin/EngineStandin.java
+++ b/src/main/java/org/gooseberryhill/standin/EngineStandin.java
@@ -139,7 +139,8 @@
                             Optional.ofNullable(json.path("crashPrompt").textValue()),
                             json.path("restartMillis").asLong(0),
                             json.path("obeysFences").asBoolean(true),
-                            json.path("draining").asBoolean(false)));
+                            json.path("draining").asBoolean(false),
+                            json.path("endsEarly").asBoolean(false)));
                     StandinReplies.json(call, 200, Map.of());
                 }
                 case "/standin/crash" -> crash();
@@ -223,6 +224,10 @@
                 return;
             }
             generation.step();
+            if (faults.endsEarly() && generation.endEarly()) {
+                all.remove();
+                continue;
+            }
             if (generation.isDone()) {
                 generation.finish();
                 served.incrementAndGet();
--- a/src/main/java/org/gooseberryhill/standin/Generation.java
+++ b/src/main/java/org/gooseberryhill/standin/Generation.java
@@ -107,6 +107,15 @@
         }
     }
 
+    /** Ends a streamed answer in its middle without the end mark; returns whether it did. */
+    boolean endEarly() {
+        boolean middle = streamed && generated > resumedFrom && 2 * generated >= maxTokens;
+        if (middle) {
+            call.endStream();
+        }
+        return middle;
+    }
+
     void finish() {
         if (streamed) {
             call.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/org/gooseberryhill/steward/JobOwner.java
+++ b/src/main/java/org/gooseberryhill/steward/JobOwner.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.apache.logging.log4j.CloseableThreadContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.contract.JobKey;
@@ -196,7 +197,10 @@
     }
 
     private void begin(OwnedJob job) {
-        LOG.info("owns job {} with fence {}", job.key().path(), job.fence());
+        try (CloseableThreadContext.Instance ignored =
+                CloseableThreadContext.put("job", job.key().path())) {
+            LOG.info("owns the job with fence {}", job.fence());
+        }
         process.timeline().job("job.owned", job.key().path(), Optional.empty(), "fence " + job.fence());
         board.add(job);
         jobAdvanced(job);
--- a/src/test/java/org/gooseberryhill/ArchitectureTest.java
+++ b/src/test/java/org/gooseberryhill/ArchitectureTest.java
@@ -62,9 +62,10 @@
             .callMethod(java.time.Instant.class, "now");
 
     @ArchTest
-    final ArchRule onlyStandInsAndProgramsUseStandIns = noClasses()
+    final ArchRule onlyStandInsProgramsAndTheLoadToolUseStandIns = noClasses()
             .that()
-            .resideOutsideOfPackages("org.gooseberryhill.standin..", "org.gooseberryhill.program..")
+            .resideOutsideOfPackages(
+                    "org.gooseberryhill.standin..", "org.gooseberryhill.program..", "org.gooseberryhill.load..")
             .should()
             .dependOnClassesThat()
             .resideInAPackage("org.gooseberryhill.standin..");
--- a/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
@@ -182,7 +182,7 @@
     @Test
     void anItemThatCrashesEnginesFailsAndTheRestIsDone() {
         for (EngineStandin engine : fixture.system.platform().engines()) {
-            engine.faults(new EngineFaults(Optional.of("portfolio lot 7\""), 300, true, false));
+            engine.faults(new EngineFaults(Optional.of("portfolio lot 7\""), 300, true, false, false));
         }
         byte[] body = new String(SystemFixture.jobBody("lot", 40, "portfolio"), StandardCharsets.UTF_8)
                 .replace("portfolio lot 7\"", "portfolio lot 7\\\"\"")
--- a/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
@@ -55,6 +55,27 @@
         assertThat(answers).allMatch(answer -> answer.join().end() == End.WHOLE);
     }
 
+    /**
+     * Runners end their streams in the middle as if they were whole, but without the end mark. While one runner is right
+     * the streams go on there and end whole; when none is, the caller sees a cut, never a normal end.
+     */
+    @Test
+    void aStreamWithoutItsEndMarkIsNeverTakenForWhole() {
+        EngineFaults early = new EngineFaults(Optional.empty(), 0, true, false, true);
+        fixture.system.platform().engines().subList(0, 2).forEach(engine -> engine.faults(early));
+        List<CompletableFuture<CheckedStream.Result>> answers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            answers.add(fixture.stream(fixture.tutor, "sketch " + i, 20));
+        }
+        assertThat(answers).allMatch(answer -> answer.join().end() == End.WHOLE);
+
+        fixture.system.platform().engines().forEach(engine -> engine.faults(early));
+        for (int i = 0; i < 5; i++) {
+            assertThat(fixture.stream(fixture.tutor, "cut " + i, 20).join().end())
+                    .isEqualTo(End.CUT);
+        }
+    }
+
     /**
      * A booking takes effect while its answer is lost. The caller hears that it may have run, sends it again through
      * another host, and hears the same: the seat is booked once.
@@ -157,7 +178,7 @@
         fixture.system
                 .platform()
                 .engines()
-                .forEach(engine -> engine.faults(new EngineFaults(Optional.of("poison"), 200, true, false)));
+                .forEach(engine -> engine.faults(new EngineFaults(Optional.of("poison"), 200, true, false, false)));
         List<CompletableFuture<CheckedStream.Result>> innocent = new ArrayList<>();
         for (int i = 0; i < 24; i++) {
             innocent.add(fixture.stream(fixture.tutor, "sketch " + i, 60));
@@ -186,7 +207,7 @@
             before.add(fixture.stream(fixture.tutor, "before " + i, 100));
         }
         fixture.submit(fixture.coordinator, "lot", 600);
-        engine(0).faults(new EngineFaults(Optional.empty(), 0, true, true));
+        engine(0).faults(new EngineFaults(Optional.empty(), 0, true, true, false));
         Loopback.await(
                 "all hosts know",
                 () -> fixture.system.entries().stream()
