--- a/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
@@ -57,6 +57,24 @@
         assertThat(fixture.results("lot")).hasSize(ITEMS);
     }
 
+    /**
+     * A whole host is lost at one moment: the steward that owns the job, and the store and the entry beside it. The
+     * other zones have the items, another steward claims the job, and the results are read through an entry that is left.
+     */
+    @Test
+    void aJobGoesOnWhenAHostWithAllItsProcessesIsLost() {
+        fixture.submit(fixture.coordinator, "lot", ITEMS);
+        int host = fixture.ownerOf("lot");
+        fixture.system.stewards().get(host).close();
+        fixture.system.stores().get(host).close();
+        if (host != 0) {
+            fixture.system.entries().get(host).close();
+        }
+
+        fixture.awaitJob("lot", "done");
+        assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
+    }
+
     /** All leases lapse at once while their holders work on: they stop, claim anew, and nothing is done twice. */
     @Test
     void aJobGoesOnWhenAllLeasesLapse() {
--- a/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
@@ -196,6 +196,26 @@
         assertThat(innocent).allMatch(answer -> answer.join().end() == End.WHOLE);
     }
 
+    /** The same, sent through all hosts at the same moment: what is on its way before the first crash may add a few. */
+    @Test
+    void aRequestThatCrashesRunnersSentThroughAllHostsAtOnceTakesDownAFew() {
+        fixture.system
+                .platform()
+                .engines()
+                .forEach(engine -> engine.faults(new EngineFaults(Optional.of("poison"), 200, true, false, false)));
+        List<CompletableFuture<CheckedStream.Result>> sent = new ArrayList<>();
+        List<EntryClient> clients = new ArrayList<>();
+        for (int i = 0; i < 9; i++) {
+            EntryClient client = fixture.system.client(i % 3, SampleFleet.TUTORS_KEY);
+            clients.add(client);
+            sent.add(fixture.stream(client, "poison", 20));
+        }
+
+        assertThat(sent).noneMatch(answer -> answer.join().end() == End.WHOLE);
+        assertThat(crashes()).isBetween(2, 3);
+        clients.forEach(EntryClient::close);
+    }
+
     /**
      * An engine says that it is leaving while the host list lags. What it has ends whole; after a few seconds it gets
      * nothing new, online or batch.
