Report changed loads only, send messages as arrays; mend answers that are resumed at their end

Cause: each entry repeated all counts each 250 ms. With 8.7 requests a second of some 15 s each an entry has about 130 in flight at as many endpoints: 4 rounds x 110 stewards x 229 B, about 100 KB/s, worked out from the measured message sizes, against a ceiling of 13 KB/s. Names of fields were most of a small message. Change: a round reports changes and what was not taken, everything each 5 s; a lost entry's counts go with the membership; messages are arrays of their fields. Ruled out: longer rounds (the end of a burst would show late).

--- a/src/main/java/org/gooseberryhill/decision/batch/EndpointBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/batch/EndpointBatch.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.configuration.EndpointSettings;
 import org.gooseberryhill.host.HostId;
@@ -17,8 +18,8 @@
  * engine's own count, which lags, stands in when no entry reports.
  */
 public final class EndpointBatch {
-    /** How long an entry's last report counts when no newer one comes. */
-    private static final long REPORT_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(3000);
+    /** How long an entry's last report counts when no newer one comes; it repeats them each 5 s. */
+    private static final long REPORT_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(12_000);
 
     /** How long the engine's own count is used; it lags, so it must not outlive newer reports. */
     private static final long ENGINE_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
@@ -65,6 +66,11 @@
         return excess(nowNanos);
     }
 
+    /** Keeps only the reports of entries that are present: a lost one has nothing in flight any more. */
+    public void entriesPresent(Set<HostId> entries) {
+        onlineByEntry.keySet().retainAll(entries);
+    }
+
     /** The engine's own count of requests in flight, which lags; returns the items that yield at once. */
     public List<RunningItem> engineReported(int active, long nowNanos) {
         engineOthers = Math.max(0, active - running.size());
--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The planned stop of one process. Not thread-safe.
+ * The planned stop of one process. Not thread-safe, but any thread may ask for the phase.
  *
  * <p>Invariant: after the stop is asked for nothing new is taken in, and the process ends only when nothing is in
  * progress or the bound has passed. Asking again changes nothing, so a second signal can't cut what the first waits
@@ -25,7 +25,7 @@
 
     private final long graceNanos;
     private final long boundNanos;
-    private Phase phase = Phase.SERVING;
+    private volatile Phase phase = Phase.SERVING;
     private long sinceNanos;
 
     /**
--- a/src/main/java/org/gooseberryhill/decision/job/ItemSlot.java
+++ b/src/main/java/org/gooseberryhill/decision/job/ItemSlot.java
@@ -120,6 +120,9 @@
 
     private void failedOnce(ItemOutcome outcome, long nowNanos, long backoffNanos) {
         failures++;
+        // It may have failed because of what it was to be continued from: the next try begins anew.
+        partial = "";
+        partialTokens = 0;
         notBeforeNanos = Optional.of(nowNanos + backoffNanos * failures);
         if (failures >= MAX_FAILURES) {
             fail(outcome.index(), "endpoint-failed", outcome.text());
--- a/src/main/java/org/gooseberryhill/decision/membership/Membership.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/Membership.java
@@ -167,6 +167,13 @@
                 .toList();
     }
 
+    /** All known hosts with their states. */
+    public Map<HostId, HostState> states() {
+        Map<HostId, HostState> states = new TreeMap<>();
+        peers.forEach((id, peer) -> states.put(id, peer.state));
+        return states;
+    }
+
     /** A host by its identity, dead or not. */
     public Optional<Host> find(HostId host) {
         return Optional.ofNullable(peers.get(host)).map(Peer::view);
--- a/src/main/java/org/gooseberryhill/entry/LoadReports.java
+++ b/src/main/java/org/gooseberryhill/entry/LoadReports.java
@@ -19,14 +19,20 @@
 /**
  * Tells stewards how many online requests this entry has at their endpoints. Used by the control thread only.
  *
- * <p>Invariant: an endpoint with requests in flight is reported each round, so that its steward's knowledge can't
- * outlive this host; one without is reported once more with 0 and then not at all.
+ * <p>Invariant: each change is reported at the latest with the next round, and a report that was not taken is sent again.
+ * All that is in flight is repeated each few seconds only: with a hundred requests in flight at as many endpoints, a
+ * repetition each round would cost several times what a node may spend on control (docs/CAPACITY.md). The steward drops
+ * the counts of a host that is lost by the membership.
  */
 final class LoadReports {
+    private static final int ROUNDS_PER_REFRESH = 20;
+    private static final int UNKNOWN = Integer.MAX_VALUE;
+
     private final HostProcess process;
     private final BiConsumer<Set<String>, PeerMessage.EndpointLoads> onLoads;
     private final Map<String, Integer> lastReported = new HashMap<>();
     private final Map<String, Host> stewards = new HashMap<>();
+    private long round;
     private long stewardsVersion = -1;
 
     LoadReports(HostProcess process, BiConsumer<Set<String>, PeerMessage.EndpointLoads> onLoads) {
@@ -40,12 +46,15 @@
         steward(endpoint).ifPresent(host -> send(host, Map.of(endpoint.name(), inFlight), List.of()));
     }
 
-    /** Reports all endpoints that have requests in flight, or had at the last report. */
-    void reportAll(Iterable<EndpointState> endpoints, Set<String> slow) {
+    /** Reports the endpoints whose count has changed or that are slow; now and then all with requests in flight. */
+    void reportRound(Iterable<EndpointState> endpoints, Set<String> slow) {
+        round++;
+        boolean refresh = round % ROUNDS_PER_REFRESH == 0;
         Map<Host, Map<String, Integer>> bySteward = new HashMap<>();
         for (EndpointState state : endpoints) {
-            boolean silent = state.ownInFlight() == 0 && lastReported.getOrDefault(state.name(), 0) == 0;
-            if (silent && !slow.contains(state.name())) {
+            int last = lastReported.getOrDefault(state.name(), 0);
+            boolean due = state.ownInFlight() != last || refresh && last > 0 || slow.contains(state.name());
+            if (!due) {
                 continue;
             }
             lastReported.put(state.name(), state.ownInFlight());
@@ -67,6 +76,9 @@
                 .whenComplete((reply, failure) -> process.loop().execute(() -> {
                     if (reply instanceof PeerMessage.EndpointLoads loads) {
                         onLoads.accept(asked, loads);
+                    } else {
+                        // Not taken, perhaps: a count that no endpoint can have makes the next round report again.
+                        asked.forEach(endpoint -> lastReported.put(endpoint, UNKNOWN));
                     }
                 }));
     }
--- a/src/main/java/org/gooseberryhill/entry/ModelCall.java
+++ b/src/main/java/org/gooseberryhill/entry/ModelCall.java
@@ -90,6 +90,7 @@
         private String contentType = "application/json";
         private boolean streamed;
         private boolean doneSeen;
+        private boolean tooLarge;
         private byte[] doneEvent = new byte[0];
         private int samples;
         private int samplesBeyond;
@@ -112,6 +113,8 @@
                 events.read(bytes, this::passOn);
             } else if (buffer.size() + bytes.length <= MAX_BUFFERED_BYTES) {
                 buffer.writeBytes(bytes);
+            } else {
+                tooLarge = true;
             }
         }
 
@@ -125,7 +128,7 @@
                 });
                 return;
             }
-            boolean unusable = streamed || status >= FIRST_SERVER_ERROR || streamBegun;
+            boolean unusable = tooLarge || streamed || status >= FIRST_SERVER_ERROR || streamBegun;
             if (unusable) {
                 String detail = streamed ? "the stream ended without its end mark" : "status " + status;
                 ExchangeFailure.Kind kind = ExchangeFailure.Kind.MALFORMED;
@@ -143,17 +146,17 @@
         }
 
         private void passOn(byte[] event, String token, boolean done) {
-            if (done) {
-                doneSeen = true;
-                doneEvent = event;
-                return;
-            }
             if (!streamBegun) {
                 streamBegun = true;
                 call.beginStream(OK, answerHeaders(contentType, endpoint.name()));
                 context.metrics()
                         .firstByte(intake.service(), (nowNanos() - startNanos) / (double) TimeUnit.SECONDS.toNanos(1));
             }
+            if (done) {
+                doneSeen = true;
+                doneEvent = event;
+                return;
+            }
             call.write(event);
             if (!token.isEmpty()) {
                 sample();
--- a/src/main/java/org/gooseberryhill/entry/OnlineTraffic.java
+++ b/src/main/java/org/gooseberryhill/entry/OnlineTraffic.java
@@ -105,7 +105,7 @@
     }
 
     private void reportLoads() {
-        reports.reportAll(core.endpoints().all(), tail.takeSlow());
+        reports.reportRound(core.endpoints().all(), tail.takeSlow());
     }
 
     private void takeLoads(Set<String> asked, PeerMessage.EndpointLoads loads) {
--- a/src/main/java/org/gooseberryhill/entry/ResultStream.java
+++ b/src/main/java/org/gooseberryhill/entry/ResultStream.java
@@ -20,6 +20,7 @@
  */
 final class ResultStream {
     private static final long RETRY_AFTER_MILLIS = 2000;
+    private static final int PIECE_BYTES = 1024 * 1024;
 
     private final EntryContext context;
     private final HttpCall call;
@@ -54,12 +55,16 @@
         });
     }
 
+    /** Writes a chunk in pieces, each when the one before is taken: a whole one may be more than may wait. */
     private void write(int chunk, byte[] lines) {
-        call.write(lines).whenComplete((done, failure) -> {
+        byte[] piece = Arrays.copyOfRange(lines, 0, Math.min(PIECE_BYTES, lines.length));
+        call.write(piece).whenComplete((done, failure) -> {
             if (failure != null) {
                 return;
             }
-            if (chunk + 1 == chunks.size()) {
+            if (piece.length < lines.length) {
+                write(chunk, Arrays.copyOfRange(lines, piece.length, lines.length));
+            } else if (chunk + 1 == chunks.size()) {
                 call.endStream();
             } else {
                 fetch(chunk + 1).whenComplete((content, fetchFailure) -> {
--- a/src/main/java/org/gooseberryhill/peer/PeerCodec.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerCodec.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.peer;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
@@ -13,6 +14,9 @@
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
 import java.util.List;
+import org.gooseberryhill.decision.configuration.TextChange;
+import org.gooseberryhill.decision.job.WorkItem;
+import org.gooseberryhill.decision.membership.Rumor;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Turns frames into MessagePack behind a four-byte length, and back. One for each connection. */
@@ -25,6 +29,12 @@
             .registerModule(new Jdk8Module())
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+    static {
+        List.of(Rumor.class, WorkItem.class, TextChange.class)
+                .forEach(type ->
+                        MAPPER.configOverride(type).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY)));
+    }
+
     private final PeerTraffic traffic;
 
     private PeerCodec(PeerTraffic traffic) {
--- a/src/main/java/org/gooseberryhill/peer/PeerFrame.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerFrame.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.peer;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.HybridTimestamp;
 
@@ -12,4 +13,5 @@
  * @param from the sender
  * @param message what is said
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record PeerFrame(long number, boolean reply, HybridTimestamp at, HostId from, PeerMessage message) {}
--- a/src/main/java/org/gooseberryhill/peer/PeerMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.peer;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -14,9 +15,13 @@
 /**
  * What the system's processes say to each other. Immutable.
  *
+ * <p>On the wire a message is an array of its fields in their order, since names would be most of a small message's
+ * bytes. A field that is added goes to the end: an older process passes over it, a newer one reads its absence.
+ *
  * <p>Requests and their replies: each message names its reply; where none is named it is {@link Ack}.
  */
-@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonSubTypes({
     @JsonSubTypes.Type(value = PeerMessage.Ack.class, name = "ack"),
     @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "fail"),
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -285,6 +285,7 @@
         if (membership.version() != seenMembershipVersion) {
             seenMembershipVersion = membership.version();
             presentStores = present(Role.STORE);
+            membershipDriver.recordChanges();
             membershipListeners.forEach(Runnable::run);
         }
     }
--- a/src/main/java/org/gooseberryhill/process/LeaseKeeper.java
+++ b/src/main/java/org/gooseberryhill/process/LeaseKeeper.java
@@ -47,11 +47,18 @@
         return guard.usable(process.loop().nowNanos());
     }
 
-    /** Gives the lease back at a planned stop, so that others need not wait for its end. */
-    public void release() {
+    /** Gives the lease back at a planned stop, so that others need not wait for its end; then runs the action. */
+    public void release(Runnable then) {
         released = true;
-        guard.granted().ifPresent(lease -> process.keyValue().revokeLease(lease));
+        Optional<Long> lease = guard.granted();
         guard.lost();
+        if (lease.isEmpty()) {
+            then.run();
+            return;
+        }
+        process.keyValue()
+                .revokeLease(lease.get())
+                .whenComplete((done, failure) -> process.loop().execute(then));
     }
 
     private void renew() {
--- a/src/main/java/org/gooseberryhill/process/MembershipDriver.java
+++ b/src/main/java/org/gooseberryhill/process/MembershipDriver.java
@@ -102,12 +102,11 @@
                 process.loop().nowNanos());
         process.configuration().heardRevision(from, heartbeat.configurationRevision());
         workListeners.forEach(listener -> listener.accept(from, heartbeat.work()));
-        recordChange(from);
-        heartbeat.rumors().forEach(rumor -> recordChange(rumor.host()));
     }
 
-    private void recordChange(HostId host) {
-        process.membership().stateOf(host).ifPresent(state -> {
+    /** Writes what changed in the view onto the time line. */
+    void recordChanges() {
+        process.membership().states().forEach((host, state) -> {
             HostState before = lastStates.put(host, state);
             if (before != null && before != state) {
                 process.timeline().event("membership." + state.name().toLowerCase(Locale.ROOT), host.value());
--- a/src/main/java/org/gooseberryhill/steward/BatchDriver.java
+++ b/src/main/java/org/gooseberryhill/steward/BatchDriver.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.stream.Collectors;
 import org.gooseberryhill.configuration.Configuration;
 import org.gooseberryhill.configuration.EndpointSettings;
 import org.gooseberryhill.configuration.ServiceSettings;
@@ -169,6 +170,8 @@
             }
         }
         endpoints.keySet().retainAll(own);
+        Set<HostId> entries = process.present(Role.ENTRY).stream().map(Host::id).collect(Collectors.toSet());
+        endpoints.values().forEach(endpoint -> endpoint.entriesPresent(entries));
         applyLeaving();
     }
 
--- a/src/main/java/org/gooseberryhill/steward/StewardProcess.java
+++ b/src/main/java/org/gooseberryhill/steward/StewardProcess.java
@@ -28,6 +28,7 @@
     private final JobScan jobScan;
     private final OrderDriver orders;
     private final Map<String, SuspectArbiter> arbiters = new HashMap<>();
+    private boolean releasing;
     private boolean released;
 
     /** A process that is not started yet. */
@@ -79,9 +80,9 @@
         }
         // Batch items go on elsewhere from where they were, so a stop needs not wait for them to end here.
         batch.yieldAll();
-        if (!released && jobs.handOver()) {
-            released = true;
-            lease.release();
+        if (!releasing && jobs.handOver()) {
+            releasing = true;
+            lease.release(() -> released = true);
         }
         process.advanceStop(batch.inProgress() + (released ? 0 : 1));
     }
--- a/src/test/java/org/gooseberryhill/decision/job/OwnedJobTest.java
+++ b/src/test/java/org/gooseberryhill/decision/job/OwnedJobTest.java
@@ -69,6 +69,17 @@
         assertThat(item.suspect()).isFalse();
     }
 
+    /** An engine can't continue the item from where it was; the next try begins anew instead of failing like it. */
+    @Test
+    void anItemThatFailedBeginsAnew() {
+        WorkItem item = take();
+        job.report(new ItemOutcome(0, FENCE, item.handout(), ItemEnd.YIELDED, "so far", 2), now);
+        report(take(), ItemEnd.FAILED);
+        later();
+
+        assertThat(take().partial()).isEmpty();
+    }
+
     /** A steward was thought lost, its item runs elsewhere, and then its late report comes: it changes nothing. */
     @Test
     void aReportOfAnEarlierHandOutChangesNothing() {
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/standin/EngineStandinTest.java
@@ -0,0 +1,51 @@
+package org.gooseberryhill.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.http.ExchangeRequest;
+import org.gooseberryhill.http.HttpClient;
+import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.link.Json;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EngineStandinTest {
+    private static final int TOKENS = 6;
+
+    private final EventLoopGroup group = Loopback.group();
+    private final EngineStandin engine = new EngineStandin(group, Loopback.freeAddress(), new EngineSpeed(4, 1, 16, 4));
+    private final HttpClient http = new HttpClient(group);
+
+    @AfterEach
+    void close() {
+        http.close();
+        engine.close();
+        group.shutdownGracefully();
+    }
+
+    /** A stream is cut after some tokens and resumed; also after the last one, when only the end mark was missing. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 5, 6})
+    void aResumedStreamHasTheRestAndTheEndMark(int resumeFrom) {
+        byte[] body = Json.bytes(Map.of("prompt", "a long prompt ".repeat(20), "max_tokens", TOKENS, "stream", true));
+        ExchangeRequest request = new ExchangeRequest(
+                engine.address(),
+                "POST",
+                "/v1/completions",
+                Map.of("x-resume-from", Integer.toString(resumeFrom)),
+                body,
+                2000,
+                false);
+
+        HttpResult result = http.call(request, 100_000).join();
+
+        String text = new String(result.body(), StandardCharsets.UTF_8);
+        assertThat(text.split("\"content\"", -1)).hasSize(1 + TOKENS - resumeFrom);
+        assertThat(text).endsWith("data: [DONE]\n\n");
+    }
+}
