Offer work when it begins, not for each item that yields

Cause: each yielded item made its owner tell all stewards that items wait. Worked out at the planned size: a burst that makes a thousand items yield would send 380,000 messages just when hosts are busy. Change: an offer goes out when a service begins to have waiting items, not again before they have run out, and at most four times a second (WorkOffersTest: a thousand yields in a second make 4 offers, 1,000 before by construction). Ruled out: offers on heartbeats alone (an idle slot would wait for seconds).

--- a/src/main/java/org/gooseberryhill/steward/JobOwner.java
+++ b/src/main/java/org/gooseberryhill/steward/JobOwner.java
@@ -19,6 +19,7 @@
 import org.gooseberryhill.decision.job.JobState;
 import org.gooseberryhill.decision.job.OwnedJob;
 import org.gooseberryhill.decision.job.WorkItem;
+import org.gooseberryhill.decision.job.WorkOffers;
 import org.gooseberryhill.decision.membership.HostState;
 import org.gooseberryhill.decision.ownership.Ownership;
 import org.gooseberryhill.host.Host;
@@ -52,6 +53,7 @@
     private final LeaseKeeper lease;
     private final StewardSettings settings;
     private final JobBoard board;
+    private final WorkOffers offers = new WorkOffers();
     private final JobSegments segments;
     private final Set<JobKey> claiming = new HashSet<>();
     private boolean handingOver;
@@ -81,8 +83,12 @@
     }
 
     List<WorkItem> take(HostId steward, PeerMessage.ItemsAsk question) {
-        return board.take(
-                question.service(), question.max(), steward, process.loop().nowNanos(), System.currentTimeMillis());
+        long now = process.loop().nowNanos();
+        List<WorkItem> items = board.take(question.service(), question.max(), steward, now, System.currentTimeMillis());
+        if (!board.waitingWork(now).containsKey(question.service())) {
+            offers.drained(question.service());
+        }
+        return items;
     }
 
     void report(PeerMessage.ItemReport report) {
@@ -249,6 +255,9 @@
     }
 
     private void offerWork(OwnedJob job) {
+        if (!offers.waiting(job.record().service(), process.loop().nowNanos())) {
+            return;
+        }
         PeerMessage notice =
                 new PeerMessage.WorkNotice(job.record().service(), job.record().dueMillis());
         process.present(Role.STEWARD).stream()
@@ -273,6 +282,9 @@
         for (OwnedJob job : board.jobs()) {
             job.takeBackOlderThan(settings.maxHandoutMillis(), now);
             segments.loadMore(job);
+            if (job.hasWaiting(now)) {
+                offerWork(job);
+            }
         }
         handOverForeign();
     }
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/job/WorkOffersTest.java
@@ -0,0 +1,36 @@
+package org.gooseberryhill.decision.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class WorkOffersTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final WorkOffers offers = new WorkOffers();
+
+    @Test
+    void workIsOfferedOnceUntilItHasRunOut() {
+        assertThat(offers.waiting("s", 0)).isTrue();
+        assertThat(offers.waiting("s", 1000 * MILLI)).isFalse();
+        assertThat(offers.waiting("other", 1000 * MILLI)).isTrue();
+        offers.drained("s");
+
+        assertThat(offers.waiting("s", 2000 * MILLI)).isTrue();
+    }
+
+    /** A burst makes hundreds of items yield, one after the other, and each is taken at once: few offers go out. */
+    @Test
+    void aStormOfYieldsMakesFewOffers() {
+        int made = 0;
+        for (int milli = 0; milli < 1000; milli++) {
+            if (offers.waiting("s", milli * MILLI)) {
+                made++;
+            }
+            offers.drained("s");
+        }
+
+        assertThat(made).isEqualTo(4);
+    }
+}
