--- a/src/main/java/org/gooseberryhill/decision/job/DispatchContext.java
+++ b/src/main/java/org/gooseberryhill/decision/job/DispatchContext.java
@@ -7,6 +7,5 @@
  *
  * @param nowMillis the wall-clock time, in epoch milliseconds, since due times are given in it
  * @param runningByCaller items in flight by caller
- * @param meanItemMillis the mean run time of an item
  */
-public record DispatchContext(long nowMillis, Map<String, Integer> runningByCaller, double meanItemMillis) {}
+public record DispatchContext(long nowMillis, Map<String, Integer> runningByCaller) {}
--- a/src/main/java/org/gooseberryhill/decision/job/EarliestDeadlineFairOrder.java
+++ b/src/main/java/org/gooseberryhill/decision/job/EarliestDeadlineFairOrder.java
@@ -30,7 +30,7 @@
 
     static boolean isUrgent(OwnedJob job, DispatchContext context) {
         long leftMillis = job.record().dueMillis() - context.nowMillis();
-        double neededMillis = job.remainingItems() * context.meanItemMillis() / Math.max(1, job.running());
+        double neededMillis = job.remainingItems() * job.meanItemMillis() / Math.max(1, job.running());
         return neededMillis > URGENT_SHARE * leftMillis;
     }
 }
--- a/src/main/java/org/gooseberryhill/decision/job/ItemSlot.java
+++ b/src/main/java/org/gooseberryhill/decision/job/ItemSlot.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.decision.job;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Json;
 
@@ -68,6 +69,10 @@
         return crashes > 0;
     }
 
+    double ranMillis(long nowNanos) {
+        return (double) (nowNanos - handedOutNanos) / TimeUnit.MILLISECONDS.toNanos(1);
+    }
+
     boolean isOlderThan(long ageNanos, long nowNanos) {
         return nowNanos - handedOutNanos > ageNanos;
     }
--- a/src/main/java/org/gooseberryhill/decision/job/JobBoard.java
+++ b/src/main/java/org/gooseberryhill/decision/job/JobBoard.java
@@ -12,11 +12,8 @@
 
 /** All jobs that one host owns, and which of their items runs next. Not thread-safe. */
 public final class JobBoard {
-    private static final double INITIAL_ITEM_MILLIS = 1000;
-
     private final DispatchOrder order;
     private final Map<JobKey, OwnedJob> jobs = new LinkedHashMap<>();
-    private double meanItemMillis = INITIAL_ITEM_MILLIS;
 
     /** An empty board. */
     public JobBoard(DispatchOrder order) {
@@ -51,8 +48,8 @@
         List<OwnedJob> ready = new ArrayList<>(ready(service, nowNanos));
         Map<String, Integer> running = runningByCaller();
         while (items.size() < max && !ready.isEmpty()) {
-            OwnedJob job = order.pick(ready, new DispatchContext(nowMillis, running, meanItemMillis))
-                    .orElseThrow();
+            OwnedJob job =
+                    order.pick(ready, new DispatchContext(nowMillis, running)).orElseThrow();
             job.take(steward, nowNanos).ifPresent(item -> {
                 items.add(item);
                 running.merge(job.key().caller(), 1, Integer::sum);
@@ -80,11 +77,6 @@
         jobs.values().forEach(job -> job.stewardLost(steward));
     }
 
-    /** Learns how long an item ran, in milliseconds. */
-    public void itemRan(double millis) {
-        meanItemMillis += (millis - meanItemMillis) / 16;
-    }
-
     private List<OwnedJob> ready(String service, long nowNanos) {
         return jobs.values().stream()
                 .filter(job -> job.record().service().equals(service) && job.hasWaiting(nowNanos))
--- a/src/main/java/org/gooseberryhill/decision/job/OwnedJob.java
+++ b/src/main/java/org/gooseberryhill/decision/job/OwnedJob.java
@@ -24,6 +24,10 @@
     /** Chunks in memory at once. */
     static final int CHUNK_WINDOW = 4;
 
+    /** Taken for the time of an item until some have run. */
+    private static final double INITIAL_ITEM_MILLIS = 1000;
+
+    private static final double MEAN_WEIGHT = 1.0 / 16;
     private static final long BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final JobKey key;
@@ -36,6 +40,7 @@
     private final WaitingItems waiting = new WaitingItems();
     private long handouts;
     private int completedItems;
+    private double meanItemMillis = INITIAL_ITEM_MILLIS;
     private int running;
     private boolean stopped;
 
@@ -91,6 +96,11 @@
         return record.items() - completedItems;
     }
 
+    /** The mean time of an item from its hand-out to its completion, in milliseconds; newer items weigh more. */
+    public double meanItemMillis() {
+        return meanItemMillis;
+    }
+
     /** Whether each chunk is committed. */
     public boolean isComplete() {
         return closedChunks.cardinality() == record.chunks().size();
@@ -151,6 +161,7 @@
             return Optional.empty();
         }
         completedItems++;
+        learnItemTime(slot.get().ranMillis(nowNanos));
         return closeIfWhole(outcome.index() / record.chunkItems());
     }
 
@@ -197,6 +208,10 @@
         running = 0;
     }
 
+    private void learnItemTime(double millis) {
+        meanItemMillis += MEAN_WEIGHT * (millis - meanItemMillis);
+    }
+
     private Optional<ChunkResult> closeIfWhole(int chunk) {
         List<ItemSlot> slots = openChunks.get(chunk);
         boolean whole = slots.stream().allMatch(slot -> slot.completion().isPresent());
--- a/src/test/java/org/gooseberryhill/decision/job/OwnedJobTest.java
+++ b/src/test/java/org/gooseberryhill/decision/job/OwnedJobTest.java
@@ -4,6 +4,7 @@
 
 import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -141,6 +142,21 @@
         assertThat(named).isEqualTo(OwnedJob.CHUNK_WINDOW);
     }
 
+    /** Items of this job take a minute each: what seemed to have time enough has not, and the job becomes urgent. */
+    @Test
+    void aJobWhoseItemsAreSlowBecomesUrgent() {
+        OwnedJob slow = loaded(job("caller", 100, 200_000));
+        DispatchContext context = new DispatchContext(0, Map.of());
+        assertThat(EarliestDeadlineFairOrder.isUrgent(slow, context)).isFalse();
+        for (int i = 0; i < 8; i++) {
+            WorkItem item = slow.take(STEWARD, now).orElseThrow();
+            now += TimeUnit.SECONDS.toNanos(60);
+            slow.report(new ItemOutcome(item.index(), FENCE, item.handout(), ItemEnd.COMPLETED, "", 1), now);
+        }
+
+        assertThat(EarliestDeadlineFairOrder.isUrgent(slow, context)).isTrue();
+    }
+
     @Test
     void urgentJobsGoFirstAndOtherwiseCallersTakeTurns() {
         JobBoard board = new JobBoard(new EarliestDeadlineFairOrder());
