--- a/src/main/java/org/gooseberryhill/entry/EntryProcess.java
+++ b/src/main/java/org/gooseberryhill/entry/EntryProcess.java
@@ -15,7 +15,7 @@
 
 /** The program {@code gooseberry-entry}. Thread-safe. */
 public final class EntryProcess implements Closeable {
-    private static final long STOP_CHECK_MILLIS = 50;
+    private static final long STOP_CHECK_MILLIS = 200;
 
     private final HostProcess process;
     private final EntryContext context;
--- a/src/main/java/org/gooseberryhill/steward/BatchDriver.java
+++ b/src/main/java/org/gooseberryhill/steward/BatchDriver.java
@@ -35,7 +35,7 @@
  * endpoint for a moment cost throughput, never correctness: an item's completion is decided by its owner.
  */
 final class BatchDriver {
-    private static final long PULL_PERIOD_MILLIS = 20;
+    private static final long PULL_PERIOD_MILLIS = 100;
     private static final int MAX_ITEMS_PER_ASK = 32;
     private static final long UNREACHABLE_PAUSE_MILLIS = 1000;
 
@@ -119,6 +119,8 @@
                 leavingThere.add(name);
             }
         });
+        // Slots that online work has just left are filled at once; the timer is only the net below.
+        pull();
         return new PeerMessage.EndpointLoads(online, batch, leavingThere);
     }
 
--- a/src/main/java/org/gooseberryhill/steward/StewardProcess.java
+++ b/src/main/java/org/gooseberryhill/steward/StewardProcess.java
@@ -18,7 +18,7 @@
 
 /** The program {@code gooseberry-steward}. Thread-safe. */
 public final class StewardProcess implements Closeable {
-    private static final long STOP_CHECK_MILLIS = 50;
+    private static final long STOP_CHECK_MILLIS = 200;
     private static final long SUSPECT_GRANT_MILLIS = 30_000;
 
     private final HostProcess process;
--- a/src/main/java/org/gooseberryhill/store/StoreProcess.java
+++ b/src/main/java/org/gooseberryhill/store/StoreProcess.java
@@ -19,7 +19,7 @@
 public final class StoreProcess implements Closeable {
     private static final Logger LOG = LogManager.getLogger(StoreProcess.class);
     private static final int DISK_THREADS = 4;
-    private static final long STOP_CHECK_MILLIS = 50;
+    private static final long STOP_CHECK_MILLIS = 200;
 
     private final HostProcess process;
     private final SegmentFolder folder;
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/platform/HostListContractTest.java
@@ -0,0 +1,68 @@
+package org.gooseberryhill.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.http.HttpClient;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.standin.HostListStandin;
+import org.gooseberryhill.standin.SampleFleet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What the system relies on from the platform's host list; the stand-in passes it too. */
+class HostListContractTest {
+    private static final long LONG_LAG_MILLIS = 60_000;
+
+    private final EventLoopGroup group = Loopback.group();
+    private final Address address = Loopback.freeAddress();
+    private final HostListStandin standin = new HostListStandin(group, address, 0);
+    private final HttpClient http = new HttpClient(group);
+    private final HostList hostList = new HttpHostList(http, address, 500);
+    private final List<Host> hosts = new SampleFleet(20_000, 1).hosts(1, 1, 1);
+
+    @AfterEach
+    void close() {
+        http.close();
+        standin.close();
+        group.shutdownGracefully();
+    }
+
+    @Test
+    void hostsComeWithTheirRolesZonesAndAddresses() {
+        standin.start(hosts);
+
+        assertThat(hostList.read().join().hosts()).isEqualTo(hosts);
+    }
+
+    @Test
+    void aLeavingEndpointIsNamed() {
+        standin.leaving("tutor-00");
+
+        Loopback.await(
+                "the leaving endpoint",
+                () -> hostList.read().join().leavingEndpoints().contains("tutor-00"));
+    }
+
+    /** The list lags: a change does not show yet, and what was there before still does. */
+    @Test
+    void aChangeShowsOnlyAfterTheLag() {
+        standin.start(hosts);
+        standin.lag(LONG_LAG_MILLIS);
+        standin.leaving("tutor-00");
+
+        assertThat(hostList.read().join().leavingEndpoints()).isEmpty();
+        assertThat(hostList.read().join().hosts()).hasSize(3);
+    }
+
+    @Test
+    void aListThatDoesNotAnswerIsAFailure() {
+        standin.close();
+
+        assertThatThrownBy(() -> hostList.read().join()).hasCauseInstanceOf(PlatformException.class);
+    }
+}
