One probe class for slopes, one place for sample requests

Cause: the list of duplicates showed three probe classes that differed by a function only, and the body of a sample chat written four times. Conclusion: a clean-up, no behaviour changed.

--- a/src/main/java/org/gooseberryhill/load/OnlineSender.java
+++ b/src/main/java/org/gooseberryhill/load/OnlineSender.java
@@ -66,15 +66,7 @@
         }
         String prompt = text(kind.name() + " " + arrival.number(), kind.promptCharacters());
         CheckedStream stream = new CheckedStream(SampleAnswers.chat(prompt, kind.tokens()), intended);
-        byte[] body = Json.bytes(Map.of(
-                "model",
-                SampleFleet.MODEL.model(),
-                "stream",
-                true,
-                "max_tokens",
-                kind.tokens(),
-                "messages",
-                List.of(Map.of("role", "user", "content", prompt))));
+        byte[] body = SampleAnswers.chatBody(prompt, kind.tokens());
         open.add(stream.result().thenAccept(measurement::answered));
         models.get(arrival.number() % models.size()).start("POST", "/v1/chat/completions", body, stream);
     }
--- a/src/main/java/org/gooseberryhill/load/slope/SlopeProbes.java
+++ b/src/main/java/org/gooseberryhill/load/slope/SlopeProbes.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import java.util.function.ToDoubleFunction;
 import org.gooseberryhill.configuration.ConfigurationReader;
 import org.gooseberryhill.contract.JobKey;
 import org.gooseberryhill.decision.configuration.ConfigurationInForce;
@@ -32,6 +34,11 @@
 
 /** All probes that docs/CAPACITY.md stands on. Stateless. */
 public final class SlopeProbes {
+    private static final int PLANNED_ENDPOINTS = 2600;
+    private static final int PLANNED_CALLERS = 2400;
+    private static final String VARIED_TEXT = "endpoints (with 2400 callers per 2600 of them)";
+    private static final List<Integer> TEXT_SIZES = List.of(130, 650, 1300, 2600);
+    private static final List<Integer> MESSAGE_SIZES = List.of(0, 1, 2, 4, 8);
     private static final int TIMED_RUNS = 15;
     private static final double NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     private static final int ITEMS = 296;
@@ -42,20 +49,16 @@
     /** The probes; the last one starts small systems on 100 ports from the base port. */
     public static List<SlopeProbe> all(int basePort) {
         return List.of(
-                new MessageBytesProbe("heartbeat", "rumors", SlopeProbes::heartbeat),
-                new MessageBytesProbe("online load report", "endpoints", SlopeProbes::onlineLoad),
-                new MessageBytesProbe("answer to a load report", "endpoints", SlopeProbes::endpointLoads),
-                new TextProbe("operators' text", "bytes", String::length),
-                new TextProbe("stored configuration", "bytes", SlopeProbes::storedBytes),
-                new TextProbe("push of a one-line change", "bytes", SlopeProbes::pushBytes),
-                new TextProbe("reading a changed text", "ms", SlopeProbes::readMillis),
-                new HeapProbe(
-                        "configuration and routing table",
-                        "endpoints (with 2400 callers per 2600 of them)",
-                        List.of(130, 650, 1300, 2600),
-                        SlopeProbes::routingTable),
-                new HeapProbe("membership", "hosts", List.of(50, 100, 200, 380), SlopeProbes::membership),
-                new HeapProbe(
+                message("heartbeat", "rumors", SlopeProbes::heartbeat),
+                message("online load report", "endpoints", SlopeProbes::onlineLoad),
+                message("answer to a load report", "endpoints", SlopeProbes::endpointLoads),
+                text("operators' text", "bytes", String::length),
+                text("stored configuration", "bytes", SlopeProbes::storedBytes),
+                text("push of a one-line change", "bytes", SlopeProbes::pushBytes),
+                text("reading a changed text", "ms", SlopeProbes::readMillis),
+                heap("configuration and routing table", VARIED_TEXT, TEXT_SIZES, SlopeProbes::routingTable),
+                heap("membership", "hosts", List.of(50, 100, 200, 380), SlopeProbes::membership),
+                heap(
                         "owned jobs of " + ITEMS + " items of " + ITEM_BYTES + " bytes",
                         "jobs",
                         List.of(10, 40, 80, 142),
@@ -63,6 +66,34 @@
                 new SystemCallsProbe(basePort));
     }
 
+    /** The bytes of a peer message with a number of entries, framing included. */
+    private static SlopeProbe message(String name, String varied, IntFunction<PeerMessage> builder) {
+        return new MeasuredProbe(
+                name, "bytes", varied, MESSAGE_SIZES, size -> PeerMessageSize.bytes(builder.apply(size)));
+    }
+
+    /** A cost of the operators' text with a number of endpoints, and callers in the planned proportion. */
+    private static SlopeProbe text(String name, String unit, ToDoubleFunction<String> cost) {
+        return new MeasuredProbe(
+                name,
+                unit,
+                VARIED_TEXT,
+                TEXT_SIZES,
+                size -> cost.applyAsDouble(SampleTexts.configuration(size, callersFor(size))));
+    }
+
+    /** The live heap of a table with a number of entries; built once before, so that classes don't count. */
+    private static SlopeProbe heap(String name, String varied, List<Integer> sizes, IntFunction<Object> builder) {
+        return new MeasuredProbe(name, "bytes of live heap", varied, sizes, size -> {
+            builder.apply(size);
+            return LiveHeap.bytesOf(() -> builder.apply(size));
+        });
+    }
+
+    private static int callersFor(int endpoints) {
+        return endpoints * PLANNED_CALLERS / PLANNED_ENDPOINTS;
+    }
+
     private static PeerMessage heartbeat(int rumors) {
         List<Rumor> list = new ArrayList<>();
         for (int i = 0; i < rumors; i++) {
@@ -111,7 +142,7 @@
     }
 
     private static Object routingTable(int endpoints) {
-        String text = SampleTexts.configuration(endpoints, endpoints * 2400 / 2600);
+        String text = SampleTexts.configuration(endpoints, callersFor(endpoints));
         ConfigurationInForce inForce = new ConfigurationInForce();
         inForce.offer(1, text);
         EndpointTable table = new EndpointTable();
--- a/src/main/java/org/gooseberryhill/program/DemoCommand.java
+++ b/src/main/java/org/gooseberryhill/program/DemoCommand.java
@@ -118,7 +118,8 @@
             }
             String prompt = "critique of sketch " + i;
             CheckedStream stream = new CheckedStream(SampleAnswers.chat(prompt, REQUEST_TOKENS), System.nanoTime());
-            callers.get(i % callers.size()).start("POST", "/v1/chat/completions", chat(prompt, REQUEST_TOKENS), stream);
+            callers.get(i % callers.size())
+                    .start("POST", "/v1/chat/completions", SampleAnswers.chatBody(prompt, REQUEST_TOKENS), stream);
             answers.add(stream.result());
             Thread.sleep(REQUEST_PERIOD_MILLIS);
         }
@@ -191,18 +192,6 @@
         return "portfolio " + name + " " + index;
     }
 
-    private static byte[] chat(String prompt, int tokens) {
-        return Json.bytes(Map.of(
-                "model",
-                "tutor-7b",
-                "stream",
-                true,
-                "max_tokens",
-                tokens,
-                "messages",
-                List.of(Map.of("role", "user", "content", prompt))));
-    }
-
     private static String engine(int number) {
         return SampleFleet.engineName(number);
     }
--- a/src/test/java/org/gooseberryhill/program/FleetProcessesTest.java
+++ b/src/test/java/org/gooseberryhill/program/FleetProcessesTest.java
@@ -64,7 +64,7 @@
             List<CompletableFuture<CheckedStream.Result>> answers = new ArrayList<>();
             for (int i = 0; i < 40; i++) {
                 CheckedStream stream = new CheckedStream(SampleAnswers.chat("sketch " + i, 20), System.nanoTime());
-                tutor.start("POST", "/v1/chat/completions", SystemFixture.chatBody("sketch " + i, 20), stream);
+                tutor.start("POST", "/v1/chat/completions", SampleAnswers.chatBody("sketch " + i, 20), stream);
                 answers.add(stream.result());
             }
             assertThat(answers).allMatch(answer -> answer.join().end() == End.WHOLE);
--- a/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
@@ -16,6 +16,7 @@
 import org.gooseberryhill.standin.EngineStandin;
 import org.gooseberryhill.standin.KeyValueFaults;
 import org.gooseberryhill.standin.PlainServiceStandin;
+import org.gooseberryhill.standin.SampleAnswers;
 import org.gooseberryhill.standin.SampleFleet;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -186,7 +187,7 @@
         List<Integer> statuses = new ArrayList<>();
         for (int attempt = 0; attempt < 9; attempt++) {
             try (EntryClient client = fixture.system.client(attempt % 3, SampleFleet.TUTORS_KEY)) {
-                statuses.add(client.call("POST", "/v1/chat/completions", SystemFixture.chatBody("poison", 20))
+                statuses.add(client.call("POST", "/v1/chat/completions", SampleAnswers.chatBody("poison", 20))
                         .status());
             }
         }
@@ -261,7 +262,7 @@
 
         assertThat(answers).allMatch(answer -> answer.join().end() == End.WHOLE);
         fixture.system.entries().get(0).process().ended().join();
-        HttpResult refused = late.call("POST", "/v1/chat/completions", SystemFixture.chatBody("late", 4));
+        HttpResult refused = late.call("POST", "/v1/chat/completions", SampleAnswers.chatBody("late", 4));
         assertThat(refused.status()).isEqualTo(503);
         assertThat(SystemFixture.error(refused).path("code").asText()).isEqualTo("stopping");
         late.close();
@@ -295,7 +296,7 @@
         HttpResult large = fixture.tutor.call("POST", "/v1/completions", new byte[5 * 1024 * 1024]);
         assertThat(large.status()).isEqualTo(413);
         assertThat(fixture.student
-                        .call("POST", "/v1/completions", SystemFixture.chatBody("x", 1))
+                        .call("POST", "/v1/completions", SampleAnswers.chatBody("x", 1))
                         .status())
                 .isEqualTo(404);
     }
--- a/src/test/java/org/gooseberryhill/program/SystemFixture.java
+++ b/src/test/java/org/gooseberryhill/program/SystemFixture.java
@@ -150,22 +150,10 @@
 
     CompletableFuture<CheckedStream.Result> stream(EntryClient client, String prompt, int tokens) {
         CheckedStream stream = new CheckedStream(SampleAnswers.chat(prompt, tokens), System.nanoTime());
-        client.start("POST", "/v1/chat/completions", chatBody(prompt, tokens), stream);
+        client.start("POST", "/v1/chat/completions", SampleAnswers.chatBody(prompt, tokens), stream);
         return stream.result();
     }
 
-    static byte[] chatBody(String prompt, int tokens) {
-        return Json.bytes(Map.of(
-                "model",
-                "tutor-7b",
-                "stream",
-                true,
-                "max_tokens",
-                tokens,
-                "messages",
-                List.of(Map.of("role", "user", "content", prompt))));
-    }
-
     HttpResult book(EntryClient client, String seat, String key) {
         byte[] body = Json.bytes(Map.of("seat", seat));
         return client.call("POST", "/services/bookings/bookings", body, Map.of("idempotency-key", key));
