Prove the loss of an entry inside a submission and under a booking

Cause: both stood in docs/PROOFS.md as not brought about over the wire. Ruled out: nothing was changed in the product. Conclusion: kept as proofs.

--- a/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +14,7 @@
 import java.util.stream.Stream;
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.http.HttpResult;
+import org.gooseberryhill.link.Address;
 import org.gooseberryhill.standin.EngineFaults;
 import org.gooseberryhill.standin.EngineStandin;
 import org.gooseberryhill.standin.KeyValueFaults;
@@ -124,6 +126,39 @@
         assertThat(fixture.rightResults("lot")).isEqualTo(ITEMS);
     }
 
+    /**
+     * The entry is lost in the middle of a submission. Nothing of it counts; the caller sends the whole again through
+     * another entry, and that is the job.
+     */
+    @Test
+    void aSubmissionThroughALostEntryIsSentAgainAndIsOneJob() throws IOException {
+        byte[] body = SystemFixture.jobBody("lot", ITEMS, "portfolio");
+        Address first = fixture.system.fleet().entryHttp(0);
+        try (Socket socket = new Socket(first.ip(), first.port())) {
+            String head = "PUT /v1/jobs/lot?model=tutor-7b HTTP/1.1\r\nhost: x\r\nauthorization: Bearer "
+                    + SampleFleet.COORDINATORS_KEY + "\r\ncontent-length: " + body.length + "\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(body, 0, body.length / 2);
+            socket.getOutputStream().flush();
+            Loopback.await("a first segment", () -> distinctSegments(List.of(0, 1, 2)) > 0);
+            fixture.system.entries().get(0).close();
+        }
+        try (EntryClient other = fixture.system.client(1, SampleFleet.COORDINATORS_KEY)) {
+            assertThat(other.call("GET", "/v1/jobs/lot", new byte[0]).status()).isEqualTo(404);
+            assertThat(fixture.submit(other, "lot", ITEMS).status()).isEqualTo(201);
+            Loopback.await(
+                    "the end of the job",
+                    () -> new String(
+                                    other.call("GET", "/v1/jobs/lot", new byte[0])
+                                            .body(),
+                                    StandardCharsets.UTF_8)
+                            .contains("\"state\":\"done\""));
+            byte[] results =
+                    other.call("GET", "/v1/jobs/lot/results", new byte[0]).body();
+            assertThat(new String(results, StandardCharsets.UTF_8).split("\n")).hasSize(ITEMS);
+        }
+    }
+
     /** The caller sends the same job through two hosts at once, then another body under the same id. */
     @Test
     void aResentJobIsTheSameJobAndAnotherBodyIsAConflict() {
--- a/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/OnlineFailuresTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -132,6 +133,25 @@
         assertThat(fixture.bookings("seat-4")).isEqualTo(1);
     }
 
+    /**
+     * The entry is lost while the booking that it claimed and sent is on its way. The student sends it again through
+     * another entry and hears that it may have run; the seat is booked once.
+     */
+    @Test
+    void aBookingWhoseEntryIsLostIsNotRepeated() {
+        fixture.system.platform().plainServices().forEach(service -> service.holdAnswers(1));
+        CompletableFuture<HttpResult> first =
+                CompletableFuture.supplyAsync(() -> fixture.book(fixture.student, "seat-7", "key-7"));
+        Loopback.await("the booking", () -> fixture.bookings("seat-7") == 1);
+        fixture.system.entries().get(0).close();
+        HttpResult second = resend("seat-7", "key-7");
+
+        assertThat(first).failsWithin(Duration.ofSeconds(30));
+        assertThat(second.status()).isEqualTo(409);
+        assertThat(SystemFixture.error(second).path("outcome").asText()).isEqualTo("may-have-run");
+        assertThat(fixture.bookings("seat-7")).isEqualTo(1);
+    }
+
     /** The key-value service is out: the booking can't be claimed and is refused as not run, which is true. */
     @Test
     void duringAnOutageABookingIsRefusedAsNotRun() {
