Prove that a cancel holds when its owner does not hear of it

Two were tried: without the stop's flag OwnedJobTest stayed green, and without the record's revision in the commit's conditions JobFailuresTest.aCancelledJobStops stayed green, since the notice stops the owner first. Change: a test in which a chunk comes after the stop, and one in which the record is cancelled and no notice is sent.

--- a/src/test/java/org/gooseberryhill/decision/job/OwnedJobTest.java
+++ b/src/test/java/org/gooseberryhill/decision/job/OwnedJobTest.java
@@ -131,6 +131,16 @@
         assertThat(report(item, ItemEnd.COMPLETED)).isEmpty();
     }
 
+    /** A chunk was on its way from a store when the job was cancelled: it brings nothing to hand out. */
+    @Test
+    void aChunkThatComesAfterAStopIsNotHandedOut() {
+        int chunk = job.nextChunkToLoad().orElseThrow();
+        job.stop();
+        job.chunkLoaded(chunk, List.of("{}", "{}"));
+
+        assertThat(job.take(STEWARD, now)).isEmpty();
+    }
+
     @Test
     void aLargeJobHasOnlyAWindowOfChunksInMemory() {
         OwnedJob large = job("caller", 100, 1000);
--- a/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
+++ b/src/test/java/org/gooseberryhill/program/JobFailuresTest.java
@@ -13,8 +13,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.gooseberryhill.Loopback;
+import org.gooseberryhill.contract.JobKey;
+import org.gooseberryhill.decision.job.JobRecord;
+import org.gooseberryhill.decision.job.JobState;
 import org.gooseberryhill.http.HttpResult;
 import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.platform.Keys;
+import org.gooseberryhill.platform.Transaction;
 import org.gooseberryhill.standin.EngineFaults;
 import org.gooseberryhill.standin.EngineStandin;
 import org.gooseberryhill.standin.KeyValueFaults;
@@ -198,6 +204,41 @@
         assertThat(fixture.job("lot").path("state").asText()).isEqualTo("cancelled");
     }
 
+    /**
+     * The record says cancelled, and the notice to the owner is lost: it works on without knowing. Its next commit must
+     * find the record changed, so that no result appears after the cancel.
+     */
+    @Test
+    void aCancelledJobGetsNoResultAlsoWhenItsOwnerDoesNotHear() {
+        fixture.submit(fixture.coordinator, "lot", 4 * ITEMS);
+        Loopback.await(
+                "a first chunk", () -> fixture.job("lot").path("completed").asInt() > 0);
+        String key = Keys.job(new JobKey("coordinators", "lot"));
+        try (PlatformOptions.Connection connection =
+                new PlatformOptions.Connection(fixture.system.fleet().keyValue())) {
+            JobRecord record = Json.read(
+                            connection
+                                    .keyValue()
+                                    .read(key)
+                                    .join()
+                                    .first()
+                                    .orElseThrow()
+                                    .value(),
+                            JobRecord.class)
+                    .get();
+            Transaction cancel = Transaction.builder()
+                    .put(key, Json.bytes(record.in(JobState.CANCELLED)))
+                    .build();
+            connection.keyValue().write(cancel).join();
+        }
+        int completed = fixture.job("lot").path("completed").asInt();
+
+        Loopback.await(
+                "the end of all work",
+                () -> fixture.system.stewards().stream().allMatch(steward -> steward.inProgress() == 0));
+        assertThat(fixture.job("lot").path("completed").asInt()).isEqualTo(completed);
+    }
+
     /**
      * A store is lost with its disk after the job was done. The results are read from the other zone, and the missing
      * copies come back to another store by themselves.
