--- a/src/main/java/org/gooseberryhill/decision/dispatch/ServicePace.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/ServicePace.java
@@ -10,14 +10,13 @@
     /** About the last thirty requests count: enough to smooth single answers, few enough to follow a slow-down. */
     private static final double NEWEST_WEIGHT = 1.0 / 32;
 
-    private double meanRunMillis = INITIAL_RUN_MILLIS;
+    private final MovingMean runMillis = new MovingMean(INITIAL_RUN_MILLIS, NEWEST_WEIGHT);
 
     double meanRunMillis() {
-        return meanRunMillis;
+        return runMillis.value();
     }
 
     void ran(long nanos) {
-        double millis = (double) nanos / TimeUnit.MILLISECONDS.toNanos(1);
-        meanRunMillis += NEWEST_WEIGHT * (millis - meanRunMillis);
+        runMillis.add((double) nanos / TimeUnit.MILLISECONDS.toNanos(1));
     }
 }
--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -60,6 +60,12 @@
         return phase;
     }
 
+    /** Whether a stop was asked for and its bound is nearer than this: what begins now might be cut. */
+    public boolean endsWithin(long millis, long nowNanos) {
+        long leftNanos = boundNanos - (nowNanos - sinceNanos);
+        return phase != Phase.SERVING && leftNanos < TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     /** The phase as last advanced. */
     public Phase phase() {
         return phase;
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
@@ -102,6 +102,24 @@
         }
     }
 
+    /** What it has generated so far, if another run may go on from there. */
+    Optional<ItemCheckpoint> checkpoint() {
+        if (result.isPresent() || !begun || lastEventId.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new ItemCheckpoint(item.id(), lastEventId.get(), text.toString()));
+    }
+
+    /** An earlier owner generated this much of it. */
+    void restored(ItemCheckpoint checkpoint) {
+        if (result.isPresent() || begun) {
+            return;
+        }
+        text.append(checkpoint.text());
+        lastEventId = Optional.of(checkpoint.lastEventId());
+        begun = true;
+    }
+
     /** Its result was committed by an earlier owner. */
     void restored(ItemResult committed) {
         result = Optional.of(committed);
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -18,6 +18,9 @@
     /** Before another try after an error answer: the endpoint may be the cause, and others take their turn meanwhile. */
     private static final long ERROR_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /** After giving way: the wave that it gave way to lasts longer than a restart elsewhere would gain. */
+    private static final long YIELD_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     /** After an endpoint turned an item away: about when a slot of it is free. */
     private static final long BUSY_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -53,6 +56,23 @@
         results.forEach(this::restore);
     }
 
+    /** What the open items have generated so far, for another owner. */
+    public List<ItemCheckpoint> checkpoints() {
+        return items.values().stream()
+                .flatMap(item -> item.checkpoint().stream())
+                .toList();
+    }
+
+    /** What an earlier owner's items had generated. */
+    public void restore(List<ItemCheckpoint> checkpoints) {
+        for (ItemCheckpoint checkpoint : checkpoints) {
+            ItemProgress item = items.get(checkpoint.id());
+            if (item != null) {
+                item.restored(checkpoint);
+            }
+        }
+    }
+
     /** Its id. */
     public String id() {
         return id;
@@ -111,7 +131,10 @@
         switch (end) {
             case COMPLETED -> uncommitted.add(item.complete());
             case REJECTED -> uncommitted.add(item.giveUp());
-            case YIELDED -> item.forgetUnlessResumable();
+            case YIELDED -> {
+                item.forgetUnlessResumable();
+                item.waitUntil(nowNanos + YIELD_BACKOFF_NANOS);
+            }
             case NOT_RUN -> item.waitUntil(nowNanos + BUSY_BACKOFF_NANOS);
             case CUT -> cut(item, nowNanos);
             case ERROR_ANSWER -> errorAnswer(item, maxAttempts, nowNanos);
--- a/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
+++ b/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
@@ -15,6 +15,12 @@
     /** Whether an answer says that the endpoint has not run the request and never will. */
     boolean isNotRun(int status, HttpHeaders answer);
 
+    /**
+     * Whether an answer is an endpoint's own. Failure: an endpoint crashes while it writes the head of its answer, and what
+     * came of it looks like a success without a body.
+     */
+    boolean isGenuine(int status, HttpHeaders answer);
+
     /** The request that an answer belongs to, where it says so. */
     Optional<String> requestId(HttpHeaders answer);
 
--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -65,6 +65,7 @@
         private HttpHeaders headers;
         private boolean streamed;
         private boolean passedThrough;
+        private boolean genuine;
 
         Attempt(RoutedCall owner, long number) {
             this.owner = owner;
@@ -75,7 +76,8 @@
         public void onHead(int newStatus, HttpHeaders newHeaders) {
             status = newStatus;
             headers = newHeaders;
-            streamed = route.kind() == RouteKind.STREAM && status == OK;
+            genuine = owner.isGenuine(status, headers);
+            streamed = genuine && route.kind() == RouteKind.STREAM && status == OK;
         }
 
         @Override
@@ -127,6 +129,8 @@
             if (owner.isNotRun(status, headers)) {
                 AttemptEnd end = status == MISDIRECTED ? AttemptEnd.OTHER_ENDPOINT : AttemptEnd.BUSY;
                 owner.attemptFailed(number, end, "status " + status, Optional.empty());
+            } else if (!genuine) {
+                owner.attemptFailed(number, AttemptEnd.MALFORMED, "not signed, status " + status, Optional.empty());
             } else if (begun) {
                 // The caller has a part of a stream that this endpoint did not go on with.
                 owner.attemptFailed(number, AttemptEnd.MALFORMED, "status " + status, Optional.empty());
@@ -162,7 +166,7 @@
         }
 
         private boolean isFinal() {
-            return status < FIRST_SERVER_ERROR && !owner.isNotRun(status, headers);
+            return genuine && status < FIRST_SERVER_ERROR && !owner.isNotRun(status, headers);
         }
 
         private AttemptEnd end(ExchangeFailure failure) {
--- a/src/main/java/org/gooseberryhill/gateway/BatchDesk.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchDesk.java
@@ -19,6 +19,7 @@
 import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.route.Route;
 
@@ -193,7 +194,7 @@
         if (board.find(submission.id).isEmpty()) {
             OwnedBatch batch = new OwnedBatch(submission.id, submission.record, revision, submission.items, List.of());
             board.add(batch);
-            links.tellAll(new PeerMessage.BatchNotice(submission.id));
+            links.tellAll(new GatewayMessage.BatchNotice(submission.id));
             context.log()
                     .record(
                             "batch.accepted",
@@ -222,10 +223,10 @@
             readStoredResults(call, read);
             return;
         }
-        PeerMessage question = new PeerMessage.ResultsAsk(read.batch(), read.after(), read.waitMillis());
+        PeerMessage question = new GatewayMessage.ResultsAsk(read.batch(), read.after(), read.waitMillis());
         context.onLoop(links.ask(owner.get(), question, read.waitMillis() + ASK_MARGIN_MILLIS), (reply, failure) -> {
-            boolean known = reply instanceof PeerMessage.Results;
-            replyPage(call, read, known ? ((PeerMessage.Results) reply).page() : Optional.empty());
+            boolean known = reply instanceof GatewayMessage.Results;
+            replyPage(call, read, known ? ((GatewayMessage.Results) reply).page() : Optional.empty());
         });
     }
 
@@ -260,9 +261,9 @@
             readStoredItem(call, read);
             return;
         }
-        PeerMessage question = new PeerMessage.ItemBodyAsk(read.batch(), read.item());
+        PeerMessage question = new GatewayMessage.ItemBodyAsk(read.batch(), read.item());
         context.onLoop(links.ask(owner.get(), question), (reply, failure) -> {
-            if (reply instanceof PeerMessage.ItemBody answer && answer.owned()) {
+            if (reply instanceof GatewayMessage.ItemBody answer && answer.owned()) {
                 replyItem(call, read, answer.body());
             } else {
                 readStoredItem(call, read);
@@ -306,8 +307,8 @@
             endStored(call, id, done);
             return;
         }
-        context.onLoop(links.ask(owner.get(), new PeerMessage.BatchEndAsk(id)), (reply, failure) -> {
-            if (reply instanceof PeerMessage.BatchEnded answer && answer.ended()) {
+        context.onLoop(links.ask(owner.get(), new GatewayMessage.BatchEndAsk(id)), (reply, failure) -> {
+            if (reply instanceof GatewayMessage.BatchEnded answer && answer.ended()) {
                 done.run();
             } else {
                 endStored(call, id, done);
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -8,6 +8,9 @@
 import java.util.Optional;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
+import org.gooseberryhill.decision.dispatch.ItemPlacement;
+import org.gooseberryhill.decision.dispatch.MovingMean;
+import org.gooseberryhill.decision.dispatch.YieldTiming;
 import org.gooseberryhill.decision.requestbatch.ItemProgress;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
@@ -19,16 +22,28 @@
 
 /** Starts items of owned batches where slots are free, and lets them yield to online requests. For the control thread. */
 final class BatchRunner {
+    /** An item with less time left than this many whole runs no longer waits for a slot beyond the reserve. */
+    private static final double URGENT_RUNS = 2;
+
+    /** Until some items have run. */
+    private static final double INITIAL_RUN_MILLIS = 4000;
+
+    private static final double NEWEST_WEIGHT = 1.0 / 16;
+
     private final GatewayContext context;
     private final BatchBoard board;
+    private final ItemPlacement placement;
     private final Runnable onLoadChange;
+    private final YieldTiming yieldTiming = new YieldTiming();
+    private final MovingMean runMillis = new MovingMean(INITIAL_RUN_MILLIS, NEWEST_WEIGHT);
     private final Map<EndpointKey, List<ItemRun>> runs = new HashMap<>();
     private RouteTable table = RouteTable.EMPTY;
     private boolean paused;
 
-    BatchRunner(GatewayContext context, BatchBoard board, Runnable onLoadChange) {
+    BatchRunner(GatewayContext context, BatchBoard board, ItemPlacement placement, Runnable onLoadChange) {
         this.context = context;
         this.board = board;
+        this.placement = placement;
         this.onLoadChange = onLoadChange;
     }
 
@@ -79,6 +94,9 @@
         }
         context.fleet().batchEnded(key);
         context.fleet().observed(key, attemptEnd, context.nowNanos());
+        if (end == RunEnd.COMPLETED && !run.isContinuation()) {
+            runMillis.add(run.ranMillis());
+        }
         int maxAttempts = route(run.batch()).map(Route::maxAttempts).orElse(1);
         run.batch().ended(run.item(), end, maxAttempts, context.nowNanos());
         context.log()
@@ -123,8 +141,10 @@
             if (route.isEmpty()) {
                 continue;
             }
+            List<FleetEndpoint> endpoints = endpoints(route.get());
+            boolean urgent = isUrgent(batch, route.get());
             for (ItemProgress item : batch.startable(context.nowNanos())) {
-                Optional<FleetEndpoint> endpoint = freest(route.get());
+                Optional<FleetEndpoint> endpoint = placement.choose(endpoints, urgent, context.nowNanos());
                 if (endpoint.isEmpty()) {
                     break;
                 }
@@ -133,6 +153,13 @@
         }
     }
 
+    /** Whether an item that starts now may miss its due time if it has to give way. */
+    private boolean isUrgent(OwnedBatch batch, Route route) {
+        long dueMillis = batch.record().acceptedAtMillis() + route.completionTargetMillis();
+        long leftMillis = dueMillis - System.currentTimeMillis();
+        return leftMillis < URGENT_RUNS * runMillis.value();
+    }
+
     private void start(OwnedBatch batch, ItemProgress item, FleetEndpoint endpoint) {
         ItemRun run = new ItemRun(context, this, batch, item, endpoint.entry());
         runs.computeIfAbsent(endpoint.key(), key -> new ArrayList<>()).add(run);
@@ -142,18 +169,14 @@
         onLoadChange.run();
     }
 
-    private Optional<FleetEndpoint> freest(Route route) {
-        FleetEndpoint best = null;
+    private List<FleetEndpoint> endpoints(Route route) {
+        List<FleetEndpoint> endpoints = new ArrayList<>();
         for (RouteTarget target : route.targets()) {
-            for (FleetEndpoint candidate : context.fleet().of(target.service())) {
-                boolean usable =
-                        target.weight() > 0 && candidate.freeSlots() > 0 && candidate.isUsable(context.nowNanos());
-                if (usable && (best == null || candidate.freeSlots() > best.freeSlots())) {
-                    best = candidate;
-                }
+            if (target.weight() > 0) {
+                endpoints.addAll(context.fleet().of(target.service()));
             }
         }
-        return Optional.ofNullable(best);
+        return endpoints;
     }
 
     private Optional<Route> route(OwnedBatch batch) {
--- a/src/main/java/org/gooseberryhill/gateway/BatchStore.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchStore.java
@@ -11,6 +11,7 @@
 import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
+import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.dialect.BatchDialect;
 import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.external.KeyChange;
@@ -90,6 +91,15 @@
         return store.write(transaction.build());
     }
 
+    /** A batch as its owner runs it: its items and its committed results. */
+    CompletableFuture<OwnedBatch> load(Stored found) {
+        BatchRecord record = found.record();
+        return items(found.id(), record)
+                .thenCombine(
+                        results(found.id(), record, 0, record.chunks().size()),
+                        (items, results) -> new OwnedBatch(found.id(), record, found.revision(), items, results));
+    }
+
     /** The items of a batch. */
     CompletableFuture<List<BatchItem>> items(String id, BatchRecord record) {
         return parts(id, record, 0, new ByteArrayOutputStream())
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -3,16 +3,17 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
+import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.ownership.Ownership;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
-import org.gooseberryhill.decision.requestbatch.OwnedBatch;
+import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
+import org.gooseberryhill.decision.requestbatch.OwnerWatch;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
-import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.peer.GatewayMessage;
 
 /**
  * Takes over batches whose owner is lost. For the control thread.
@@ -22,32 +23,23 @@
  * names. Two that both try are told apart by the record's revision.
  */
 final class BatchTakeover {
+    private static final long RETRY_MILLIS = 300;
+
     private final GatewayContext context;
     private final PeerLinks links;
     private final BatchBoard board;
     private final BatchStore store;
-    private final Supplier<Map<String, String>> liveStarts;
+    private final OwnerWatch owners;
     private final Runnable onTaken;
     private final Set<String> taking = new HashSet<>();
     private boolean looking;
 
-    /**
-     * A takeover.
-     *
-     * @param liveStarts the live hosts with their processes' starts, this one included
-     */
-    BatchTakeover(
-            GatewayContext context,
-            PeerLinks links,
-            BatchBoard board,
-            BatchStore store,
-            Supplier<Map<String, String>> liveStarts,
-            Runnable onTaken) {
+    BatchTakeover(GatewayContext context, PeerLinks links, BatchBoard board, BatchStore store, Runnable onTaken) {
         this.context = context;
         this.links = links;
         this.board = board;
         this.store = store;
-        this.liveStarts = liveStarts;
+        this.owners = new OwnerWatch(context.settings().self().id().value());
         this.onTaken = onTaken;
     }
 
@@ -65,26 +57,38 @@
         });
     }
 
+    /** Takes a batch that its owner gives to this host; the action gets whether that worked. */
+    void takeOver(GatewayMessage.BatchHandOver handOver, Consumer<Boolean> then) {
+        if (context.stop().phase() != PlannedStop.Phase.SERVING || !taking.add(handOver.batch())) {
+            then.accept(false);
+            return;
+        }
+        take(
+                new BatchStore.Stored(handOver.batch(), handOver.record(), handOver.revision()),
+                handOver.progress(),
+                then);
+    }
+
     private void consider(BatchStore.Stored found) {
         BatchRecord record = found.record();
         if (record.isFinished() || board.find(found.id()).isPresent() || taking.contains(found.id())) {
             return;
         }
-        String self = context.settings().self().id().value();
-        Map<String, String> live = liveStarts.get();
-        boolean ownerLives = record.ownerStart().equals(live.get(record.owner()));
-        if (ownerLives && !record.owner().equals(self)) {
-            links.find(new HostId(record.owner())).ifPresent(host -> board.ownedBy(found.id(), host.id()));
+        String liveStart = links.liveStart(record.owner()).orElse(null);
+        if (!owners.isLost(record.owner(), record.ownerStart(), liveStart, context.nowNanos())) {
+            board.ownedBy(found.id(), new HostId(record.owner()));
             return;
         }
-        boolean ownEarlier = record.owner().equals(self);
+        boolean ownEarlier =
+                record.owner().equals(context.settings().self().id().value());
         if (ownEarlier || isChosen(found.id())) {
-            take(found);
+            taking.add(found.id());
+            take(found, List.of(), taken -> {});
         }
     }
 
     private boolean isChosen(String batch) {
-        List<Host> gateways = new ArrayList<>(links.gateways());
+        List<Host> gateways = new ArrayList<>(links.staying());
         gateways.add(context.settings().self());
         Optional<Host> first =
                 Ownership.rank("batch/" + batch, gateways).stream().findFirst();
@@ -93,49 +97,49 @@
     }
 
     /** The record as listed may be stale; the write under its revision finds that out. */
-    private void take(BatchStore.Stored found) {
-        taking.add(found.id());
+    private void take(BatchStore.Stored found, List<ItemCheckpoint> progress, Consumer<Boolean> then) {
         BatchRecord own = found.record().ownedBy(context.settings().self().id().value(), context.processStart());
         context.onLoop(store.replace(found.id(), found.revision(), own), (result, failure) -> {
             if (failure != null || !result.succeeded()) {
                 // Another took it, or the answer was lost: the next look tells.
                 taking.remove(found.id());
+                then.accept(false);
                 return;
             }
-            load(found.id(), own, result.revision());
+            then.accept(true);
+            load(new BatchStore.Stored(found.id(), own, result.revision()), progress);
         });
     }
 
-    private void load(String id, BatchRecord record, long revision) {
-        context.onLoop(
-                store.items(id, record)
-                        .thenCombine(
-                                store.results(id, record, 0, record.chunks().size()),
-                                (items, results) -> new OwnedBatch(id, record, revision, items, results)),
-                (batch, failure) -> {
-                    taking.remove(id);
-                    if (failure != null) {
-                        context.log()
-                                .record(
-                                        "batch.load-failed",
-                                        "batch",
-                                        id,
-                                        "reason",
-                                        String.valueOf(failure.getMessage()));
-                        return;
-                    }
-                    board.add(batch);
-                    context.log()
-                            .record(
-                                    "batch.taken-over",
-                                    "batch",
-                                    id,
-                                    "listed",
-                                    record.listed(),
-                                    "items",
-                                    record.items());
-                    links.tellAll(new PeerMessage.BatchNotice(id));
-                    onTaken.run();
-                });
+    private void load(BatchStore.Stored taken, List<ItemCheckpoint> progress) {
+        context.onLoop(store.load(taken), (batch, failure) -> {
+            if (failure != null) {
+                context.log()
+                        .record(
+                                "batch.load-failed",
+                                "batch",
+                                taken.id(),
+                                "reason",
+                                String.valueOf(failure.getMessage()));
+                context.loop().after(RETRY_MILLIS, () -> load(taken, progress));
+                return;
+            }
+            taking.remove(taken.id());
+            batch.restore(progress);
+            board.add(batch);
+            context.log()
+                    .record(
+                            "batch.taken-over",
+                            "batch",
+                            taken.id(),
+                            "listed",
+                            taken.record().listed(),
+                            "items",
+                            taken.record().items(),
+                            "begun",
+                            progress.size());
+            links.tellAll(new GatewayMessage.BatchNotice(taken.id()));
+            onTaken.run();
+        });
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -3,15 +3,12 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.vavr.control.Either;
 import java.io.Closeable;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -24,8 +21,7 @@
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.dialect.Dialects;
-import org.gooseberryhill.directory.EndpointEntry;
-import org.gooseberryhill.external.KeyChange;
+import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.external.PollingKeyValueStore;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
@@ -36,7 +32,7 @@
 import org.gooseberryhill.http.HttpServer;
 import org.gooseberryhill.http.WholeBody;
 import org.gooseberryhill.link.HybridClock;
-import org.gooseberryhill.link.Json;
+import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerClient;
 import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.peer.PeerServer;
@@ -55,8 +51,16 @@
     private static final int TRAFFIC_THREADS = 1;
     private static final long TICK_MILLIS = 25;
     private static final long BEAT_MILLIS = 1000;
+
     private static final long LOOK_MILLIS = 2000;
     private static final long STOP_CHECK_MILLIS = 100;
+
+    /**
+     * How long connections that wait for a request are kept after a stop was asked for: the balancer asks each second and
+     * takes a host out after two answers.
+     */
+    private static final long STOP_GRACE_MILLIS = 2600;
+
     private static final long GROUP_SHUTDOWN_MILLIS = 100;
 
     /** How long a request that crashed endpoints stays apart. */
@@ -67,65 +71,65 @@
     private static final int MAX_PENDING_WRITE_BYTES = 4 * 1024 * 1024;
 
     private final GatewaySettings settings;
+    private final Random random;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
+    private final StoreReach reach = new StoreReach();
+    private final RelayedStore store;
     private final GatewayContext context;
     private final PeerLinks links;
     private final LoadExchange load;
     private final GatewayTraffic traffic;
     private final FrontRouter router;
     private final HostRegistration registration;
-    private final ViewKeeper registrations;
-    private final ViewKeeper operators;
-    private final ViewKeeper hosts;
+    private final GatewayViews views;
     private final BatchBoard board = new BatchBoard();
     private final BatchRunner runner;
     private final BatchCommitter committer;
     private final BatchDesk desk;
     private final BatchTakeover takeover;
+    private final BatchHandOver handOver;
     private final AtomicBoolean closed = new AtomicBoolean();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final List<HttpServer> servers = new ArrayList<>();
     private Optional<PeerServer> peerServer = Optional.empty();
-    private Map<String, String> liveStarts = Map.of();
     private volatile RouteTable table = RouteTable.EMPTY;
     private volatile boolean ready;
 
     /** A process that is not started yet; the store is made with the process's own HTTP client. */
     public GatewayProcess(GatewaySettings settings, Dialects dialects, StoreFactory storeFactory, long seed) {
         this.settings = settings;
+        this.random = new Random(seed);
         HostId self = settings.self().id();
         HttpClient http = new HttpClient(group);
         Fleet fleet = new Fleet();
+        this.store = new RelayedStore(storeFactory.create(http), reach, this::relay);
         CrashSuspects suspects = new CrashSuspects(SUSPECT_MEMORY_MILLIS, MAX_SUSPECTS);
-        DispatchPolicies policies = DispatchPolicies.product(new Random(seed));
+        DispatchPolicies policies = DispatchPolicies.product(random);
         this.context = new GatewayContext(
                 settings,
                 UUID.randomUUID().toString(),
                 new ControlLoop(self.value()),
                 http,
                 new PeerClient(group, self, clock),
-                storeFactory.create(http),
+                this.store,
                 dialects,
                 fleet,
                 new DispatchCore(settings.self().zone(), policies, fleet, suspects),
-                new PlannedStop(0, settings.stopBoundMillis()),
+                new PlannedStop(STOP_GRACE_MILLIS, settings.stopBoundMillis()),
                 new DecisionLog(self.value(), clock));
         this.links = new PeerLinks(context);
-        this.load = new LoadExchange(context, links);
+        this.load = new LoadExchange(context, links, reach);
         this.traffic = new GatewayTraffic(context, this::loadChanged);
         this.registration = new HostRegistration(context);
-        this.registrations = new ViewKeeper(
-                context, links, dialects.directory().prefix(), ViewPace.REGISTRATIONS, this::endpointsChanged);
-        this.operators =
-                new ViewKeeper(context, links, dialects.operators().prefix(), ViewPace.OPERATORS, this::operatorsWrote);
-        this.hosts = new ViewKeeper(context, links, GatewayKeys.HOSTS, ViewPace.HOSTS, this::hostsChanged);
         BatchStore batchStore = new BatchStore(context.store(), dialects.batches());
-        this.runner = new BatchRunner(context, board, this::loadChanged);
+        this.runner = new BatchRunner(context, board, policies.items(), this::loadChanged);
         this.committer = new BatchCommitter(context, batchStore, board);
         this.desk = new BatchDesk(context, traffic, links, board, batchStore, committer, runner);
-        this.takeover = new BatchTakeover(context, links, board, batchStore, () -> liveStarts, runner::balance);
-        this.router = new FrontRouter(context, traffic, desk, new Random(seed));
+        this.takeover = new BatchTakeover(context, links, board, batchStore, runner::balance);
+        this.handOver = new BatchHandOver(context, links, board, committer);
+        this.views = new GatewayViews(context, links, this::configure, runner::balance);
+        this.router = new FrontRouter(context, traffic, desk, random);
     }
 
     /** Starts serving. */
@@ -161,7 +165,10 @@
             context.stop().ask(context.nowNanos());
             ready = false;
             runner.pause();
+            runner.stopAll();
             servers.forEach(HttpServer::closeAfterAnswers);
+            load.beat();
+            advanceStop();
             context.loop().every(STOP_CHECK_MILLIS, this::advanceStop);
         });
     }
@@ -188,62 +195,31 @@
 
     private void begin() {
         registration.start();
-        tick();
+        views.start();
         context.loop().every(TICK_MILLIS, this::tick);
         context.loop().every(BEAT_MILLIS, load::beat);
         context.loop().every(LOOK_MILLIS, () -> takeover.look(true));
+        // What an earlier process of this host left behind waits for nobody else.
+        takeover.look(false);
     }
 
     private void tick() {
-        int rank = rank();
-        registrations.tick(rank);
-        operators.tick(rank);
-        hosts.tick(rank);
+        views.tick();
         runner.balance();
         committer.tick(!context.stop().takesNew());
         boolean nowReady = context.stop().phase() == PlannedStop.Phase.SERVING
-                && operators.isKnown()
-                && !table.configuration().isEmpty()
-                && registrations.isKnown();
+                && views.areKnown()
+                && !table.configuration().isEmpty();
         if (nowReady != ready) {
             ready = nowReady;
             context.log().record("readiness", "ready", ready);
         }
     }
 
-    /** This host's place among the live ones, by which they take turns. */
-    private int rank() {
-        TreeSet<HostId> live = new TreeSet<>();
-        links.gateways().forEach(host -> live.add(host.id()));
-        return live.headSet(settings.self().id()).size();
-    }
-
     private void loadChanged() {
         load.changed();
     }
 
-    private void endpointsChanged(List<KeyChange> news) {
-        List<EndpointEntry> entries = new ArrayList<>();
-        for (KeyChange entry : registrations.view().entries()) {
-            Either<String, EndpointEntry> endpoint =
-                    context.dialects().directory().endpoint(entry);
-            endpoint.peek(entries::add);
-        }
-        context.fleet().directory(entries);
-        runner.balance();
-    }
-
-    private void operatorsWrote(List<KeyChange> news) {
-        for (KeyChange entry : news) {
-            context.dialects()
-                    .operators()
-                    .configuration(entry)
-                    .ifPresent(decoded -> decoded.peek(this::configure)
-                            .peekLeft(finding -> context.log()
-                                    .record("configuration.invalid", "key", entry.key(), "finding", finding)));
-        }
-    }
-
     private void configure(RouteConfiguration configuration) {
         if (configuration.version() <= table.configuration().version()) {
             return;
@@ -261,26 +237,39 @@
         runner.balance();
     }
 
-    private void hostsChanged(List<KeyChange> news) {
-        List<Host> live = new ArrayList<>();
-        Map<String, String> starts = new HashMap<>();
-        for (KeyChange entry : hosts.view().entries()) {
-            Json.read(entry.value().orElseThrow(), HostValue.class).onSuccess(value -> {
-                live.add(value.host());
-                starts.put(value.host().id().value(), value.processStart());
+    /** Has another host call the store. From any thread. */
+    private CompletableFuture<PeerMessage> relay(GatewayMessage.StoreCall call, long timeoutMillis) {
+        CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+        context.loop().execute(() -> {
+            List<Host> helpers = links.reachingStore();
+            if (helpers.isEmpty()) {
+                answer.completeExceptionally(new ExternalServiceException(
+                        ExternalServiceException.Kind.NOT_DONE, "no other host reaches the store"));
+                return;
+            }
+            Host helper = helpers.get(random.nextInt(helpers.size()));
+            links.ask(helper, call, timeoutMillis).whenComplete((reply, failure) -> {
+                if (failure == null) {
+                    answer.complete(reply);
+                } else {
+                    answer.completeExceptionally(failure);
+                }
             });
-        }
-        starts.put(settings.self().id().value(), context.processStart());
-        liveStarts = starts;
-        links.hosts(live);
+        });
+        return answer;
     }
 
     private void advanceStop() {
-        int inProgress = traffic.inProgress() + runner.running();
         if (context.stop().phase() == PlannedStop.Phase.ENDED) {
             return;
         }
-        if (context.stop().advance(inProgress, context.nowNanos()) == PlannedStop.Phase.ENDED) {
+        handOver.advance();
+        int inProgress = traffic.inProgress() + runner.running() + handOver.left();
+        PlannedStop.Phase phase = context.stop().advance(inProgress, context.nowNanos());
+        if (phase == PlannedStop.Phase.DRAINING) {
+            servers.forEach(HttpServer::closeIdle);
+        }
+        if (phase == PlannedStop.Phase.ENDED) {
             runner.stopAll();
             registration.release(() -> {
                 context.log().record("process.ended", "inProgress", inProgress);
@@ -313,52 +302,44 @@
     }
 
     private void dispatch(HostId from, PeerMessage message, CompletableFuture<PeerMessage> reply) {
-        if (message instanceof PeerMessage.InFlightReport report) {
+        if (message instanceof GatewayMessage.InFlightReport report) {
             load.heard(from, report);
             runner.balance();
-        } else if (message instanceof PeerMessage.ViewChanges changes) {
-            keeper(changes.prefix()).ifPresent(keeper -> keeper.passedOn(changes));
-        } else if (message instanceof PeerMessage.BatchNotice notice) {
+        } else if (message instanceof GatewayMessage.ViewChanges changes) {
+            views.passedOn(from, changes);
+        } else if (message instanceof GatewayMessage.BatchNotice notice) {
             board.ownedBy(notice.batch(), from);
-        } else if (message instanceof PeerMessage.ResultsAsk question) {
+        } else if (message instanceof GatewayMessage.ResultsAsk question) {
             desk.ownResults(
                     question.batch(),
                     question.after(),
                     question.waitMillis(),
-                    page -> reply.complete(new PeerMessage.Results(page)));
+                    page -> reply.complete(new GatewayMessage.Results(page)));
             return;
-        } else if (message instanceof PeerMessage.ItemBodyAsk question) {
+        } else if (message instanceof GatewayMessage.ItemBodyAsk question) {
             boolean owned = board.find(question.batch()).isPresent();
-            reply.complete(new PeerMessage.ItemBody(owned, desk.ownItem(question.batch(), question.item())));
+            reply.complete(new GatewayMessage.ItemBody(owned, desk.ownItem(question.batch(), question.item())));
             return;
-        } else if (message instanceof PeerMessage.BatchEndAsk question) {
-            if (!desk.endOwn(question.batch(), () -> reply.complete(new PeerMessage.BatchEnded(true)))) {
-                reply.complete(new PeerMessage.BatchEnded(false));
+        } else if (message instanceof GatewayMessage.BatchEndAsk question) {
+            if (!desk.endOwn(question.batch(), () -> reply.complete(new GatewayMessage.BatchEnded(true)))) {
+                reply.complete(new GatewayMessage.BatchEnded(false));
             }
             return;
-        } else if (message instanceof PeerMessage.ViewAsk question) {
-            PeerMessage listing = keeper(question.prefix())
-                    .map(keeper -> (PeerMessage) keeper.listing())
-                    .orElseGet(PeerMessage.Ack::new);
-            reply.complete(listing);
+        } else if (message instanceof GatewayMessage.BatchHandOver handedOver) {
+            takeover.takeOver(handedOver, taken -> reply.complete(new GatewayMessage.BatchEnded(taken)));
+            return;
+        } else if (message instanceof GatewayMessage.StoreCall call) {
+            store.serve(call).thenAccept(reply::complete);
+            return;
+        } else if (message instanceof GatewayMessage.ViewAsk question) {
+            reply.complete(views.listing(question.prefix())
+                    .map(listing -> (PeerMessage) listing)
+                    .orElseGet(PeerMessage.Ack::new));
             return;
         }
         reply.complete(new PeerMessage.Ack());
     }
 
-    private Optional<ViewKeeper> keeper(String prefix) {
-        if (prefix.equals(GatewayKeys.HOSTS)) {
-            return Optional.of(hosts);
-        }
-        if (prefix.equals(context.dialects().directory().prefix())) {
-            return Optional.of(registrations);
-        }
-        if (prefix.equals(context.dialects().operators().prefix())) {
-            return Optional.of(operators);
-        }
-        return Optional.empty();
-    }
-
     /** Makes the client of the key-value store. */
     @FunctionalInterface
     public interface StoreFactory {
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -0,0 +1,152 @@
+package org.gooseberryhill.gateway;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.external.KeyChange;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.link.Json;
+import org.gooseberryhill.peer.GatewayMessage;
+import org.gooseberryhill.peer.PeerLane;
+import org.gooseberryhill.route.RouteConfiguration;
+
+/**
+ * What a gateway follows in the key-value store: endpoints, what operators write, live hosts. Used by the control thread
+ * only.
+ */
+final class GatewayViews {
+    /** The store answers in milliseconds; later than this a starting host asks the seeds as well. */
+    private static final long SEED_MILLIS = 400;
+
+    private static final long ASK_MILLIS = 700;
+
+    private final GatewayContext context;
+    private final PeerLinks links;
+    private final Consumer<RouteConfiguration> onConfiguration;
+    private final Runnable onEndpoints;
+    private final ViewKeeper registrations;
+    private final ViewKeeper operators;
+    private final ViewKeeper hosts;
+
+    GatewayViews(
+            GatewayContext context,
+            PeerLinks links,
+            Consumer<RouteConfiguration> onConfiguration,
+            Runnable onEndpoints) {
+        this.context = context;
+        this.links = links;
+        this.onConfiguration = onConfiguration;
+        this.onEndpoints = onEndpoints;
+        this.registrations = new ViewKeeper(
+                context,
+                links,
+                context.dialects().directory().prefix(),
+                ViewPace.REGISTRATIONS,
+                this::endpointsChanged);
+        this.operators = new ViewKeeper(
+                context, links, context.dialects().operators().prefix(), ViewPace.OPERATORS, this::operatorsWrote);
+        this.hosts = new ViewKeeper(context, links, GatewayKeys.HOSTS, ViewPace.HOSTS, this::hostsChanged);
+    }
+
+    /** Begins to follow. */
+    void start() {
+        tick();
+        context.loop().after(SEED_MILLIS, this::askSeeds);
+    }
+
+    /** Asks the store for what has changed, where it is this host's turn; called often. */
+    void tick() {
+        int rank = rank();
+        registrations.tick(rank);
+        operators.tick(rank);
+        hosts.tick(rank);
+    }
+
+    /** Whether endpoints and what operators wrote are known. */
+    boolean areKnown() {
+        return operators.isKnown() && registrations.isKnown();
+    }
+
+    /** Another host passed changes on. */
+    void passedOn(HostId from, GatewayMessage.ViewChanges changes) {
+        keeper(changes.prefix()).ifPresent(keeper -> {
+            if (!keeper.passedOn(changes)) {
+                links.find(from).ifPresent(host -> askListing(host.address(), keeper));
+            }
+        });
+    }
+
+    /** All that this host knows under a prefix. */
+    Optional<GatewayMessage.ViewListing> listing(String prefix) {
+        return keeper(prefix).map(ViewKeeper::listing);
+    }
+
+    /** This host's place among the live ones, by which they take turns. */
+    private int rank() {
+        TreeSet<HostId> live = new TreeSet<>();
+        links.gateways().forEach(host -> live.add(host.id()));
+        return live.headSet(context.settings().self().id()).size();
+    }
+
+    private void endpointsChanged(List<KeyChange> news) {
+        List<EndpointEntry> entries = new ArrayList<>();
+        for (KeyChange entry : registrations.view().entries()) {
+            Either<String, EndpointEntry> endpoint =
+                    context.dialects().directory().endpoint(entry);
+            endpoint.peek(entries::add);
+        }
+        context.fleet().directory(entries);
+        onEndpoints.run();
+    }
+
+    private void operatorsWrote(List<KeyChange> news) {
+        for (KeyChange entry : news) {
+            context.dialects()
+                    .operators()
+                    .configuration(entry)
+                    .ifPresent(decoded -> decoded.peek(onConfiguration)
+                            .peekLeft(finding -> context.log()
+                                    .record("configuration.invalid", "key", entry.key(), "finding", finding)));
+        }
+    }
+
+    private void hostsChanged(List<KeyChange> news) {
+        List<HostValue> live = new ArrayList<>();
+        for (KeyChange entry : hosts.view().entries()) {
+            Json.read(entry.value().orElseThrow(), HostValue.class).onSuccess(live::add);
+        }
+        links.listed(live);
+    }
+
+    /** A host that starts while the store is out learns from the seeds what they know. */
+    private void askSeeds() {
+        for (ViewKeeper keeper : List.of(hosts, operators, registrations)) {
+            if (!keeper.isKnown()) {
+                context.settings().seeds().forEach(seed -> askListing(seed, keeper));
+            }
+        }
+        if (!areKnown() || !hosts.isKnown()) {
+            context.loop().after(SEED_MILLIS, this::askSeeds);
+        }
+    }
+
+    private void askListing(Address address, ViewKeeper keeper) {
+        GatewayMessage question = new GatewayMessage.ViewAsk(keeper.prefix());
+        context.onLoop(context.peers().ask(address, PeerLane.CONTROL, question, ASK_MILLIS), (reply, failure) -> {
+            if (reply instanceof GatewayMessage.ViewListing listing) {
+                keeper.listed(listing);
+            }
+        });
+    }
+
+    private Optional<ViewKeeper> keeper(String prefix) {
+        return List.of(hosts, operators, registrations).stream()
+                .filter(keeper -> keeper.prefix().equals(prefix))
+                .findFirst();
+    }
+}
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.requestbatch.ItemProgress;
@@ -42,10 +43,13 @@
     private final ItemProgress item;
     private final EndpointEntry endpoint;
     private final EventSplitter events = new EventSplitter();
+    private final boolean continuation;
+    private final long startNanos;
     private Exchange exchange;
     private boolean over;
     private int status;
     private HttpHeaders headers;
+    private boolean genuine;
 
     ItemRun(GatewayContext context, BatchRunner runner, OwnedBatch batch, ItemProgress item, EndpointEntry endpoint) {
         this.context = context;
@@ -53,6 +57,18 @@
         this.batch = batch;
         this.item = item;
         this.endpoint = endpoint;
+        this.continuation = item.isBegun();
+        this.startNanos = context.nowNanos();
+    }
+
+    /** Whether it goes on from where an earlier run was. */
+    boolean isContinuation() {
+        return continuation;
+    }
+
+    /** How long it has been running, in milliseconds. */
+    double ranMillis() {
+        return (double) (context.nowNanos() - startNanos) / TimeUnit.MILLISECONDS.toNanos(1);
     }
 
     OwnedBatch batch() {
@@ -113,11 +129,12 @@
     public void onHead(int newStatus, HttpHeaders newHeaders) {
         status = newStatus;
         headers = newHeaders;
+        genuine = context.dialects().traffic().isGenuine(status, headers);
     }
 
     @Override
     public void onBytes(byte[] bytes) {
-        if (status == OK) {
+        if (genuine && status == OK) {
             events.read(bytes, event -> context.loop().execute(() -> take(event)));
         }
     }
@@ -131,7 +148,7 @@
                 over(RunEnd.NOT_RUN, AttemptEnd.OTHER_ENDPOINT, "status " + status);
             } else if (notRun) {
                 over(RunEnd.NOT_RUN, AttemptEnd.BUSY, "status " + status);
-            } else if (status == OK && whole) {
+            } else if (genuine && status == OK && whole) {
                 over(RunEnd.COMPLETED, AttemptEnd.ANSWERED, "");
             } else if (status == UNPROCESSABLE) {
                 over(RunEnd.REJECTED, AttemptEnd.ANSWERED, "status " + status);
--- a/src/main/java/org/gooseberryhill/gateway/LoadExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/LoadExchange.java
@@ -1,10 +1,8 @@
 package org.gooseberryhill.gateway;
 
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
 
 /**
@@ -17,17 +15,15 @@
     /** Changes within this time go out together: less than a trip between zones and back, so nobody waits for it. */
     private static final long GATHER_MILLIS = 8;
 
-    /** A host that was not heard for this long counts as having nothing in flight: three reports are missing. */
-    private static final long SILENT_MILLIS = 3500;
-
     private final GatewayContext context;
     private final PeerLinks links;
-    private final Map<HostId, Long> heardNanos = new HashMap<>();
+    private final StoreReach reach;
     private boolean scheduled;
 
-    LoadExchange(GatewayContext context, PeerLinks links) {
+    LoadExchange(GatewayContext context, PeerLinks links, StoreReach reach) {
         this.context = context;
         this.links = links;
+        this.reach = reach;
     }
 
     /** What this host has in flight has changed. */
@@ -48,28 +44,27 @@
         links.gateways()
                 .forEach(host -> context.onLoop(links.ask(host, report), (reply, failure) -> {
                     if (failure == null) {
-                        heardNanos.put(host.id(), context.nowNanos());
+                        links.answered(host.id());
                     }
                 }));
-        long now = context.nowNanos();
-        for (HostId host : List.copyOf(heardNanos.keySet())) {
-            if (now - heardNanos.get(host) > TimeUnit.MILLISECONDS.toNanos(SILENT_MILLIS)) {
-                heardNanos.remove(host);
-                context.fleet().lost(host);
-                context.log().record("peer.silent", "host", host.value());
-            }
+        for (HostId host : links.takeSilent()) {
+            context.fleet().lost(host);
+            context.log().record("peer.silent", "host", host.value());
         }
     }
 
     /** Another host's report came. */
-    void heard(HostId from, PeerMessage.InFlightReport report) {
-        heardNanos.put(from, context.nowNanos());
+    void heard(HostId from, GatewayMessage.InFlightReport report) {
+        links.heard(from, report);
         context.fleet().reported(from, report.inFlight());
     }
 
     private PeerMessage report() {
-        boolean leaving = !context.stop().takesNew();
-        return new PeerMessage.InFlightReport(
-                context.processStart(), leaving, context.fleet().own());
+        boolean leaving = context.stop().phase() != PlannedStop.Phase.SERVING;
+        return new GatewayMessage.InFlightReport(
+                context.processStart(),
+                leaving,
+                reach.isDirect(),
+                context.fleet().own());
     }
 }
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/RelayedStore.java
@@ -0,0 +1,229 @@
+package org.gooseberryhill.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.gooseberryhill.external.ExternalServiceException;
+import org.gooseberryhill.external.ExternalServiceException.Kind;
+import org.gooseberryhill.external.PollingKeyValueStore;
+import org.gooseberryhill.external.Transaction;
+import org.gooseberryhill.peer.GatewayMessage;
+import org.gooseberryhill.peer.PeerMessage;
+
+/**
+ * The key-value store for a host that it may turn away: a call that fails goes through another host that the store
+ * serves. Thread-safe.
+ *
+ * <p>Invariant: what is acknowledged is the store's own acknowledgement, whichever host passed the call on. A write whose
+ * answer was lost may be repeated through another host, since it holds only at the revisions that it names; a write
+ * without conditions is repeated with the same content.
+ */
+final class RelayedStore implements PollingKeyValueStore {
+    private static final long RELAY_TIMEOUT_MILLIS = 900;
+
+    private final PollingKeyValueStore direct;
+    private final StoreReach reach;
+    private final Relay relay;
+
+    RelayedStore(PollingKeyValueStore direct, StoreReach reach, Relay relay) {
+        this.direct = direct;
+        this.reach = reach;
+        this.relay = relay;
+    }
+
+    @Override
+    public long calls() {
+        return direct.calls();
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> read(String key) {
+        return call(
+                () -> direct.read(key),
+                call(Optional.of(key), Optional.empty(), false),
+                GatewayMessage.StoreAnswer::read);
+    }
+
+    @Override
+    public CompletableFuture<Listing> list(String prefix, boolean mayBeStale) {
+        return call(
+                () -> direct.list(prefix, mayBeStale),
+                call(Optional.empty(), Optional.of(prefix), mayBeStale),
+                GatewayMessage.StoreAnswer::listing);
+    }
+
+    /** Not passed on: the hosts that the store serves tell all changes anyway. */
+    @Override
+    public CompletableFuture<Changes> changesAfter(String prefix, long revision, long waitMillis) {
+        if (!reach.mayTry()) {
+            return CompletableFuture.failedFuture(
+                    new ExternalServiceException(Kind.NOT_DONE, "the store turned this host away"));
+        }
+        return observed(direct.changesAfter(prefix, revision, waitMillis));
+    }
+
+    @Override
+    public CompletableFuture<WriteResult> write(Transaction transaction) {
+        GatewayMessage.StoreCall call = new GatewayMessage.StoreCall(
+                Optional.empty(),
+                Optional.empty(),
+                false,
+                Optional.of(transaction),
+                Optional.empty(),
+                Optional.empty());
+        return call(() -> direct.write(transaction), call, GatewayMessage.StoreAnswer::written);
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(long ttlMillis) {
+        return call(
+                () -> direct.grantLease(ttlMillis),
+                lease(Optional.of(ttlMillis), Optional.empty()),
+                GatewayMessage.StoreAnswer::lease);
+    }
+
+    @Override
+    public CompletableFuture<Long> renewLease(long leaseId) {
+        return call(
+                () -> direct.renewLease(leaseId),
+                lease(Optional.empty(), Optional.of(leaseId)),
+                GatewayMessage.StoreAnswer::lease);
+    }
+
+    @Override
+    public CompletableFuture<Void> revokeLease(long leaseId) {
+        return direct.revokeLease(leaseId);
+    }
+
+    @Override
+    public void close() {
+        // The store's connections belong to the client that was passed in.
+    }
+
+    /** Makes a call for another host, on this host's own way only. */
+    CompletableFuture<PeerMessage> serve(GatewayMessage.StoreCall call) {
+        if (call.readKey().isPresent()) {
+            return answer(
+                    direct.read(call.readKey().get()),
+                    read -> new GatewayMessage.StoreAnswer(
+                            Optional.empty(), Optional.of(read), Optional.empty(), Optional.empty(), Optional.empty()));
+        }
+        if (call.listPrefix().isPresent()) {
+            return answer(
+                    direct.list(call.listPrefix().get(), call.mayBeStale()),
+                    listing -> new GatewayMessage.StoreAnswer(
+                            Optional.empty(),
+                            Optional.empty(),
+                            Optional.of(listing),
+                            Optional.empty(),
+                            Optional.empty()));
+        }
+        if (call.write().isPresent()) {
+            return answer(
+                    direct.write(call.write().get()),
+                    written -> new GatewayMessage.StoreAnswer(
+                            Optional.empty(),
+                            Optional.empty(),
+                            Optional.empty(),
+                            Optional.of(written),
+                            Optional.empty()));
+        }
+        CompletableFuture<Long> lease = call.grantMillis().isPresent()
+                ? direct.grantLease(call.grantMillis().get())
+                : direct.renewLease(call.renewLease().orElseThrow());
+        return answer(
+                lease,
+                value -> new GatewayMessage.StoreAnswer(
+                        Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), Optional.of(value)));
+    }
+
+    private <T> CompletableFuture<T> call(
+            Supplier<CompletableFuture<T>> own,
+            GatewayMessage.StoreCall call,
+            Function<GatewayMessage.StoreAnswer, Optional<T>> part) {
+        if (!reach.mayTry()) {
+            return relayed(call, part, new ExternalServiceException(Kind.NOT_DONE, "the store turned this host away"));
+        }
+        return observed(own.get())
+                .handle((result, failure) -> {
+                    if (failure == null) {
+                        return CompletableFuture.completedFuture(result);
+                    }
+                    Kind kind = ExternalServiceException.kindOf(failure);
+                    boolean answered = kind == Kind.LEASE_GONE || kind == Kind.HISTORY_GONE;
+                    return answered
+                            ? CompletableFuture.<T>failedFuture(failure)
+                            : relayed(
+                                    call,
+                                    part,
+                                    new ExternalServiceException(kind, String.valueOf(failure.getMessage())));
+                })
+                .thenCompose(future -> future);
+    }
+
+    private <T> CompletableFuture<T> observed(CompletableFuture<T> own) {
+        return own.whenComplete((result, failure) -> {
+            Kind kind = failure == null ? null : ExternalServiceException.kindOf(failure);
+            if (kind == Kind.NOT_DONE || kind == Kind.UNKNOWN) {
+                reach.failed();
+            } else {
+                reach.answered();
+            }
+        });
+    }
+
+    /** The first failure tells whether a write may have been done, whatever the relay's own failure says. */
+    private <T> CompletableFuture<T> relayed(
+            GatewayMessage.StoreCall call,
+            Function<GatewayMessage.StoreAnswer, Optional<T>> part,
+            ExternalServiceException first) {
+        return relay.ask(call, RELAY_TIMEOUT_MILLIS).handle((reply, failure) -> {
+            if (reply instanceof GatewayMessage.StoreAnswer answer) {
+                Optional<T> found = part.apply(answer);
+                if (found.isPresent()) {
+                    return found.get();
+                }
+                throw worse(first, answer.failure().orElse(Kind.UNKNOWN));
+            }
+            boolean nobody = failure != null && ExternalServiceException.kindOf(failure) == Kind.NOT_DONE;
+            throw worse(first, nobody ? Kind.NOT_DONE : Kind.UNKNOWN);
+        });
+    }
+
+    private static ExternalServiceException worse(ExternalServiceException first, Kind second) {
+        if (second == Kind.LEASE_GONE) {
+            return new ExternalServiceException(second, "the lease has ended");
+        }
+        boolean notDone = first.kind() == Kind.NOT_DONE && second == Kind.NOT_DONE;
+        return new ExternalServiceException(notDone ? Kind.NOT_DONE : Kind.UNKNOWN, first.getMessage());
+    }
+
+    private static <T> CompletableFuture<PeerMessage> answer(
+            CompletableFuture<T> call, Function<T, GatewayMessage.StoreAnswer> whole) {
+        return call.handle((result, failure) -> failure == null
+                ? whole.apply(result)
+                : new GatewayMessage.StoreAnswer(
+                        Optional.of(ExternalServiceException.kindOf(failure)),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty()));
+    }
+
+    private static GatewayMessage.StoreCall call(Optional<String> key, Optional<String> prefix, boolean mayBeStale) {
+        return new GatewayMessage.StoreCall(
+                key, prefix, mayBeStale, Optional.empty(), Optional.empty(), Optional.empty());
+    }
+
+    private static GatewayMessage.StoreCall lease(Optional<Long> grantMillis, Optional<Long> renew) {
+        return new GatewayMessage.StoreCall(
+                Optional.empty(), Optional.empty(), false, Optional.empty(), grantMillis, renew);
+    }
+
+    /** Asks a host that the store serves; fails with kind NOT_DONE if there is none. From any thread. */
+    @FunctionalInterface
+    interface Relay {
+        CompletableFuture<PeerMessage> ask(GatewayMessage.StoreCall call, long timeoutMillis);
+    }
+}
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -37,6 +37,12 @@
     /** A repeatable request goes on elsewhere after this silence inside its answer. */
     private static final int SILENCE_MILLIS_REPEATABLE = 700;
 
+    /** Before the end of a stop no request is taken: one that needs longer would be cut. */
+    private static final long LAST_REQUEST_MILLIS = 1500;
+
+    /** Another host takes it at once. */
+    private static final long STOPPING_RETRY_AFTER_MILLIS = 10;
+
     private final GatewayContext context;
     private final GatewayTraffic traffic;
     private final HttpCall call;
@@ -74,11 +80,20 @@
         return context.dialects().traffic().isNotRun(status, headers);
     }
 
+    /** Whether an answer is the endpoint's own. From any thread. */
+    boolean isGenuine(int status, HttpHeaders headers) {
+        return context.dialects().traffic().isGenuine(status, headers);
+    }
+
     private void start() {
         traffic.began();
         call.onDisconnect(() -> context.loop().execute(this::callerGone));
         long leftNanos = request.intake().deadlineNanos() - context.nowNanos();
         context.loop().after(Math.max(1, TimeUnit.NANOSECONDS.toMillis(leftNanos)), this::timeOver);
+        if (context.stop().endsWithin(LAST_REQUEST_MILLIS, context.nowNanos())) {
+            refuse(Refusal.notRun(ErrorCode.STOPPING, "this host is about to end", STOPPING_RETRY_AFTER_MILLIS));
+            return;
+        }
         follow(context.core().first(request, context.nowNanos()));
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/ViewKeeper.java
+++ b/src/main/java/org/gooseberryhill/gateway/ViewKeeper.java
@@ -1,13 +1,14 @@
 package org.gooseberryhill.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.external.KeyChange;
 import org.gooseberryhill.external.KeyValueStore;
 import org.gooseberryhill.external.PollingKeyValueStore;
-import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.view.KeyView;
 
 /**
@@ -43,6 +44,10 @@
         this.notBeforeNanos = context.nowNanos();
     }
 
+    String prefix() {
+        return prefix;
+    }
+
     KeyView view() {
         return view;
     }
@@ -68,18 +73,19 @@
         }
     }
 
-    /** Another host passed changes on. */
-    boolean passedOn(PeerMessage.ViewChanges changes) {
-        return view.advance(changes.fromRevision(), changes.toRevision(), changes.changes())
-                .map(news -> {
-                    refreshed(context.nowNanos() - TimeUnit.MILLISECONDS.toNanos(changes.ageMillis()), news);
-                    return true;
-                })
-                .orElse(false);
+    /**
+     * Another host passed changes on. Returns false if this one lacks what came before them: then only all that the other
+     * knows helps.
+     */
+    boolean passedOn(GatewayMessage.ViewChanges changes) {
+        Optional<List<KeyChange>> news = view.advance(changes.fromRevision(), changes.toRevision(), changes.changes());
+        news.ifPresent(
+                found -> refreshed(context.nowNanos() - TimeUnit.MILLISECONDS.toNanos(changes.ageMillis()), found));
+        return news.isPresent();
     }
 
     /** Another host told all that it knows. */
-    void listed(PeerMessage.ViewListing listing) {
+    void listed(GatewayMessage.ViewListing listing) {
         if (listing.revision() > 0) {
             long readNanos = context.nowNanos() - TimeUnit.MILLISECONDS.toNanos(listing.ageMillis());
             refreshed(readNanos, view.replace(listing.revision(), listing.entries()));
@@ -87,8 +93,8 @@
     }
 
     /** All that this host knows, for another one. */
-    PeerMessage.ViewListing listing() {
-        return new PeerMessage.ViewListing(prefix, view.revision(), view.entries(), ageMillis());
+    GatewayMessage.ViewListing listing() {
+        return new GatewayMessage.ViewListing(prefix, view.revision(), view.entries(), ageMillis());
     }
 
     private void list() {
@@ -128,7 +134,7 @@
         // The store answers when something has changed or the wait is over: the answer is as new as its arrival.
         view.advance(from, changes.revision(), changes.changes())
                 .ifPresent(news -> refreshed(context.nowNanos(), news));
-        links.tellAll(new PeerMessage.ViewChanges(prefix, from, changes.revision(), changes.changes(), 0));
+        links.tellAll(new GatewayMessage.ViewChanges(prefix, from, changes.revision(), changes.changes(), 0));
     }
 
     private void changesFailed(Throwable failure) {
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -72,6 +72,16 @@
         closingConnections = true;
     }
 
+    /** Closes the connections on which no request is in progress. */
+    public void closeIdle() {
+        for (Channel connection : connections) {
+            ServerConnectionHandler handler = connection.pipeline().get(ServerConnectionHandler.class);
+            if (handler != null) {
+                connection.eventLoop().execute(() -> handler.closeIfIdle(connection));
+            }
+        }
+    }
+
     /** How many connections are open. */
     public int openConnections() {
         return connections.size();
--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -102,6 +103,13 @@
         context.close();
     }
 
+    /** Closes the connection unless a request is in progress on it. */
+    void closeIfIdle(Channel connection) {
+        if (call == null) {
+            connection.close();
+        }
+    }
+
     /** The present answer is complete: looks at the next request, or closes. */
     void callEnded(ChannelHandlerContext context, boolean keepAlive) {
         boolean unreadBody = !bodyDone;
--- a/src/main/java/org/gooseberryhill/peer/PeerMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerMessage.java
@@ -7,13 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.gooseberryhill.decision.configuration.TextChange;
-import org.gooseberryhill.decision.dispatch.InFlight;
 import org.gooseberryhill.decision.job.ItemEnd;
 import org.gooseberryhill.decision.job.WorkItem;
 import org.gooseberryhill.decision.membership.Rumor;
-import org.gooseberryhill.decision.requestbatch.BatchPage;
-import org.gooseberryhill.directory.EndpointKey;
-import org.gooseberryhill.external.KeyChange;
 import org.gooseberryhill.host.HostId;
 
 /**
@@ -53,19 +49,22 @@
     @JsonSubTypes.Type(value = PeerMessage.SegmentAsk.class, name = "get"),
     @JsonSubTypes.Type(value = PeerMessage.Segment.class, name = "seg"),
     @JsonSubTypes.Type(value = PeerMessage.SegmentHave.class, name = "have?"),
-    @JsonSubTypes.Type(value = PeerMessage.InFlightReport.class, name = "use"),
-    @JsonSubTypes.Type(value = PeerMessage.ViewChanges.class, name = "view+"),
-    @JsonSubTypes.Type(value = PeerMessage.ViewAsk.class, name = "view?"),
-    @JsonSubTypes.Type(value = PeerMessage.ViewListing.class, name = "view"),
-    @JsonSubTypes.Type(value = PeerMessage.BatchNotice.class, name = "batch"),
-    @JsonSubTypes.Type(value = PeerMessage.ResultsAsk.class, name = "results?"),
-    @JsonSubTypes.Type(value = PeerMessage.Results.class, name = "results"),
-    @JsonSubTypes.Type(value = PeerMessage.ItemBodyAsk.class, name = "body?"),
-    @JsonSubTypes.Type(value = PeerMessage.ItemBody.class, name = "body"),
-    @JsonSubTypes.Type(value = PeerMessage.BatchEndAsk.class, name = "end?"),
-    @JsonSubTypes.Type(value = PeerMessage.BatchEnded.class, name = "ended")
+    @JsonSubTypes.Type(value = GatewayMessage.InFlightReport.class, name = "use"),
+    @JsonSubTypes.Type(value = GatewayMessage.ViewChanges.class, name = "view+"),
+    @JsonSubTypes.Type(value = GatewayMessage.ViewAsk.class, name = "view?"),
+    @JsonSubTypes.Type(value = GatewayMessage.ViewListing.class, name = "view"),
+    @JsonSubTypes.Type(value = GatewayMessage.BatchNotice.class, name = "batch"),
+    @JsonSubTypes.Type(value = GatewayMessage.ResultsAsk.class, name = "results?"),
+    @JsonSubTypes.Type(value = GatewayMessage.Results.class, name = "results"),
+    @JsonSubTypes.Type(value = GatewayMessage.ItemBodyAsk.class, name = "body?"),
+    @JsonSubTypes.Type(value = GatewayMessage.ItemBody.class, name = "body"),
+    @JsonSubTypes.Type(value = GatewayMessage.BatchEndAsk.class, name = "end?"),
+    @JsonSubTypes.Type(value = GatewayMessage.BatchEnded.class, name = "ended"),
+    @JsonSubTypes.Type(value = GatewayMessage.BatchHandOver.class, name = "over"),
+    @JsonSubTypes.Type(value = GatewayMessage.StoreCall.class, name = "kv?"),
+    @JsonSubTypes.Type(value = GatewayMessage.StoreAnswer.class, name = "kv")
 })
-public sealed interface PeerMessage {
+public interface PeerMessage {
     /** A request was taken in. */
     record Ack() implements PeerMessage {}
 
@@ -275,96 +274,4 @@
      * @param names the names
      */
     record SegmentHave(List<String> names) implements PeerMessage {}
-
-    /**
-     * What a host has in flight at endpoints: the whole, so that a lost report is made good by the next.
-     *
-     * @param processStart tells the host's process from an earlier one
-     * @param leaving whether the host is stopping as planned
-     * @param inFlight by endpoint
-     */
-    record InFlightReport(String processStart, boolean leaving, Map<EndpointKey, InFlight> inFlight)
-            implements PeerMessage {}
-
-    /**
-     * Changes that a host read from the key-value store, passed on.
-     *
-     * @param prefix the prefix of the keys
-     * @param fromRevision the changes are complete after this revision
-     * @param toRevision up to this one
-     * @param changes the changes
-     * @param ageMillis how long ago they were read
-     */
-    record ViewChanges(String prefix, long fromRevision, long toRevision, List<KeyChange> changes, long ageMillis)
-            implements PeerMessage {}
-
-    /**
-     * Asks for all keys that a host knows under a prefix; the reply is {@link ViewListing}.
-     *
-     * @param prefix the prefix
-     */
-    record ViewAsk(String prefix) implements PeerMessage {}
-
-    /**
-     * All keys that a host knows under a prefix.
-     *
-     * @param prefix the prefix
-     * @param revision as of which they are complete; 0 if the host knows nothing yet
-     * @param entries the keys
-     * @param ageMillis how long ago the host last read the store
-     */
-    record ViewListing(String prefix, long revision, List<KeyChange> entries, long ageMillis) implements PeerMessage {}
-
-    /**
-     * A host owns a request batch from now on.
-     *
-     * @param batch its id
-     */
-    record BatchNotice(String batch) implements PeerMessage {}
-
-    /**
-     * Reads results at the owner of a request batch; the reply is {@link Results}.
-     *
-     * @param batch its id
-     * @param after the first position asked for
-     * @param waitMillis how long the reply may wait for a result
-     */
-    record ResultsAsk(String batch, int after, long waitMillis) implements PeerMessage {}
-
-    /**
-     * Results of a request batch.
-     *
-     * @param page the results; empty if the host does not own the batch
-     */
-    record Results(Optional<BatchPage> page) implements PeerMessage {}
-
-    /**
-     * Reads the body of an item at the owner of its batch; the reply is {@link ItemBody}.
-     *
-     * @param batch the batch's id
-     * @param item the item's id
-     */
-    record ItemBodyAsk(String batch, String item) implements PeerMessage {}
-
-    /**
-     * The body of an item.
-     *
-     * @param owned whether the host owns the batch
-     * @param body the body of an item that is not listed yet
-     */
-    record ItemBody(boolean owned, Optional<byte[]> body) implements PeerMessage {}
-
-    /**
-     * Ends a request batch at its owner; the reply is {@link BatchEnded}.
-     *
-     * @param batch its id
-     */
-    record BatchEndAsk(String batch) implements PeerMessage {}
-
-    /**
-     * Whether a batch is ended now.
-     *
-     * @param ended false if the host does not own the batch
-     */
-    record BatchEnded(boolean ended) implements PeerMessage {}
 }
