--- a/src/main/java/org/gooseberryhill/entry/JobIntakeBody.java
+++ b/src/main/java/org/gooseberryhill/entry/JobIntakeBody.java
@@ -24,6 +24,7 @@
 import org.gooseberryhill.link.Json;
 import org.gooseberryhill.process.HostProcess;
 import org.gooseberryhill.store.SegmentNames;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Takes in a job while its body comes. Body methods run on the connection's traffic thread.
@@ -172,7 +173,11 @@
         call.reply(created ? 201 : 200, Map.of("content-type", "application/json"), Json.bytes(answer));
         HostProcess process = context.process();
         process.loop().execute(() -> {
-            process.timeline().job("job.accepted", request.key().path(), Optional.empty(), record.items() + " items");
+            process.timeline()
+                    .event(EventKind.JOB_ACCEPTED)
+                    .job(request.key().path())
+                    .with("items", record.items())
+                    .write();
             JobNotices.tellOwner(process, request.key(), false);
             onEnded.run();
         });
--- a/src/main/java/org/gooseberryhill/entry/JobQueries.java
+++ b/src/main/java/org/gooseberryhill/entry/JobQueries.java
@@ -22,6 +22,7 @@
 import org.gooseberryhill.external.Transaction;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.link.Json;
+import org.gooseberryhill.timeline.EventKind;
 
 /** Status, list, results and cancel of jobs. Thread-safe, keeps no state. */
 final class JobQueries {
@@ -113,7 +114,11 @@
     private void cancelled(HttpCall call, JobKey key, JobRecord record) {
         call.reply(200, JSON, Json.bytes(state(key, record)));
         context.process().loop().execute(() -> {
-            context.process().timeline().job("job.cancelled", key.path(), Optional.empty(), "");
+            context.process()
+                    .timeline()
+                    .event(EventKind.JOB_CANCELLED)
+                    .job(key.path())
+                    .write();
             JobNotices.tellOwner(context.process(), key, true);
         });
     }
--- a/src/main/java/org/gooseberryhill/entry/OnlineCall.java
+++ b/src/main/java/org/gooseberryhill/entry/OnlineCall.java
@@ -20,6 +20,7 @@
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * One online request on its way through this host. Decisions run on the control thread, answers on traffic threads.
@@ -103,7 +104,15 @@
             boolean cut =
                     failure.kind() == ExchangeFailure.Kind.CONNECTION_LOST && failure.outcome() == Outcome.MAY_HAVE_RUN;
             String endpoint = request.endpoint().orElse("");
-            process().timeline().request("attempt.failed", intake.id(), Optional.of(endpoint), failure.detail());
+            process()
+                    .timeline()
+                    .event(EventKind.ATTEMPT_FAILED)
+                    .request(intake.id())
+                    .endpoint(endpoint)
+                    .with("attempt", attempt)
+                    .with("outcome", failure.outcome().wireName())
+                    .with("detail", failure.detail())
+                    .write();
             try (CloseableThreadContext.Instance ignored =
                     CloseableThreadContext.put("request", intake.id()).put("endpoint", endpoint)) {
                 LOG.warn("attempt {} failed, {}: {}", attempt, failure.outcome().wireName(), failure.detail());
@@ -159,11 +168,11 @@
         context.metrics().refused(intake.service(), refusal.code().wireName());
         process()
                 .timeline()
-                .request(
-                        "request.refused",
-                        intake.id(),
-                        Optional.empty(),
-                        refusal.code().wireName());
+                .event(EventKind.REQUEST_REFUSED)
+                .request(intake.id())
+                .with("code", refusal.code().wireName())
+                .with("reason", refusal.message())
+                .write();
         refuse(refusal);
     }
 
@@ -183,7 +192,13 @@
         attemptNumber++;
         context.metrics().attempt(endpoint.name());
         context.traffic().attemptStarted(endpoint.name());
-        process().timeline().request("attempt.sent", intake.id(), Optional.of(endpoint.name()), "");
+        process()
+                .timeline()
+                .event(EventKind.ATTEMPT_SENT)
+                .request(intake.id())
+                .endpoint(endpoint.name())
+                .with("attempt", attemptNumber)
+                .write();
         exchange = startExchange(endpoint, attemptNumber);
     }
 
@@ -254,6 +269,11 @@
         context.traffic().core().finished(request);
         context.traffic().requestEnded();
         context.metrics().ended(intake.service(), end);
-        process().timeline().request("request.ended", intake.id(), Optional.empty(), end);
+        process()
+                .timeline()
+                .event(EventKind.REQUEST_ENDED)
+                .request(intake.id())
+                .with("end", end)
+                .write();
     }
 }
--- a/src/main/java/org/gooseberryhill/entry/OnlineTraffic.java
+++ b/src/main/java/org/gooseberryhill/entry/OnlineTraffic.java
@@ -15,6 +15,7 @@
 import org.gooseberryhill.host.Role;
 import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * What an entry host shares with the others about online work: loads, crashes, leaving endpoints. Used by the control
@@ -78,7 +79,11 @@
     /** An endpoint broke off requests: all hosts have to know before the caller sends them again elsewhere. */
     void crashed(String endpoint, Fingerprint fingerprint) {
         core.suspects().crashed(endpoint, List.of(fingerprint), process.loop().nowNanos());
-        process.timeline().endpoint("endpoint.crashed", endpoint, "with " + fingerprint.value());
+        process.timeline()
+                .event(EventKind.ENDPOINT_CRASHED)
+                .endpoint(endpoint)
+                .with("fingerprint", fingerprint.value())
+                .write();
         PeerMessage notice = new PeerMessage.CrashNotice(endpoint, List.of(fingerprint.value()));
         process.present(Role.ENTRY).stream()
                 .filter(host -> !process.isSelf(host))
--- a/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
@@ -7,10 +7,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.external.KeyValueStore;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Writes results of owned batches into the key-value store and shows them from then on. For the control thread.
@@ -35,14 +37,16 @@
     private final GatewayContext context;
     private final BatchStore store;
     private final BatchBoard board;
+    private final Consumer<String> onLost;
     private final Map<String, Long> waitingSinceNanos = new HashMap<>();
     private final Map<String, List<Runnable>> endings = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
 
-    BatchCommitter(GatewayContext context, BatchStore store, BatchBoard board) {
+    BatchCommitter(GatewayContext context, BatchStore store, BatchBoard board, Consumer<String> onLost) {
         this.context = context;
         this.store = store;
         this.board = board;
+        this.onLost = onLost;
     }
 
     /** Writes what is due; called often. */
@@ -76,6 +80,16 @@
         writeEnding(batch);
     }
 
+    /**
+     * A listing shows a later revision of an owned batch than this host wrote: another process ended or took it. While a
+     * write of this host is on its way, that write finds it out.
+     */
+    void changedElsewhere(BatchStore.Stored found) {
+        if (!writing.contains(found.id())) {
+            lost(found.id(), found.record().ended());
+        }
+    }
+
     private boolean hasGathered(OwnedBatch batch) {
         long since = waitingSinceNanos.computeIfAbsent(batch.id(), key -> context.nowNanos());
         return context.nowNanos() - since >= TimeUnit.MILLISECONDS.toNanos(GATHER_MILLIS);
@@ -122,7 +136,11 @@
         }
         context.onLoop(store.commit(List.of(commit)), (result, failure) -> {
             if (failure != null) {
-                context.log().record("batch.commit-unanswered", "batch", commit.id(), "reason", failure.getMessage());
+                context.timeline()
+                        .event(EventKind.BATCH_WRITE_UNANSWERED)
+                        .job(commit.id())
+                        .with("reason", failure.getMessage())
+                        .write();
                 context.loop().after(RETRY_MILLIS, () -> commitAlone(commit));
             } else if (result.succeeded()) {
                 committed(commit, result.revision());
@@ -155,15 +173,12 @@
         waitingSinceNanos.remove(commit.id());
         board.find(commit.id()).ifPresent(batch -> {
             batch.commitSucceeded(commit.record(), revision);
-            context.log()
-                    .record(
-                            "batch.committed",
-                            "batch",
-                            commit.id(),
-                            "listed",
-                            commit.record().listed(),
-                            "items",
-                            commit.record().items());
+            context.timeline()
+                    .event(EventKind.BATCH_COMMITTED)
+                    .job(commit.id())
+                    .with("listed", commit.record().listed())
+                    .with("items", commit.record().items())
+                    .write();
             board.wake(commit.id());
             if (endings.containsKey(commit.id())) {
                 writeEnding(batch);
@@ -172,8 +187,13 @@
     }
 
     private void lost(String id, boolean ended) {
-        context.log().record("batch.lost", "batch", id, "ended", ended);
+        context.timeline()
+                .event(EventKind.BATCH_LOST)
+                .job(id)
+                .with("ended", ended)
+                .write();
         board.drop(id);
+        onLost.accept(id);
         List<Runnable> actions = endings.remove(id);
         if (actions != null && ended) {
             actions.forEach(Runnable::run);
@@ -220,7 +240,7 @@
     private void ended(OwnedBatch batch, BatchRecord ended, KeyValueStore.WriteResult result) {
         writing.remove(batch.id());
         batch.recordChanged(ended, result.revision());
-        context.log().record("batch.ended", "batch", batch.id());
+        context.timeline().event(EventKind.BATCH_ENDED).job(batch.id()).write();
         board.wake(batch.id());
         List<Runnable> actions = endings.remove(batch.id());
         if (actions != null) {
--- a/src/main/java/org/gooseberryhill/gateway/BatchDesk.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchDesk.java
@@ -1,27 +1,20 @@
 package org.gooseberryhill.gateway;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.ErrorCode;
-import org.gooseberryhill.contract.Fingerprint;
-import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.dialect.SystemCall;
-import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
-import org.gooseberryhill.route.Route;
 
 /**
  * Serves the calls about request batches. Entered from traffic threads, decides on the control thread.
@@ -34,20 +27,18 @@
     static final int MAX_PAGE_CHARACTERS = 700_000;
 
     private static final int OK = 200;
-    private static final int ACCEPTED = 202;
     private static final Map<String, String> JSON = Map.of("content-type", "application/json");
 
-    /** How long a submission is tried while its caller waits: the store's outages are longer or much shorter. */
-    private static final long SUBMIT_MILLIS = 2500;
+    /** An owner that can't be told for two seconds finds the ended record by itself. */
+    private static final int TELL_OWNER_TRIES = 10;
 
-    private static final long SUBMIT_RETRY_MILLIS = 100;
-    private static final long RETRY_AFTER_MILLIS = 1000;
+    private static final long TELL_OWNER_MILLIS = 200;
 
     /** A reply of the owner may be kept waiting; this much more for the way. */
     private static final long ASK_MARGIN_MILLIS = 500;
 
     private final GatewayContext context;
-    private final GatewayTraffic traffic;
+    private final BatchReplies replies;
     private final PeerLinks links;
     private final BatchBoard board;
     private final BatchStore store;
@@ -57,14 +48,14 @@
 
     BatchDesk(
             GatewayContext context,
-            GatewayTraffic traffic,
+            BatchReplies replies,
             PeerLinks links,
             BatchBoard board,
             BatchStore store,
             BatchCommitter committer,
             BatchRunner runner) {
         this.context = context;
-        this.traffic = traffic;
+        this.replies = replies;
         this.links = links;
         this.board = board;
         this.store = store;
@@ -73,31 +64,6 @@
         this.stored = new StoredResults(context, store);
     }
 
-    /** Takes a batch in; from any thread. */
-    void submit(HttpCall call, String id, Route route, byte[] body, long arrivedNanos) {
-        Either<List<String>, List<BatchItem>> items =
-                context.dialects().batches().items(body);
-        if (items.isLeft()) {
-            refuse(call, id, Refusal.notRun(ErrorCode.INVALID_REQUEST, String.join("; ", items.getLeft())));
-            return;
-        }
-        String host = call.headers().get(HttpHeaderNames.HOST, "");
-        BatchRecord record = new BatchRecord(
-                host,
-                call.target(),
-                Fingerprint.of(host + call.target(), body).value(),
-                context.settings().self().id().value(),
-                context.processStart(),
-                System.currentTimeMillis(),
-                BatchStore.bodyParts(body),
-                items.get().size(),
-                false,
-                List.of(),
-                0);
-        Submission submission = new Submission(call, id, route, record, body, items.get(), arrivedNanos);
-        context.loop().execute(() -> create(submission, false));
-    }
-
     /** Answers a call of the system's own interface; from any thread. */
     void answer(HttpCall call, SystemCall systemCall) {
         context.loop().execute(() -> {
@@ -139,80 +105,6 @@
         return batch.isPresent();
     }
 
-    private void create(Submission submission, boolean uncertain) {
-        if (board.find(submission.id).isPresent()) {
-            confirm(submission);
-            return;
-        }
-        context.onLoop(store.create(submission.id, submission.record, submission.body), (result, failure) -> {
-            if (failure != null) {
-                createFailed(submission, uncertain, failure);
-            } else if (result.succeeded()) {
-                accepted(submission, result.revision());
-            } else {
-                readExisting(submission);
-            }
-        });
-    }
-
-    private void createFailed(Submission submission, boolean uncertain, Throwable failure) {
-        boolean notDone = ExternalServiceException.kindOf(failure) == ExternalServiceException.Kind.NOT_DONE;
-        boolean nowUncertain = uncertain || !notDone;
-        long spentNanos = context.nowNanos() - submission.arrivedNanos;
-        if (spentNanos < TimeUnit.MILLISECONDS.toNanos(SUBMIT_MILLIS)) {
-            context.loop().after(SUBMIT_RETRY_MILLIS, () -> create(submission, nowUncertain));
-            return;
-        }
-        refuseUnavailable(submission.call, submission.id, nowUncertain);
-    }
-
-    private void readExisting(Submission submission) {
-        context.onLoop(store.read(submission.id), (found, failure) -> {
-            if (failure != null || found.isEmpty()) {
-                refuseUnavailable(submission.call, submission.id, true);
-                return;
-            }
-            BatchStore.Stored existing = found.get();
-            if (!existing.record().bodyHash().equals(submission.record.bodyHash())) {
-                refuse(
-                        submission.call,
-                        submission.id,
-                        Refusal.notRun(ErrorCode.CONFLICT, "another batch was accepted under this id"));
-                return;
-            }
-            boolean own = existing.record().owner().equals(submission.record.owner())
-                    && existing.record().ownerStart().equals(submission.record.ownerStart());
-            if (own) {
-                accepted(submission, existing.revision());
-            } else {
-                confirm(submission);
-            }
-        });
-    }
-
-    private void accepted(Submission submission, long revision) {
-        if (board.find(submission.id).isEmpty()) {
-            OwnedBatch batch = new OwnedBatch(submission.id, submission.record, revision, submission.items, List.of());
-            board.add(batch);
-            links.tellAll(new GatewayMessage.BatchNotice(submission.id));
-            context.log()
-                    .record(
-                            "batch.accepted",
-                            "batch",
-                            submission.id,
-                            "items",
-                            submission.items.size(),
-                            "millis",
-                            TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - submission.arrivedNanos));
-        }
-        confirm(submission);
-        runner.balance();
-    }
-
-    private void confirm(Submission submission) {
-        submission.call.reply(ACCEPTED, JSON, "{}".getBytes(StandardCharsets.UTF_8));
-    }
-
     private void readResults(HttpCall call, SystemCall.ReadResults read) {
         if (board.find(read.batch()).isPresent()) {
             ownResults(read.batch(), read.after(), read.waitMillis(), page -> replyPage(call, read, page));
@@ -241,9 +133,9 @@
     private void readStoredResults(HttpCall call, SystemCall.ReadResults read) {
         context.onLoop(stored.page(read.batch(), read.after()), (page, failure) -> {
             if (failure != null) {
-                refuseUnavailable(call, read.batch(), false);
+                replies.unavailable(call, read.batch(), false);
             } else if (page.isEmpty()) {
-                refuse(call, read.batch(), Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such batch"));
+                replies.refuse(call, read.batch(), Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such batch"));
             } else {
                 call.reply(OK, JSON, context.dialects().batches().page(page.get()));
             }
@@ -282,7 +174,7 @@
     private void readStoredItem(HttpCall call, SystemCall.ReadItem read) {
         context.onLoop(stored.item(read.batch(), read.item()), (body, failure) -> {
             if (failure != null) {
-                refuseUnavailable(call, read.batch(), false);
+                replies.unavailable(call, read.batch(), false);
             } else {
                 replyItem(call, read, body);
             }
@@ -293,7 +185,7 @@
         if (body.isPresent()) {
             call.reply(OK, Map.of("content-type", "application/octet-stream"), body.get());
         } else {
-            refuse(call, read.batch(), Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such open item"));
+            replies.refuse(call, read.batch(), Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such open item"));
         }
     }
 
@@ -303,11 +195,15 @@
             return;
         }
         Optional<Host> owner = board.owner(id).flatMap(links::find);
-        if (owner.isEmpty()) {
+        if (owner.isPresent()) {
+            endAtOwner(call, id, owner.get(), done);
+        } else {
             endStored(call, id, done);
-            return;
         }
-        context.onLoop(links.ask(owner.get(), new GatewayMessage.BatchEndAsk(id)), (reply, failure) -> {
+    }
+
+    private void endAtOwner(HttpCall call, String id, Host owner, Runnable done) {
+        context.onLoop(links.ask(owner, new GatewayMessage.BatchEndAsk(id)), (reply, failure) -> {
             if (reply instanceof GatewayMessage.BatchEnded answer && answer.ended()) {
                 done.run();
             } else {
@@ -319,9 +215,9 @@
     private void endStored(HttpCall call, String id, Runnable done) {
         context.onLoop(store.read(id), (found, failure) -> {
             if (failure != null) {
-                refuseUnavailable(call, id, true);
+                replies.unavailable(call, id, true);
             } else if (found.isEmpty()) {
-                refuse(call, id, Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such batch"));
+                replies.refuse(call, id, Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such batch"));
             } else if (found.get().record().isFinished()) {
                 done.run();
             } else {
@@ -336,28 +232,27 @@
             if (failure == null && result.succeeded()) {
                 stored.forget(found.id());
                 done.run();
+                tellOwner(found.id(), found.record().owner(), TELL_OWNER_TRIES);
             } else {
                 // The owner committed meanwhile, or the answer was lost: the caller ends it again.
-                refuseUnavailable(call, found.id(), true);
+                replies.unavailable(call, found.id(), true);
             }
         });
     }
 
-    private void refuseUnavailable(HttpCall call, String id, boolean mayHaveRun) {
-        refuse(
-                call,
-                id,
-                new Refusal(
-                        ErrorCode.PLATFORM_UNAVAILABLE,
-                        mayHaveRun ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN,
-                        "the key-value store does not answer",
-                        Optional.of(RETRY_AFTER_MILLIS)));
-    }
-
-    private void refuse(HttpCall call, String id, Refusal refusal) {
-        context.log()
-                .record("batch.refused", "batch", id, "code", refusal.code().wireName(), "reason", refusal.message());
-        traffic.refuse(call, id, refusal);
+    /**
+     * The record is ended, but its owner learns so only at its next commit: until then it would start further items.
+     */
+    private void tellOwner(String id, String owner, int tries) {
+        Optional<Host> host = links.find(new HostId(owner));
+        if (host.isEmpty() || tries == 0) {
+            return;
+        }
+        context.onLoop(links.ask(host.get(), new GatewayMessage.BatchEndAsk(id)), (reply, failure) -> {
+            if (failure != null) {
+                context.loop().after(TELL_OWNER_MILLIS, () -> tellOwner(id, owner, tries - 1));
+            }
+        });
     }
 
     /** Takes a page, or nothing if the batch is not owned. */
@@ -365,14 +260,4 @@
     interface PageReceiver {
         void receive(Optional<BatchPage> page);
     }
-
-    /** A batch on its way in. */
-    private record Submission(
-            HttpCall call,
-            String id,
-            Route route,
-            BatchRecord record,
-            byte[] body,
-            List<BatchItem> items,
-            long arrivedNanos) {}
 }
--- a/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
@@ -10,6 +10,7 @@
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Gives the open batches of a host that stops to others, with what their items have generated so far. For the control
@@ -59,15 +60,12 @@
                 batch.id(), batch.recordRevision(), batch.record(), batch.checkpoints());
         context.onLoop(links.ask(chosen.get(), handOver), (reply, failure) -> {
             boolean taken = reply instanceof GatewayMessage.BatchEnded answer && answer.ended();
-            context.log()
-                    .record(
-                            "batch.handed-over",
-                            "batch",
-                            batch.id(),
-                            "to",
-                            chosen.get().id().value(),
-                            "taken",
-                            taken);
+            context.timeline()
+                    .event(EventKind.BATCH_HANDED_OVER)
+                    .job(batch.id())
+                    .with("to", chosen.get().id().value())
+                    .with("taken", taken)
+                    .write();
             if (taken) {
                 board.drop(batch.id());
                 board.ownedBy(batch.id(), chosen.get().id());
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
+import org.gooseberryhill.decision.dispatch.ItemPause;
 import org.gooseberryhill.decision.dispatch.ItemPlacement;
 import org.gooseberryhill.decision.dispatch.MovingMean;
 import org.gooseberryhill.decision.dispatch.YieldTiming;
@@ -19,6 +20,7 @@
 import org.gooseberryhill.route.RouteKind;
 import org.gooseberryhill.route.RouteTable;
 import org.gooseberryhill.route.RouteTarget;
+import org.gooseberryhill.timeline.EventKind;
 
 /** Starts items of owned batches where slots are free, and lets them yield to online requests. For the control thread. */
 final class BatchRunner {
@@ -35,6 +37,7 @@
     private final ItemPlacement placement;
     private final Runnable onLoadChange;
     private final YieldTiming yieldTiming = new YieldTiming();
+    private final ItemPause itemPause = new ItemPause();
     private final MovingMean runMillis = new MovingMean(INITIAL_RUN_MILLIS, NEWEST_WEIGHT);
     private final Map<EndpointKey, List<ItemRun>> runs = new HashMap<>();
     private RouteTable table = RouteTable.EMPTY;
@@ -99,19 +102,14 @@
         }
         int maxAttempts = route(run.batch()).map(Route::maxAttempts).orElse(1);
         run.batch().ended(run.item(), end, maxAttempts, context.nowNanos());
-        context.log()
-                .record(
-                        "item.run-ended",
-                        "batch",
-                        run.batch().id(),
-                        "item",
-                        run.item().item().id(),
-                        "endpoint",
-                        key.id(),
-                        "end",
-                        end,
-                        "detail",
-                        detail);
+        context.timeline()
+                .event(EventKind.ITEM_RUN_ENDED)
+                .job(run.batch().id())
+                .with("item", run.item().item().id())
+                .endpoint(key.id())
+                .with("end", end)
+                .with("detail", detail)
+                .write();
         onLoadChange.run();
     }
 
@@ -121,8 +119,12 @@
             if (endpoint.isEmpty()) {
                 continue;
             }
-            int share = context.fleet()
+            int tooMany = context.fleet()
                     .yieldShare(endpoint.get(), context.settings().self().id());
+            int share = yieldTiming.due(key, tooMany, context.nowNanos());
+            if (share > 0) {
+                itemPause.gaveWay(key, context.nowNanos());
+            }
             List<ItemRun> endpointRuns = List.copyOf(runs.get(key));
             for (int i = 0; i < Math.min(share, endpointRuns.size()); i++) {
                 // The run that started last has the least to read again elsewhere.
@@ -173,7 +175,9 @@
         List<FleetEndpoint> endpoints = new ArrayList<>();
         for (RouteTarget target : route.targets()) {
             if (target.weight() > 0) {
-                endpoints.addAll(context.fleet().of(target.service()));
+                context.fleet().of(target.service()).stream()
+                        .filter(endpoint -> !itemPause.isPaused(endpoint.key(), context.nowNanos()))
+                        .forEach(endpoints::add);
             }
         }
         return endpoints;
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -14,6 +14,7 @@
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.peer.GatewayMessage;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Takes over batches whose owner is lost. For the control thread.
@@ -31,16 +32,24 @@
     private final BatchStore store;
     private final OwnerWatch owners;
     private final Runnable onTaken;
+    private final Consumer<BatchStore.Stored> onChangedElsewhere;
     private final Set<String> taking = new HashSet<>();
     private boolean looking;
 
-    BatchTakeover(GatewayContext context, PeerLinks links, BatchBoard board, BatchStore store, Runnable onTaken) {
+    BatchTakeover(
+            GatewayContext context,
+            PeerLinks links,
+            BatchBoard board,
+            BatchStore store,
+            Runnable onTaken,
+            Consumer<BatchStore.Stored> onChangedElsewhere) {
         this.context = context;
         this.links = links;
         this.board = board;
         this.store = store;
         this.owners = new OwnerWatch(context.settings().self().id().value());
         this.onTaken = onTaken;
+        this.onChangedElsewhere = onChangedElsewhere;
     }
 
     /** Looks through the records; one look at a time. */
@@ -71,6 +80,9 @@
 
     private void consider(BatchStore.Stored found) {
         BatchRecord record = found.record();
+        board.find(found.id())
+                .filter(owned -> found.revision() > owned.recordRevision())
+                .ifPresent(owned -> onChangedElsewhere.accept(found));
         if (record.isFinished() || board.find(found.id()).isPresent() || taking.contains(found.id())) {
             return;
         }
@@ -114,30 +126,24 @@
     private void load(BatchStore.Stored taken, List<ItemCheckpoint> progress) {
         context.onLoop(store.load(taken), (batch, failure) -> {
             if (failure != null) {
-                context.log()
-                        .record(
-                                "batch.load-failed",
-                                "batch",
-                                taken.id(),
-                                "reason",
-                                String.valueOf(failure.getMessage()));
+                context.timeline()
+                        .event(EventKind.BATCH_LOAD_FAILED)
+                        .job(taken.id())
+                        .with("reason", String.valueOf(failure.getMessage()))
+                        .write();
                 context.loop().after(RETRY_MILLIS, () -> load(taken, progress));
                 return;
             }
             taking.remove(taken.id());
             batch.restore(progress);
             board.add(batch);
-            context.log()
-                    .record(
-                            "batch.taken-over",
-                            "batch",
-                            taken.id(),
-                            "listed",
-                            taken.record().listed(),
-                            "items",
-                            taken.record().items(),
-                            "begun",
-                            progress.size());
+            context.timeline()
+                    .event(EventKind.BATCH_TAKEN_OVER)
+                    .job(taken.id())
+                    .with("listed", taken.record().listed())
+                    .with("items", taken.record().items())
+                    .with("begun", progress.size())
+                    .write();
             links.tellAll(new GatewayMessage.BatchNotice(taken.id()));
             onTaken.run();
         });
--- a/src/main/java/org/gooseberryhill/gateway/FrontRouter.java
+++ b/src/main/java/org/gooseberryhill/gateway/FrontRouter.java
@@ -18,6 +18,7 @@
 import org.gooseberryhill.route.RouteKind;
 import org.gooseberryhill.route.RouteTable;
 import org.gooseberryhill.route.RouteTarget;
+import org.gooseberryhill.timeline.EventKind;
 
 /** Sends each call of callers to its route or to the system's own interface. Thread-safe. */
 final class FrontRouter {
@@ -28,13 +29,15 @@
 
     private final GatewayContext context;
     private final GatewayTraffic traffic;
+    private final BatchIntake intake;
     private final BatchDesk batches;
     private final Random random;
     private volatile RouteTable table = RouteTable.EMPTY;
 
-    FrontRouter(GatewayContext context, GatewayTraffic traffic, BatchDesk batches, Random random) {
+    FrontRouter(GatewayContext context, GatewayTraffic traffic, BatchIntake intake, BatchDesk batches, Random random) {
         this.context = context;
         this.traffic = traffic;
+        this.intake = intake;
         this.batches = batches;
         this.random = random;
     }
@@ -80,7 +83,7 @@
             return;
         }
         if (route.get().kind() == RouteKind.BATCH) {
-            batches.submit(call, id, route.get(), body, arrivedNanos);
+            intake.submit(call, id, route.get(), body, arrivedNanos);
             return;
         }
         RoutedIntake intake = new RoutedIntake(
@@ -118,15 +121,12 @@
     }
 
     private void refuse(HttpCall call, String id, Refusal refusal) {
-        context.log()
-                .record(
-                        "request.refused",
-                        "request",
-                        id,
-                        "code",
-                        refusal.code().wireName(),
-                        "reason",
-                        refusal.message());
+        context.timeline()
+                .event(EventKind.REQUEST_REFUSED)
+                .request(id)
+                .with("code", refusal.code().wireName())
+                .with("reason", refusal.message())
+                .write();
         traffic.refuse(call, id, refusal);
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/GatewayContext.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayContext.java
@@ -9,7 +9,7 @@
 import org.gooseberryhill.external.PollingKeyValueStore;
 import org.gooseberryhill.http.HttpClient;
 import org.gooseberryhill.peer.PeerClient;
-import org.gooseberryhill.timeline.DecisionLog;
+import org.gooseberryhill.timeline.Timeline;
 
 /**
  * What the parts of the gateway share. Immutable; its parts say how they may be used.
@@ -24,7 +24,7 @@
  * @param fleet the endpoints; for the control thread
  * @param core the decisions about routed requests; for the control thread
  * @param stop the planned stop
- * @param log the decision log
+ * @param timeline the time line
  */
 record GatewayContext(
         GatewaySettings settings,
@@ -37,7 +37,7 @@
         Fleet fleet,
         DispatchCore core,
         PlannedStop stop,
-        DecisionLog log) {
+        Timeline timeline) {
     long nowNanos() {
         return loop.nowNanos();
     }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -39,7 +39,9 @@
 import org.gooseberryhill.route.ClientLimits;
 import org.gooseberryhill.route.RouteConfiguration;
 import org.gooseberryhill.route.RouteTable;
-import org.gooseberryhill.timeline.DecisionLog;
+import org.gooseberryhill.timeline.EventKind;
+import org.gooseberryhill.timeline.LogSink;
+import org.gooseberryhill.timeline.Timeline;
 
 /**
  * The program {@code gooseberry-gateway}. Thread-safe.
@@ -117,32 +119,32 @@
                 fleet,
                 new DispatchCore(settings.self().zone(), policies, fleet, suspects),
                 new PlannedStop(STOP_GRACE_MILLIS, settings.stopBoundMillis()),
-                new DecisionLog(self.value(), clock));
+                new Timeline(self.value(), clock, new LogSink()));
         this.links = new PeerLinks(context);
         this.load = new LoadExchange(context, links, reach);
         this.traffic = new GatewayTraffic(context, this::loadChanged);
         this.registration = new HostRegistration(context);
         BatchStore batchStore = new BatchStore(context.store(), dialects.batches());
         this.runner = new BatchRunner(context, board, policies.items(), this::loadChanged);
-        this.committer = new BatchCommitter(context, batchStore, board);
-        this.desk = new BatchDesk(context, traffic, links, board, batchStore, committer, runner);
-        this.takeover = new BatchTakeover(context, links, board, batchStore, runner::balance);
+        this.committer = new BatchCommitter(context, batchStore, board, runner::stop);
+        BatchReplies replies = new BatchReplies(context, traffic);
+        this.desk = new BatchDesk(context, replies, links, board, batchStore, committer, runner);
+        BatchIntake intake = new BatchIntake(context, replies, links, board, batchStore, runner);
+        this.takeover =
+                new BatchTakeover(context, links, board, batchStore, runner::balance, committer::changedElsewhere);
         this.handOver = new BatchHandOver(context, links, board, committer);
         this.views = new GatewayViews(context, links, this::configure, runner::balance);
-        this.router = new FrontRouter(context, traffic, desk, random);
+        this.router = new FrontRouter(context, traffic, intake, desk, random);
     }
 
     /** Starts serving. */
     public void start() {
-        context.log()
-                .record(
-                        "process.started",
-                        "role",
-                        "gateway",
-                        "zone",
-                        settings.self().zone().name(),
-                        "start",
-                        context.processStart());
+        context.timeline()
+                .event(EventKind.PROCESS_STARTED)
+                .with("role", "gateway")
+                .with("zone", settings.self().zone().name())
+                .with("start", context.processStart())
+                .write();
         peerServer = Optional.of(new PeerServer(
                 group,
                 settings.self().id(),
@@ -161,7 +163,10 @@
             if (context.stop().phase() != PlannedStop.Phase.SERVING) {
                 return;
             }
-            context.log().record("process.stopping", "inProgress", traffic.inProgress());
+            context.timeline()
+                    .event(EventKind.PROCESS_STOPPING)
+                    .with("inProgress", traffic.inProgress())
+                    .write();
             context.stop().ask(context.nowNanos());
             ready = false;
             runner.pause();
@@ -212,7 +217,10 @@
                 && !table.configuration().isEmpty();
         if (nowReady != ready) {
             ready = nowReady;
-            context.log().record("readiness", "ready", ready);
+            context.timeline()
+                    .event(EventKind.READINESS_CHANGED)
+                    .with("ready", ready)
+                    .write();
         }
     }
 
@@ -227,13 +235,11 @@
         table = new RouteTable(configuration);
         router.configure(table);
         runner.configure(table);
-        context.log()
-                .record(
-                        "configuration.in-force",
-                        "version",
-                        configuration.version(),
-                        "routes",
-                        configuration.routes().size());
+        context.timeline()
+                .event(EventKind.CONFIGURATION_IN_FORCE)
+                .with("version", configuration.version())
+                .with("routes", configuration.routes().size())
+                .write();
         runner.balance();
     }
 
@@ -272,7 +278,10 @@
         if (phase == PlannedStop.Phase.ENDED) {
             runner.stopAll();
             registration.release(() -> {
-                context.log().record("process.ended", "inProgress", inProgress);
+                context.timeline()
+                        .event(EventKind.PROCESS_ENDED)
+                        .with("inProgress", inProgress)
+                        .write();
                 ended.complete(null);
             });
         }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -14,6 +14,7 @@
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerLane;
 import org.gooseberryhill.route.RouteConfiguration;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * What a gateway follows in the key-value store: endpoints, what operators write, live hosts. Used by the control thread
@@ -110,8 +111,11 @@
                     .operators()
                     .configuration(entry)
                     .ifPresent(decoded -> decoded.peek(onConfiguration)
-                            .peekLeft(finding -> context.log()
-                                    .record("configuration.invalid", "key", entry.key(), "finding", finding)));
+                            .peekLeft(finding -> context.timeline()
+                                    .event(EventKind.CONFIGURATION_INVALID)
+                                    .with("key", entry.key())
+                                    .with("finding", finding)
+                                    .write()));
         }
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/HostRegistration.java
+++ b/src/main/java/org/gooseberryhill/gateway/HostRegistration.java
@@ -5,6 +5,7 @@
 import org.gooseberryhill.external.KeyValueStore;
 import org.gooseberryhill.external.Transaction;
 import org.gooseberryhill.link.Json;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Keeps this host's key among those of the live hosts, under a lease. Used by the control thread only.
@@ -87,7 +88,10 @@
             if (failure != null && !leaseIsGone(failure)) {
                 again(this::renew, failure);
             } else if (failure != null || leftMillis <= 0) {
-                context.log().record("lease.lost", "lease", lease.get());
+                context.timeline()
+                        .event(EventKind.LEASE_LOST)
+                        .with("lease", lease.get())
+                        .write();
                 grant();
             } else {
                 context.loop().after(RENEW_MILLIS, this::renew);
@@ -100,7 +104,10 @@
     }
 
     private void again(Runnable action, Throwable failure) {
-        context.log().record("registration.failed", "reason", String.valueOf(failure.getMessage()));
+        context.timeline()
+                .event(EventKind.LEASE_UNANSWERED)
+                .with("reason", String.valueOf(failure.getMessage()))
+                .write();
         context.loop().after(RETRY_MILLIS, action);
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/LoadExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/LoadExchange.java
@@ -4,6 +4,7 @@
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Tells the other gateways what this host has in flight at endpoints, and takes in what they have. For the control thread.
@@ -49,7 +50,10 @@
                 }));
         for (HostId host : links.takeSilent()) {
             context.fleet().lost(host);
-            context.log().record("peer.silent", "host", host.value());
+            context.timeline()
+                    .event(EventKind.PEER_SILENT)
+                    .with("host", host.value())
+                    .write();
         }
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -20,6 +20,8 @@
 import org.gooseberryhill.http.ForwardedHeaders;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.route.RouteKind;
+import org.gooseberryhill.timeline.EventBuilder;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * One routed request on its way through this host. Decisions run on the control thread, answers on traffic threads.
@@ -108,15 +110,12 @@
     private void send(EndpointEntry endpoint) {
         attemptNumber++;
         traffic.loadChanged();
-        context.log()
-                .record(
-                        "attempt.sent",
-                        "request",
-                        request.intake().id(),
-                        "endpoint",
-                        endpoint.id(),
-                        "attempt",
-                        attemptNumber);
+        context.timeline()
+                .event(EventKind.ATTEMPT_SENT)
+                .request(request.intake().id())
+                .endpoint(endpoint.id())
+                .with("attempt", attemptNumber)
+                .write();
         HttpHeaders headers = ForwardedHeaders.ofRequest(call.headers());
         long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.intake().deadlineNanos() - context.nowNanos());
         context.dialects()
@@ -159,7 +158,10 @@
                 return;
             }
             context.core().attemptSucceeded(request, context.nowNanos());
-            finish("answered", "status", status);
+            finish(context.timeline()
+                    .event(EventKind.REQUEST_ENDED)
+                    .with("end", "answered")
+                    .with("status", status));
         });
     }
 
@@ -178,26 +180,24 @@
                 return;
             }
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
-            context.log()
-                    .record(
-                            "attempt.failed",
-                            "request",
-                            request.intake().id(),
-                            "endpoint",
-                            endpoint,
-                            "attempt",
-                            attempt,
-                            "end",
-                            end,
-                            "detail",
-                            detail);
+            context.timeline()
+                    .event(EventKind.ATTEMPT_FAILED)
+                    .request(request.intake().id())
+                    .endpoint(endpoint)
+                    .with("attempt", attempt)
+                    .with("end", end)
+                    .with("detail", detail)
+                    .write();
             DispatchDecision decision = context.core().attemptFailed(request, end, context.nowNanos());
             if (decision instanceof DispatchDecision.Refuse && answer.isPresent() && end == AttemptEnd.ERROR_ANSWER) {
                 call.reply(
                         answer.get().status(),
                         answer.get().headers(),
                         answer.get().body());
-                finish("answered", "status", answer.get().status());
+                finish(context.timeline()
+                        .event(EventKind.REQUEST_ENDED)
+                        .with("end", "answered")
+                        .with("status", answer.get().status()));
                 return;
             }
             follow(decision);
@@ -210,13 +210,17 @@
         } else {
             traffic.refuse(call, request.intake().id(), refusal);
         }
-        finish("refused", "code", refusal.code().wireName(), "reason", refusal.message());
+        finish(context.timeline()
+                .event(EventKind.REQUEST_FAILED)
+                .with("code", refusal.code().wireName())
+                .with("reason", refusal.message())
+                .with("retryAfterMillis", refusal.retryAfterMillis().orElse(0L)));
     }
 
     private void callerGone() {
         if (!finished) {
             abandon();
-            finish("caller-gone");
+            finish(context.timeline().event(EventKind.REQUEST_ENDED).with("end", "caller-gone"));
         }
     }
 
@@ -236,29 +240,19 @@
         context.core().abandoned(request, context.nowNanos());
     }
 
-    private void finish(String end, Object... details) {
+    private void finish(EventBuilder event) {
         finished = true;
         traffic.ended();
         traffic.loadChanged();
-        Object[] line = new Object[details.length + 8];
-        System.arraycopy(
-                new Object[] {
-                    "request",
-                    request.intake().id(),
-                    "route",
-                    request.intake().route().name(),
-                    "end",
-                    end,
-                    "millis",
-                    TimeUnit.NANOSECONDS.toMillis(
-                            context.nowNanos() - request.intake().arrivedNanos())
-                },
-                0,
-                line,
-                0,
-                8);
-        System.arraycopy(details, 0, line, 8, details.length);
-        context.log().record("request.ended", line);
+        event.request(request.intake().id())
+                .with("route", request.intake().route().name())
+                .with("sends", request.sends())
+                .with("outcome", request.outcome().wireName())
+                .with(
+                        "millis",
+                        TimeUnit.NANOSECONDS.toMillis(
+                                context.nowNanos() - request.intake().arrivedNanos()))
+                .write();
     }
 
     /**
--- a/src/main/java/org/gooseberryhill/gateway/ViewKeeper.java
+++ b/src/main/java/org/gooseberryhill/gateway/ViewKeeper.java
@@ -9,6 +9,7 @@
 import org.gooseberryhill.external.KeyValueStore;
 import org.gooseberryhill.external.PollingKeyValueStore;
 import org.gooseberryhill.peer.GatewayMessage;
+import org.gooseberryhill.timeline.EventKind;
 import org.gooseberryhill.view.KeyView;
 
 /**
@@ -103,7 +104,7 @@
         context.onLoop(context.store().list(prefix, false), (listing, failure) -> {
             asking = false;
             if (failure != null) {
-                failed("view.list-failed", failure);
+                failed(failure);
                 return;
             }
             take(listing, askedNanos);
@@ -113,7 +114,12 @@
     private void take(KeyValueStore.Listing listing, long askedNanos) {
         long before = view.revision();
         List<KeyChange> news = view.replace(listing.revision(), listing.entries());
-        context.log().record("view.listed", "prefix", prefix, "revision", listing.revision(), "before", before);
+        context.timeline()
+                .event(EventKind.VIEW_LISTED)
+                .with("prefix", prefix)
+                .with("revision", listing.revision())
+                .with("before", before)
+                .write();
         refreshed(askedNanos, news);
     }
 
@@ -143,20 +149,17 @@
             list();
             return;
         }
-        failed("view.ask-failed", failure);
+        failed(failure);
     }
 
-    private void failed(String kind, Throwable failure) {
+    private void failed(Throwable failure) {
         notBeforeNanos = context.nowNanos() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
-        context.log()
-                .record(
-                        kind,
-                        "prefix",
-                        prefix,
-                        "reason",
-                        String.valueOf(failure.getMessage()),
-                        "ageMillis",
-                        ageMillis());
+        context.timeline()
+                .event(EventKind.VIEW_UNANSWERED)
+                .with("prefix", prefix)
+                .with("reason", String.valueOf(failure.getMessage()))
+                .with("ageMillis", ageMillis())
+                .write();
     }
 
     private void refreshed(long readNanos, List<KeyChange> news) {
--- a/src/main/java/org/gooseberryhill/process/ConfigurationDriver.java
+++ b/src/main/java/org/gooseberryhill/process/ConfigurationDriver.java
@@ -21,6 +21,7 @@
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.host.Role;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Brings the accepted configuration into force on this host. Used by the control thread only.
@@ -194,7 +195,11 @@
         if (offer != Offer.APPLIED) {
             return;
         }
-        process.timeline().event("configuration.in-force", "revision " + revision + " by " + source);
+        process.timeline()
+                .event(EventKind.CONFIGURATION_IN_FORCE)
+                .with("revision", revision)
+                .with("source", source)
+                .write();
         LOG.info("configuration revision {} is in force, by {}", revision, source);
         listeners.forEach(listener -> listener.accept(inForce.configuration()));
         if (watch.isPresent()) {
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -3,8 +3,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Try;
 import java.io.Closeable;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,6 +38,10 @@
 import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.peer.PeerServer;
 import org.gooseberryhill.store.SegmentClient;
+import org.gooseberryhill.timeline.EventKind;
+import org.gooseberryhill.timeline.EventSink;
+import org.gooseberryhill.timeline.FileSink;
+import org.gooseberryhill.timeline.LogSink;
 import org.gooseberryhill.timeline.Timeline;
 
 /**
@@ -58,6 +62,7 @@
     private final byte[] claimValue;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
+    private final EventSink sink;
     private final Timeline timeline;
     private final ControlLoop loop;
     private final HttpClient http;
@@ -83,7 +88,10 @@
         this.settings = settings;
         HostId self = settings.self().id();
         this.claimValue = (self + "/" + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
-        this.timeline = Timeline.open(self.value(), clock, settings.timelineFolder());
+        this.sink = settings.timelineFolder()
+                .<EventSink>map(folder -> new FileSink(folder, self.value()))
+                .orElseGet(LogSink::new);
+        this.timeline = new Timeline(self.value(), clock, sink);
         this.loop = new ControlLoop(self.value());
         this.http = new HttpClient(group);
         this.peers = new PeerClient(group, self, clock);
@@ -100,9 +108,10 @@
     public void start() {
         peerServer = new PeerServer(
                 group, settings.self().id(), settings.self().address(), clock, peers.traffic(), this::handle);
-        timeline.event(
-                "process.started",
-                settings.self().role() + " in " + settings.self().zone());
+        timeline.event(EventKind.PROCESS_STARTED)
+                .with("role", settings.self().role())
+                .with("zone", settings.self().zone())
+                .write();
         LOG.info(
                 "started {} {} in {}",
                 settings.self().role(),
@@ -140,7 +149,7 @@
         loop.execute(() -> {
             if (stop.phase() == PlannedStop.Phase.SERVING) {
                 stop.ask(loop.nowNanos());
-                timeline.event("process.stopping", "");
+                timeline.event(EventKind.PROCESS_STOPPING).write();
                 membershipDriver.announceLeaving();
             }
         });
@@ -152,7 +161,9 @@
             return;
         }
         if (stop.advance(inProgress, loop.nowNanos()) == PlannedStop.Phase.ENDED) {
-            timeline.event("process.ended", inProgress + " in progress");
+            timeline.event(EventKind.PROCESS_ENDED)
+                    .with("inProgress", inProgress)
+                    .write();
             ended.complete(null);
         }
     }
@@ -268,10 +279,9 @@
         http.close();
         group.shutdownGracefully(0, GROUP_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly(2 * GROUP_SHUTDOWN_MILLIS);
-        try {
-            timeline.close();
-        } catch (IOException e) {
-            LOG.warn("the time line could not be closed: {}", e.toString());
+        if (sink instanceof FileSink file) {
+            Try.run(file::close)
+                    .onFailure(failure -> LOG.warn("the time line could not be closed: {}", failure.toString()));
         }
         ended.complete(null);
     }
--- a/src/main/java/org/gooseberryhill/process/HostSettings.java
+++ b/src/main/java/org/gooseberryhill/process/HostSettings.java
@@ -16,7 +16,7 @@
  * @param leaseMillis how long a lease lasts after its last renewal
  * @param stopGraceMillis how long requests are still taken in after a planned stop was asked for
  * @param stopBoundMillis after which a planned stop ends even with requests in progress
- * @param timelineFolder where the time line is written, if anywhere
+ * @param timelineFolder where the time line is written, for a system inside another program; else it goes to the log
  */
 public record HostSettings(
         Host self,
--- a/src/main/java/org/gooseberryhill/process/LeaseKeeper.java
+++ b/src/main/java/org/gooseberryhill/process/LeaseKeeper.java
@@ -6,6 +6,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.decision.lease.LeaseGuard;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Keeps this host's one lease in the key-value service. Used by the control thread only.
@@ -75,7 +76,10 @@
                         calling = false;
                         if (failure == null && !released) {
                             guard.renewed(id, sentNanos, leaseMillis);
-                            process.timeline().event("lease.granted", Long.toString(id));
+                            process.timeline()
+                                    .event(EventKind.LEASE_GRANTED)
+                                    .with("lease", id)
+                                    .write();
                         }
                     }));
             return;
@@ -97,7 +101,7 @@
             return;
         }
         LOG.warn("lease {} is gone", lease);
-        process.timeline().event("lease.lost", Long.toString(lease));
+        process.timeline().event(EventKind.LEASE_LOST).with("lease", lease).write();
         guard.lost();
         lossListeners.forEach(Runnable::run);
         renew();
--- a/src/main/java/org/gooseberryhill/process/MembershipDriver.java
+++ b/src/main/java/org/gooseberryhill/process/MembershipDriver.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -17,6 +16,7 @@
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.timeline.EventKind;
 
 /** Carries the membership's heartbeats over the peer protocol. Used by the control thread only. */
 final class MembershipDriver implements MembershipCommands {
@@ -109,7 +109,11 @@
         process.membership().states().forEach((host, state) -> {
             HostState before = lastStates.put(host, state);
             if (before != null && before != state) {
-                process.timeline().event("membership." + state.name().toLowerCase(Locale.ROOT), host.value());
+                process.timeline()
+                        .event(EventKind.MEMBERSHIP_CHANGED)
+                        .with("host", host.value())
+                        .with("state", state)
+                        .write();
             }
         });
     }
--- a/src/main/java/org/gooseberryhill/program/HostOptions.java
+++ b/src/main/java/org/gooseberryhill/program/HostOptions.java
@@ -1,6 +1,5 @@
 package org.gooseberryhill.program;
 
-import java.nio.file.Path;
 import java.util.Optional;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
@@ -70,12 +69,6 @@
             description = "After which a stop ends even with requests in progress (default 120000)")
     private String stopBoundMillis;
 
-    @Option(
-            names = "--timeline-folder",
-            defaultValue = "${env:GOOSEBERRY_TIMELINE_FOLDER:-}",
-            description = "Where the time line is written; nowhere if not set")
-    private String timelineFolder;
-
     HostSettings settings(Role role, SettingsReader reader) {
         Host self = new Host(
                 new HostId(reader.required("--host-id", hostId)),
@@ -92,6 +85,6 @@
                 reader.number("--lease-millis", leaseMillis, 1000, MAX_MILLIS),
                 reader.number("--stop-grace-millis", stopGraceMillis, 0, MAX_MILLIS),
                 reader.number("--stop-bound-millis", stopBoundMillis, 0, MAX_MILLIS),
-                timelineFolder.isBlank() ? Optional.empty() : Optional.of(Path.of(timelineFolder)));
+                Optional.empty());
     }
 }
--- a/src/main/java/org/gooseberryhill/program/TimelineCommand.java
+++ b/src/main/java/org/gooseberryhill/program/TimelineCommand.java
@@ -12,15 +12,15 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.stream.Stream;
-import org.gooseberryhill.link.Json;
 import org.gooseberryhill.timeline.TimelineEvent;
+import org.gooseberryhill.timeline.TimelineLines;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** Merges the time lines of all processes in causal order. */
+/** Merges the logs of all processes into one time line in causal order. */
 @Command(
         name = "timeline",
         mixinStandardHelpOptions = true,
@@ -29,8 +29,8 @@
     @Spec
     private CommandSpec spec;
 
-    @Parameters(paramLabel = "FOLDER", description = "Folders with timeline-*.jsonl files")
-    private List<Path> folders;
+    @Parameters(paramLabel = "LOG", description = "Logs of processes, or folders with them")
+    private List<Path> logs;
 
     @Option(names = "--request", description = "Only events of this request")
     private String request;
@@ -47,27 +47,23 @@
     @Override
     public Integer call() throws IOException {
         PrintWriter out = spec.commandLine().getOut();
-        for (TimelineEvent event : merge(folders)) {
+        for (TimelineEvent event : merge(logs)) {
             if (!isWanted(event)) {
                 continue;
             }
-            out.println(json ? Json.text(event) : line(event));
+            out.println(json ? TimelineLines.line(event) : line(event));
         }
         out.flush();
         return Commands.OK;
     }
 
-    /** The events of all files in the folders, causes before effects. */
-    static List<TimelineEvent> merge(List<Path> folders) throws IOException {
+    /** The events in all logs, causes before effects; lines that are no events are passed over. */
+    static List<TimelineEvent> merge(List<Path> logs) throws IOException {
         List<TimelineEvent> events = new ArrayList<>();
-        for (Path folder : folders) {
-            try (Stream<Path> files = Files.list(folder)) {
-                for (Path file :
-                        files.filter(TimelineCommand::isTimeline).sorted().toList()) {
-                    // A killed process may leave a last line that is not whole; it is passed over.
-                    Files.readAllLines(file)
-                            .forEach(text -> Json.read(text.getBytes(StandardCharsets.UTF_8), TimelineEvent.class)
-                                    .forEach(events::add));
+        for (Path log : logs) {
+            for (Path file : files(log)) {
+                try (Stream<String> lines = Files.lines(file, StandardCharsets.UTF_8)) {
+                    lines.forEach(line -> TimelineLines.parse(line).ifPresent(events::add));
                 }
             }
         }
@@ -75,8 +71,13 @@
         return events;
     }
 
-    private static boolean isTimeline(Path file) {
-        return file.getFileName().toString().matches("timeline-.*\\.jsonl");
+    private static List<Path> files(Path log) throws IOException {
+        if (!Files.isDirectory(log)) {
+            return List.of(log);
+        }
+        try (Stream<Path> files = Files.list(log)) {
+            return files.filter(Files::isRegularFile).sorted().toList();
+        }
     }
 
     private boolean isWanted(TimelineEvent event) {
@@ -94,6 +95,9 @@
         event.request().ifPresent(value -> line.append(" request=").append(value));
         event.job().ifPresent(value -> line.append(" job=").append(value));
         event.endpoint().ifPresent(value -> line.append(" endpoint=").append(value));
-        return line.append(' ').append(event.detail()).toString().stripTrailing();
+        event.details()
+                .forEach((name, value) ->
+                        line.append(' ').append(name).append('=').append(value));
+        return line.toString();
     }
 }
--- a/src/main/java/org/gooseberryhill/standin/KeyValueState.java
+++ b/src/main/java/org/gooseberryhill/standin/KeyValueState.java
@@ -15,7 +15,7 @@
  *
  * <p>Invariant: the revision grows by one with each transaction that writes.
  */
-final class KeyValueState {
+public final class KeyValueState {
     private final LongSupplier nowNanos;
     private final TreeMap<String, Value> values = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
@@ -23,20 +23,23 @@
     private long revision = 1;
     private long nextLease = 1000;
 
-    KeyValueState(LongSupplier nowNanos) {
+    /** An empty state whose leases run by a clock in nanoseconds. */
+    public KeyValueState(LongSupplier nowNanos) {
         this.nowNanos = nowNanos;
     }
 
-    long revision() {
+    /** The revision of the latest write. */
+    public long revision() {
         return revision;
     }
 
-    Optional<Value> get(String key) {
+    /** A key's value. */
+    public Optional<Value> get(String key) {
         return Optional.ofNullable(values.get(key));
     }
 
     /** Keys from one on, up to but not including another; an empty end means that key alone. */
-    Map<String, Value> range(String from, String end) {
+    public Map<String, Value> range(String from, String end) {
         if (end.isEmpty()) {
             Value value = values.get(from);
             return value == null ? Map.of() : Map.of(from, value);
@@ -45,12 +48,12 @@
     }
 
     /** Events after a revision, for a watch that starts late. */
-    List<Event> eventsFrom(long fromRevision) {
+    public List<Event> eventsFrom(long fromRevision) {
         return history.stream().filter(event -> event.revision >= fromRevision).toList();
     }
 
     /** Writes in one revision; the events that it made are returned. */
-    List<Event> apply(List<Change> changes) {
+    public List<Event> apply(List<Change> changes) {
         if (changes.isEmpty()) {
             return List.of();
         }
@@ -68,22 +71,25 @@
         return events;
     }
 
-    List<Long> leases() {
+    /** The leases that have not ended. */
+    public List<Long> leases() {
         return List.copyOf(leases.keySet());
     }
 
-    boolean hasLease(long id) {
+    /** Whether a lease has not ended. */
+    public boolean hasLease(long id) {
         return leases.containsKey(id);
     }
 
-    long grant(long ttlMillis) {
+    /** Grants a lease; the result is its id. */
+    public long grant(long ttlMillis) {
         long id = nextLease++;
         leases.put(id, new Lease(ttlMillis, nowNanos.getAsLong()));
         return id;
     }
 
     /** The remaining time in milliseconds; 0 if the lease is gone. */
-    long renew(long id) {
+    public long renew(long id) {
         Lease lease = leases.get(id);
         if (lease == null) {
             return 0;
@@ -93,7 +99,7 @@
     }
 
     /** Ends a lease; its keys are deleted. */
-    List<Event> end(long id) {
+    public List<Event> end(long id) {
         Lease lease = leases.remove(id);
         if (lease == null) {
             return List.of();
@@ -106,7 +112,7 @@
     }
 
     /** The leases whose time is over. */
-    List<Long> expired() {
+    public List<Long> expired() {
         long now = nowNanos.getAsLong();
         return leases.entrySet().stream()
                 .filter(entry -> now - entry.getValue().renewedNanos > entry.getValue().ttlMillis * 1_000_000L)
@@ -127,13 +133,13 @@
     }
 
     /** A value with its revisions. */
-    record Value(byte[] bytes, long createRevision, long modRevision, long lease) {}
+    public record Value(byte[] bytes, long createRevision, long modRevision, long lease) {}
 
     /** A write to make; no bytes means delete. */
-    record Change(String key, Optional<byte[]> bytes, long lease) {}
+    public record Change(String key, Optional<byte[]> bytes, long lease) {}
 
     /** A write that was made. */
-    record Event(long revision, String key, Optional<Value> value) {}
+    public record Event(long revision, String key, Optional<Value> value) {}
 
     /** A lease and its keys. */
     private static final class Lease {
--- a/src/main/java/org/gooseberryhill/steward/JobOwner.java
+++ b/src/main/java/org/gooseberryhill/steward/JobOwner.java
@@ -4,7 +4,6 @@
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -32,6 +31,7 @@
 import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.process.HostProcess;
 import org.gooseberryhill.process.LeaseKeeper;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * The jobs that this host owns: claims them, hands out their items, commits their chunks. For the control thread.
@@ -101,11 +101,11 @@
                 report.index(), report.fence(), report.handout(), report.kind(), report.text(), report.tokens());
         if (report.kind() != ItemEnd.COMPLETED) {
             process.timeline()
-                    .job(
-                            "item." + report.kind().name().toLowerCase(Locale.ROOT),
-                            report.job(),
-                            Optional.empty(),
-                            "item " + report.index());
+                    .event(EventKind.ITEM_REPORTED)
+                    .job(report.job())
+                    .with("item", report.index())
+                    .with("end", report.kind())
+                    .write();
         }
         job.report(outcome, process.loop().nowNanos()).ifPresent(result -> segments.commit(job, result));
         if (job.hasWaiting(process.loop().nowNanos())) {
@@ -207,7 +207,11 @@
                 CloseableThreadContext.put("job", job.key().path())) {
             LOG.info("owns the job with fence {}", job.fence());
         }
-        process.timeline().job("job.owned", job.key().path(), Optional.empty(), "fence " + job.fence());
+        process.timeline()
+                .event(EventKind.JOB_OWNED)
+                .job(job.key().path())
+                .with("fence", job.fence())
+                .write();
         board.add(job);
         jobAdvanced(job);
     }
@@ -235,7 +239,11 @@
 
     private void stop(JobKey key, String reason) {
         board.remove(key).ifPresent(job -> {
-            process.timeline().job("job.stopped", key.path(), Optional.empty(), reason);
+            process.timeline()
+                    .event(EventKind.JOB_STOPPED)
+                    .job(key.path())
+                    .with("reason", reason)
+                    .write();
             PeerMessage cancel = new PeerMessage.ItemsCancel(key.path(), job.fence());
             process.present(Role.STEWARD).forEach(host -> process.tell(host, cancel));
             releaseClaim(key, job.fence());
--- a/src/main/java/org/gooseberryhill/steward/JobSegments.java
+++ b/src/main/java/org/gooseberryhill/steward/JobSegments.java
@@ -16,6 +16,7 @@
 import org.gooseberryhill.link.Json;
 import org.gooseberryhill.process.HostProcess;
 import org.gooseberryhill.store.SegmentNames;
+import org.gooseberryhill.timeline.EventKind;
 
 /** Loads the items of owned jobs and commits their results, chunk by chunk. For the control thread. */
 final class JobSegments {
@@ -69,7 +70,10 @@
                 .whenComplete((result, failure) -> process.loop().execute(() -> {
                     // Without an answer the open job is found again by the scan, complete, and finished then.
                     if (failure == null && result.succeeded()) {
-                        process.timeline().job("job.done", job.key().path(), Optional.empty(), "");
+                        process.timeline()
+                                .event(EventKind.JOB_DONE)
+                                .job(job.key().path())
+                                .write();
                     }
                 }));
     }
@@ -125,7 +129,11 @@
             case COMMITTED -> {
                 committing--;
                 job.chunkCommitted(commit.chunk);
-                process.timeline().job("chunk.committed", job.key().path(), Optional.empty(), "chunk " + commit.chunk);
+                process.timeline()
+                        .event(EventKind.CHUNK_COMMITTED)
+                        .job(job.key().path())
+                        .with("chunk", commit.chunk)
+                        .write();
                 onAdvanced.accept(job);
             }
             default -> {
--- a/src/main/java/org/gooseberryhill/steward/OrderDriver.java
+++ b/src/main/java/org/gooseberryhill/steward/OrderDriver.java
@@ -18,6 +18,7 @@
 import org.gooseberryhill.link.Json;
 import org.gooseberryhill.process.HostProcess;
 import org.gooseberryhill.process.LeaseKeeper;
+import org.gooseberryhill.timeline.EventKind;
 
 /** Gives the endpoints that this host stewards their model orders, under claims. For the control thread. */
 final class OrderDriver {
@@ -121,7 +122,11 @@
             places.release();
             return;
         }
-        process.timeline().endpoint("order.sent", endpoint.name(), "fence " + order.fence());
+        process.timeline()
+                .event(EventKind.ORDER_SENT)
+                .endpoint(endpoint.name())
+                .with("fence", order.fence())
+                .write();
         byte[] body = Json.bytes(Json.object()
                 .put("fence", order.fence())
                 .set("holding", Json.mapper().valueToTree(order.holding())));
@@ -137,7 +142,11 @@
                 .call(request, MAX_ANSWER_BYTES)
                 .whenComplete((result, failure) -> process.loop().execute(() -> {
                     String end = failure == null ? "status " + result.status() : "no answer";
-                    process.timeline().endpoint("order.ended", endpoint.name(), end);
+                    process.timeline()
+                            .event(EventKind.ORDER_ENDED)
+                            .endpoint(endpoint.name())
+                            .with("end", end)
+                            .write();
                     decision.orderEnded();
                     places.release();
                 }));
--- a/src/main/java/org/gooseberryhill/store/SegmentRepair.java
+++ b/src/main/java/org/gooseberryhill/store/SegmentRepair.java
@@ -17,6 +17,7 @@
 import org.gooseberryhill.peer.PeerLane;
 import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.process.HostProcess;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Restores the copies of segments after a store is lost, damaged or replaced, with nobody's help.
@@ -128,7 +129,11 @@
                     .ask(store.address(), PeerLane.BULK, put, SEND_TIMEOUT_MILLIS)
                     .handle((reply, failure) -> {
                         if (failure == null) {
-                            process.timeline().event("segment.copied", name + " to " + store.id());
+                            process.timeline()
+                                    .event(EventKind.SEGMENT_COPIED)
+                                    .with("segment", name)
+                                    .with("to", store.id())
+                                    .write();
                         }
                         return null;
                     });
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/timeline/EventBuilder.java
@@ -0,0 +1,63 @@
+package org.gooseberryhill.timeline;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.gooseberryhill.link.HybridTimestamp;
+
+/**
+ * Puts an event together. Used by one thread.
+ *
+ * <p>Example: {@code timeline.event(EventKind.ATTEMPT_SENT).request(id).endpoint(name).with("attempt", 1).write()}.
+ */
+public final class EventBuilder {
+    private final EventKind kind;
+    private final Consumer<EventBuilder> target;
+    private final Map<String, Object> details = new LinkedHashMap<>();
+    private Optional<String> request = Optional.empty();
+    private Optional<String> job = Optional.empty();
+    private Optional<String> endpoint = Optional.empty();
+
+    EventBuilder(EventKind kind, Consumer<EventBuilder> target) {
+        this.kind = kind;
+        this.target = target;
+    }
+
+    /** The request concerned. */
+    public EventBuilder request(String id) {
+        request = Optional.of(id);
+        return this;
+    }
+
+    /** The job or request batch concerned. */
+    public EventBuilder job(String id) {
+        job = Optional.of(id);
+        return this;
+    }
+
+    /** The endpoint concerned. */
+    public EventBuilder endpoint(String name) {
+        endpoint = Optional.of(name);
+        return this;
+    }
+
+    /** An input or the outcome; durations carry their unit in the name. */
+    public EventBuilder with(String name, Object value) {
+        details.put(name, value instanceof Number || value instanceof Boolean ? value : String.valueOf(value));
+        return this;
+    }
+
+    /** Writes the event; never waits. */
+    public void write() {
+        target.accept(this);
+    }
+
+    EventKind kind() {
+        return kind;
+    }
+
+    TimelineEvent build(HybridTimestamp at, String process) {
+        return new TimelineEvent(at, process, kind.wireName(), request, job, endpoint, details);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/timeline/EventSink.java
@@ -0,0 +1,8 @@
+package org.gooseberryhill.timeline;
+
+/** Takes the events of one process. Thread-safe; never waits for a disk, a reader or a lock held for long. */
+@FunctionalInterface
+public interface EventSink {
+    /** Takes an event. */
+    void take(TimelineEvent event);
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/timeline/FileSink.java
@@ -0,0 +1,58 @@
+package org.gooseberryhill.timeline;
+
+import java.io.BufferedWriter;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Writes events to a file of their own, for a system that runs inside another program. Thread-safe.
+ *
+ * <p>Invariant: lines are whole and flushed one by one. A disk error is logged once and never stops a request.
+ */
+public final class FileSink implements EventSink, Closeable {
+    private static final Logger LOG = LogManager.getLogger(FileSink.class);
+
+    private final BufferedWriter writer;
+    private boolean failed;
+
+    /** A sink that appends to {@code timeline-<process>.jsonl} in a folder, which is created if it is missing. */
+    public FileSink(Path folder, String process) {
+        try {
+            Files.createDirectories(folder);
+            writer = Files.newBufferedWriter(
+                    folder.resolve("timeline-" + process + ".jsonl"),
+                    StandardCharsets.UTF_8,
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.APPEND);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public synchronized void take(TimelineEvent event) {
+        if (failed) {
+            return;
+        }
+        try {
+            writer.write(TimelineLines.line(event) + "\n");
+            writer.flush();
+        } catch (IOException e) {
+            failed = true;
+            LOG.warn("the time line can't be written any more: {}", e.toString());
+        }
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        failed = true;
+        writer.close();
+    }
+}
--- a/src/main/java/org/gooseberryhill/timeline/TimelineEvent.java
+++ b/src/main/java/org/gooseberryhill/timeline/TimelineEvent.java
@@ -1,6 +1,6 @@
 package org.gooseberryhill.timeline;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.Map;
 import java.util.Optional;
 import org.gooseberryhill.link.HybridTimestamp;
 
@@ -9,13 +9,12 @@
  *
  * @param at the hybrid timestamp
  * @param process the process that wrote it
- * @param kind what happened, in dotted words such as {@code request.dispatched}
+ * @param kind the kind's wire name, such as {@code attempt.sent}
  * @param request the request concerned, if any
- * @param job the job concerned as {@code caller/id}, if any
+ * @param job the job or request batch concerned, if any
  * @param endpoint the endpoint concerned, if any
- * @param detail a short text; never a body or a key
+ * @param details what decided it, how old that was, and what came of it; never a body or a key
  */
-@JsonInclude(JsonInclude.Include.NON_ABSENT)
 public record TimelineEvent(
         HybridTimestamp at,
         String process,
@@ -23,4 +22,9 @@
         Optional<String> request,
         Optional<String> job,
         Optional<String> endpoint,
-        String detail) {}
+        Map<String, Object> details) {
+    /** A detail as text; empty if there is none of that name. */
+    public String detail(String name) {
+        return String.valueOf(details.getOrDefault(name, ""));
+    }
+}
--- a/src/main/java/org/gooseberryhill/timeline/package-info.java
+++ b/src/main/java/org/gooseberryhill/timeline/package-info.java
@@ -1,2 +1,5 @@
-/** The time line: what happened on all processes, merged in causal order. */
+/**
+ * The time line: one record for each decision that touches a request or changes what a process believes, written as one
+ * JSON line and merged over all processes in causal order.
+ */
 package org.gooseberryhill.timeline;
--- a/src/test/java/org/gooseberryhill/program/FleetProcessesTest.java
+++ b/src/test/java/org/gooseberryhill/program/FleetProcessesTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -122,8 +121,7 @@
                 "--peer-address", host.address().toString(),
                 "--key-value-address", fleet.keyValue().toString(),
                 "--host-list-address", fleet.hostList().toString(),
-                "--lease-millis", "2000",
-                "--timeline-folder", folder.resolve("timeline").toString()));
+                "--lease-millis", "2000"));
         arguments.addAll(List.of(more));
         start(id, main, arguments.toArray(String[]::new));
     }
@@ -150,15 +148,12 @@
     }
 
     private boolean sawDead(String host) {
-        Path timeline = folder.resolve("timeline");
-        if (!Files.isDirectory(timeline)) {
-            return false;
-        }
         try {
-            List<TimelineEvent> events = TimelineCommand.merge(List.of(timeline));
+            List<TimelineEvent> events = TimelineCommand.merge(List.of(folder));
             return events.stream()
-                    .anyMatch(event -> event.kind().equals("membership.dead")
-                            && event.detail().equals(host));
+                    .anyMatch(event -> event.kind().equals("membership.changed")
+                            && event.detail("state").equals("DEAD")
+                            && event.detail("host").equals(host));
         } catch (IOException e) {
             return false;
         }
