Hold the dispatch, the batches and the views to their promises by tests; mend a view that brought a key back

Cause (KeyView, found by its property): after a listing that lacked a key, a late message with an earlier write of it brought it back: an endpoint that had left would have got requests again. Changes up to the known revision are no news any more.

One state machine decides about each write of a batch's record (commit, end, takeover): the same write is repeated until the record tells. A record that names this process although it knows nothing of the batch (a write done late) is adopted; before, such a batch was never run. No item starts once an end has begun.

Ruled out: reading the record before each repetition (a call more; a refused repetition leads to the reading anyway).

The architecture test holds the adapter both ways, and no source outside it names the platform's wire.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -39,6 +39,7 @@
     private BatchRecord record;
     private long recordRevision;
     private int inCommit;
+    private boolean ending;
 
     /**
      * A batch that this host owns from now on.
@@ -95,7 +96,7 @@
 
     /** The items that may start now, in the order of their submission, those with some output first. */
     public List<ItemProgress> startable(long nowNanos) {
-        if (record.ended()) {
+        if (ending || record.ended()) {
             return List.of();
         }
         List<ItemProgress> startable = new ArrayList<>();
@@ -113,6 +114,11 @@
         return items.values().stream().filter(item -> item.result().isEmpty()).count();
     }
 
+    /** Its caller ends it: no item starts any more, while the record is still on its way to say so. */
+    public void beginEnding() {
+        ending = true;
+    }
+
     /** An item's run starts. */
     public void started(ItemProgress item) {
         item.started();
--- a/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
@@ -5,13 +5,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
-import org.gooseberryhill.external.KeyValueStore;
 import org.gooseberryhill.timeline.EventKind;
 
 /**
@@ -32,10 +32,10 @@
     private static final int MAX_BATCHES_PER_WRITE = 10;
 
     private static final int MAX_CHARACTERS_PER_WRITE = 700_000;
-    private static final long RETRY_MILLIS = 250;
 
     private final GatewayContext context;
     private final BatchStore store;
+    private final RecordWriter writer;
     private final BatchBoard board;
     private final Consumer<String> onLost;
     private final Map<String, Long> waitingSinceNanos = new HashMap<>();
@@ -45,6 +45,7 @@
     BatchCommitter(GatewayContext context, BatchStore store, BatchBoard board, Consumer<String> onLost) {
         this.context = context;
         this.store = store;
+        this.writer = new RecordWriter(context, store);
         this.board = board;
         this.onLost = onLost;
     }
@@ -86,7 +87,7 @@
      */
     void changedElsewhere(BatchStore.Stored found) {
         if (!writing.contains(found.id())) {
-            lost(found.id(), found.record().ended());
+            lost(found.id(), Optional.of(found));
         }
     }
 
@@ -130,41 +131,16 @@
 
     /** One batch's commit by itself: another one's refusal or an unanswered write must not hold it up. */
     private void commitAlone(BatchStore.Commit commit) {
-        if (board.find(commit.id()).isEmpty()) {
-            writing.remove(commit.id());
-            return;
-        }
-        context.onLoop(store.commit(List.of(commit)), (result, failure) -> {
-            if (failure != null) {
-                context.timeline()
-                        .event(EventKind.BATCH_WRITE_UNANSWERED)
-                        .job(commit.id())
-                        .with("reason", failure.getMessage())
-                        .write();
-                context.loop().after(RETRY_MILLIS, () -> commitAlone(commit));
-            } else if (result.succeeded()) {
-                committed(commit, result.revision());
-            } else {
-                resolve(commit);
+        writer.write(commit.id(), commit.record(), () -> store.commit(List.of(commit)), new RecordWriter.Result() {
+            @Override
+            public void done(long revision) {
+                committed(commit, revision);
             }
-        });
-    }
 
-    /** The record has another revision: by this commit's own unanswered write, or by somebody else's. */
-    private void resolve(BatchStore.Commit commit) {
-        context.onLoop(store.read(commit.id()), (found, failure) -> {
-            if (failure != null) {
-                context.loop().after(RETRY_MILLIS, () -> resolve(commit));
-                return;
-            }
-            if (found.isPresent() && found.get().record().equals(commit.record())) {
-                committed(commit, found.get().revision());
-                return;
+            @Override
+            public void superseded(Optional<BatchStore.Stored> found) {
+                lost(commit.id(), found);
             }
-            writing.remove(commit.id());
-            lost(
-                    commit.id(),
-                    found.map(BatchStore.Stored::record).map(BatchRecord::ended).orElse(true));
         });
     }
 
@@ -186,63 +162,55 @@
         });
     }
 
-    private void lost(String id, boolean ended) {
-        context.timeline()
-                .event(EventKind.BATCH_LOST)
-                .job(id)
-                .with("ended", ended)
-                .write();
-        board.drop(id);
-        onLost.accept(id);
-        List<Runnable> actions = endings.remove(id);
-        if (actions != null && ended) {
-            actions.forEach(Runnable::run);
-        }
-    }
-
     private void writeEnding(OwnedBatch batch) {
         if (!writing.add(batch.id())) {
             return;
         }
         BatchRecord ended = batch.record().asEnded();
-        context.onLoop(store.replace(batch.id(), batch.recordRevision(), ended), (result, failure) -> {
-            if (failure != null) {
-                writing.remove(batch.id());
-                context.loop().after(RETRY_MILLIS, () -> writeEnding(batch));
-            } else if (result.succeeded()) {
-                ended(batch, ended, result);
-            } else {
-                resolveEnding(batch, ended);
-            }
-        });
-    }
-
-    private void resolveEnding(OwnedBatch batch, BatchRecord ended) {
-        context.onLoop(store.read(batch.id()), (found, failure) -> {
-            writing.remove(batch.id());
-            if (failure != null) {
-                context.loop().after(RETRY_MILLIS, () -> writeEnding(batch));
-            } else if (found.isPresent() && found.get().record().equals(ended)) {
-                ended(
-                        batch,
-                        ended,
-                        new KeyValueStore.WriteResult(true, found.get().revision()));
-            } else {
-                lost(
-                        batch.id(),
-                        found.map(BatchStore.Stored::record)
-                                .map(BatchRecord::ended)
-                                .orElse(true));
-            }
-        });
+        writer.write(
+                batch.id(),
+                ended,
+                () -> store.replace(batch.id(), batch.recordRevision(), ended),
+                new RecordWriter.Result() {
+                    @Override
+                    public void done(long revision) {
+                        ended(batch, ended, revision);
+                    }
+
+                    @Override
+                    public void superseded(Optional<BatchStore.Stored> found) {
+                        lost(batch.id(), found);
+                    }
+                });
     }
 
-    private void ended(OwnedBatch batch, BatchRecord ended, KeyValueStore.WriteResult result) {
+    private void ended(OwnedBatch batch, BatchRecord ended, long revision) {
         writing.remove(batch.id());
-        batch.recordChanged(ended, result.revision());
+        batch.recordChanged(ended, revision);
         context.timeline().event(EventKind.BATCH_ENDED).job(batch.id()).write();
         board.wake(batch.id());
-        List<Runnable> actions = endings.remove(batch.id());
+        runEndings(batch.id());
+    }
+
+    private void lost(String id, Optional<BatchStore.Stored> found) {
+        writing.remove(id);
+        boolean ended = found.map(stored -> stored.record().ended()).orElse(true);
+        context.timeline()
+                .event(EventKind.BATCH_LOST)
+                .job(id)
+                .with("ended", ended)
+                .with("owner", found.map(stored -> stored.record().owner()).orElse(""))
+                .write();
+        board.drop(id);
+        onLost.accept(id);
+        if (ended) {
+            runEndings(id);
+        }
+        endings.remove(id);
+    }
+
+    private void runEndings(String id) {
+        List<Runnable> actions = endings.remove(id);
         if (actions != null) {
             actions.forEach(Runnable::run);
         }
--- a/src/main/java/org/gooseberryhill/gateway/BatchDesk.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchDesk.java
@@ -99,6 +99,7 @@
     boolean endOwn(String id, Runnable then) {
         Optional<OwnedBatch> batch = board.find(id);
         batch.ifPresent(found -> {
+            found.beginEnding();
             runner.stop(id);
             committer.end(found, then);
         });
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -30,6 +30,7 @@
     private final PeerLinks links;
     private final BatchBoard board;
     private final BatchStore store;
+    private final RecordWriter writer;
     private final OwnerWatch owners;
     private final Runnable onTaken;
     private final Consumer<BatchStore.Stored> onChangedElsewhere;
@@ -47,6 +48,7 @@
         this.links = links;
         this.board = board;
         this.store = store;
+        this.writer = new RecordWriter(context, store);
         this.owners = new OwnerWatch(context.settings().self().id().value());
         this.onTaken = onTaken;
         this.onChangedElsewhere = onChangedElsewhere;
@@ -86,6 +88,10 @@
         if (record.isFinished() || board.find(found.id()).isPresent() || taking.contains(found.id())) {
             return;
         }
+        if (isOwn(record)) {
+            adopt(found.id());
+            return;
+        }
         String liveStart = links.liveStart(record.owner()).orElse(null);
         if (!owners.isLost(record.owner(), record.ownerStart(), liveStart, context.nowNanos())) {
             board.ownedBy(found.id(), new HostId(record.owner()));
@@ -99,6 +105,31 @@
         }
     }
 
+    private boolean isOwn(BatchRecord record) {
+        return record.owner().equals(context.settings().self().id().value())
+                && record.ownerStart().equals(context.processStart());
+    }
+
+    /**
+     * The record says that this process owns the batch, which knows nothing of it: a write whose answer was lost was done
+     * later. The listing may be older than what this process gave away, so the record is read again.
+     */
+    private void adopt(String id) {
+        taking.add(id);
+        context.onLoop(store.read(id), (found, failure) -> {
+            boolean own = failure == null
+                    && found.isPresent()
+                    && isOwn(found.get().record())
+                    && !found.get().record().isFinished()
+                    && board.find(id).isEmpty();
+            if (own) {
+                load(found.get(), List.of());
+            } else {
+                taking.remove(id);
+            }
+        });
+    }
+
     private boolean isChosen(String batch) {
         List<Host> gateways = new ArrayList<>(links.staying());
         gateways.add(context.settings().self());
@@ -111,16 +142,20 @@
     /** The record as listed may be stale; the write under its revision finds that out. */
     private void take(BatchStore.Stored found, List<ItemCheckpoint> progress, Consumer<Boolean> then) {
         BatchRecord own = found.record().ownedBy(context.settings().self().id().value(), context.processStart());
-        context.onLoop(store.replace(found.id(), found.revision(), own), (result, failure) -> {
-            if (failure != null || !result.succeeded()) {
-                // Another took it, or the answer was lost: the next look tells.
-                taking.remove(found.id());
-                then.accept(false);
-                return;
-            }
-            then.accept(true);
-            load(new BatchStore.Stored(found.id(), own, result.revision()), progress);
-        });
+        writer.write(
+                found.id(), own, () -> store.replace(found.id(), found.revision(), own), new RecordWriter.Result() {
+                    @Override
+                    public void done(long revision) {
+                        then.accept(true);
+                        load(new BatchStore.Stored(found.id(), own, revision), progress);
+                    }
+
+                    @Override
+                    public void superseded(Optional<BatchStore.Stored> other) {
+                        taking.remove(found.id());
+                        then.accept(false);
+                    }
+                });
     }
 
     private void load(BatchStore.Stored taken, List<ItemCheckpoint> progress) {
--- a/src/main/java/org/gooseberryhill/view/KeyView.java
+++ b/src/main/java/org/gooseberryhill/view/KeyView.java
@@ -45,7 +45,8 @@
         }
         List<KeyChange> news = new ArrayList<>();
         for (KeyChange change : changes) {
-            if (take(change)) {
+            // All up to the known revision is known, deletions too: an earlier write must not bring a key back.
+            if (change.revision() > revision && take(change)) {
                 news.add(change);
             }
         }
--- a/src/test/java/org/gooseberryhill/ArchitectureTest.java
+++ b/src/test/java/org/gooseberryhill/ArchitectureTest.java
@@ -36,7 +36,9 @@
             .resideInAnyPackage(
                     "org.gooseberryhill.http..",
                     "org.gooseberryhill.peer..",
-                    "org.gooseberryhill.external..",
+                    "org.gooseberryhill.dialect..",
+                    "org.gooseberryhill.gateway..",
+                    "org.gooseberryhill.platform..",
                     "org.gooseberryhill.store..",
                     "org.gooseberryhill.process..",
                     "org.gooseberryhill.entry..",
@@ -65,8 +67,49 @@
     final ArchRule onlyStandInsProgramsAndTheLoadToolUseStandIns = noClasses()
             .that()
             .resideOutsideOfPackages(
-                    "org.gooseberryhill.standin..", "org.gooseberryhill.program..", "org.gooseberryhill.load..")
+                    "org.gooseberryhill.standin..",
+                    "org.gooseberryhill.platform.standin..",
+                    "org.gooseberryhill.program..",
+                    "org.gooseberryhill.load..")
             .should()
             .dependOnClassesThat()
             .resideInAPackage("org.gooseberryhill.standin..");
+
+    /** The product works without the adapter; whoever replaces the platform replaces one folder. */
+    @ArchTest
+    final ArchRule nothingOutsideKnowsThePlatformsAdapter = noClasses()
+            .that()
+            .resideOutsideOfPackage("org.gooseberryhill.platform..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.gooseberryhill.platform..");
+
+    /** The adapter translates into the product's types; what decides, keeps time or keeps state stays in the product. */
+    @ArchTest
+    final ArchRule thePlatformsAdapterDecidesNothing = noClasses()
+            .that()
+            .resideInAPackage("org.gooseberryhill.platform")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "org.gooseberryhill.decision.dispatch..",
+                    "org.gooseberryhill.decision.admission..",
+                    "org.gooseberryhill.decision.online..",
+                    "org.gooseberryhill.decision.retry..",
+                    "org.gooseberryhill.decision.routing..",
+                    "org.gooseberryhill.control..",
+                    "org.gooseberryhill.peer..",
+                    "org.gooseberryhill.view..")
+            .orShould()
+            .callMethod(System.class, "nanoTime")
+            .orShould()
+            .callMethod(System.class, "currentTimeMillis");
+
+    @ArchTest
+    final ArchRule onlyStandInsOfThePlatformUseThem = noClasses()
+            .that()
+            .resideInAPackage("org.gooseberryhill.platform")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.gooseberryhill.platform.standin..");
 }
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/WireNamesTest.java
@@ -0,0 +1,36 @@
+package org.gooseberryhill;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The platform's names on the wire stand in the adapter alone: there they are decoded once. */
+class WireNamesTest {
+    private static final Pattern NAMES = Pattern.compile(
+            "(?i)x-(server-stamp|expect-instance|instance-id|not-executed|deadline-ms|token-usage|prompt-prefix|wait-ms)"
+                    + "|/gooseberryhill/(kv|lots|items|report|ready)|\"(op|servers|status)/|dead_lettered|kv-(key|txn|watch)");
+
+    @Test
+    void noSourceOutsideTheAdapterNamesThem() throws IOException {
+        List<Path> sources;
+        try (Stream<Path> files = Files.walk(Path.of("src/main"))) {
+            sources = files.filter(Files::isRegularFile).toList();
+        }
+        assertThat(sources).isNotEmpty();
+        assertThat(sources).noneMatch(WireNamesTest::hasName);
+    }
+
+    private static boolean hasName(Path source) {
+        try {
+            return NAMES.matcher(Files.readString(source)).find();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchCoreTest.java
@@ -0,0 +1,214 @@
+package org.gooseberryhill.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.route.Route;
+import org.gooseberryhill.route.RouteKind;
+import org.junit.jupiter.api.Test;
+
+class DispatchCoreTest {
+    private static final Route SAFE = DispatchFixture.route(RouteKind.SAFE, false, 3);
+    private static final Route UNSAFE = DispatchFixture.route(RouteKind.UNSAFE, false, 3);
+    private static final Route ONCE_STREAM = DispatchFixture.route(RouteKind.STREAM, false, 2);
+    private static final Route RESUMABLE = DispatchFixture.route(RouteKind.STREAM, true, 2);
+
+    private final DispatchFixture fixture = new DispatchFixture(4);
+
+    @Test
+    void requestsSpreadOverAllEndpointsBeforeAnyHasTwo() {
+        Set<EndpointKey> used = new HashSet<>();
+        for (int i = 0; i < 4; i++) {
+            used.add(sent(fixture.first(fixture.arrive(SAFE))));
+        }
+        assertThat(used).hasSize(4);
+    }
+
+    /**
+     * A booking is sent, the endpoint breaks off: it may have run. Its caller gets that told at once, and no other endpoint
+     * gets it, however many attempts the route allows.
+     */
+    @Test
+    void aRequestThatMayNotBeRepeatedIsNotSentAgainOnceItMayHaveRun() {
+        RoutedRequest request = fixture.arrive(UNSAFE);
+        fixture.first(request);
+
+        Refusal refusal = refusal(fixture.failed(request, AttemptEnd.CUT));
+
+        assertThat(refusal.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+        assertThat(request.sends()).isEqualTo(1);
+    }
+
+    /** A stream that can't be resumed counts as one that may not be repeated, even before its first event. */
+    @Test
+    void aStreamThatCannotBeResumedIsNotSentAgainOnceItMayHaveRun() {
+        RoutedRequest request = fixture.arrive(ONCE_STREAM);
+        fixture.first(request);
+
+        assertThat(refusal(fixture.failed(request, AttemptEnd.CUT)).code()).isEqualTo(ErrorCode.ENDPOINT_FAILED);
+    }
+
+    @Test
+    void whatAnEndpointTurnedAwayGoesToAnotherWhateverItsKind() {
+        for (Route route : List.of(SAFE, UNSAFE, ONCE_STREAM, RESUMABLE)) {
+            DispatchFixture fresh = new DispatchFixture(4);
+            RoutedRequest request = fresh.arrive(route);
+            EndpointKey one = sent(fresh.first(request));
+            EndpointKey other = sent(fresh.failed(request, AttemptEnd.BUSY));
+            assertThat(other).isNotEqualTo(one);
+            assertThat(request.outcome()).isEqualTo(Outcome.NOT_RUN);
+        }
+    }
+
+    @Test
+    void noMoreEndpointsMayHaveRunARequestThanItsRouteAllows() {
+        RoutedRequest request = fixture.arrive(RESUMABLE);
+        fixture.first(request);
+        fixture.failed(request, AttemptEnd.BUSY);
+        fixture.failed(request, AttemptEnd.CUT);
+
+        assertThat(refusal(fixture.failed(request, AttemptEnd.CUT)).outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+        assertThat(request.runs()).isEqualTo(2);
+    }
+
+    @Test
+    void aResumableStreamGoesOnElsewhereAlsoWhenItsCallerHasAPartOfIt() {
+        RoutedRequest request = fixture.arrive(RESUMABLE);
+        EndpointKey one = sent(fixture.first(request));
+        request.answerBegun();
+
+        assertThat(sent(fixture.failed(request, AttemptEnd.CUT))).isNotEqualTo(one);
+    }
+
+    @Test
+    void whenAllEndpointsTurnARequestAwayItsCallerIsToldThatItHasNotRun() {
+        RoutedRequest request = fixture.arrive(UNSAFE);
+        DispatchDecision decision = fixture.first(request);
+        while (decision instanceof DispatchDecision.Send) {
+            decision = fixture.failed(request, AttemptEnd.BUSY);
+        }
+        assertThat(refusal(decision).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(refusal(decision).retryAfterMillis()).isPresent();
+    }
+
+    @Test
+    void withoutTimeLeftNoFurtherAttemptIsMade() {
+        RoutedRequest request = fixture.arrive(SAFE);
+        fixture.first(request);
+        fixture.pass(4990);
+
+        assertThat(refusal(fixture.failed(request, AttemptEnd.CUT)).code()).isEqualTo(ErrorCode.DEADLINE_EXCEEDED);
+    }
+
+    /** The endpoints are full of online requests for seconds: a newcomer is told at once when to come back. */
+    @Test
+    void aRequestThatWouldWaitFarBeyondItsTargetIsTurnedAwayAtOnceWithATime() {
+        fixture.fleet.reported(
+                new HostId("other"),
+                Map.of(
+                        DispatchFixture.key("e0"), new InFlight(60, 0),
+                        DispatchFixture.key("e1"), new InFlight(60, 0),
+                        DispatchFixture.key("e2"), new InFlight(60, 0),
+                        DispatchFixture.key("e3"), new InFlight(60, 0)));
+
+        Refusal refusal = refusal(fixture.first(fixture.arrive(SAFE)));
+
+        assertThat(refusal.code()).isEqualTo(ErrorCode.OVERLOADED);
+        assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(refusal.retryAfterMillis().orElseThrow()).isPositive();
+    }
+
+    @Test
+    void itemsOfBatchesDoNotKeepAnOnlineRequestAway() {
+        fixture.fleet.reported(
+                new HostId("other"),
+                Map.of(
+                        DispatchFixture.key("e0"), new InFlight(0, 8),
+                        DispatchFixture.key("e1"), new InFlight(0, 8),
+                        DispatchFixture.key("e2"), new InFlight(0, 8),
+                        DispatchFixture.key("e3"), new InFlight(0, 8)));
+
+        assertThat(fixture.first(fixture.arrive(ONCE_STREAM))).isInstanceOf(DispatchDecision.Send.class);
+    }
+
+    @Test
+    void anEndpointThatIsLeavingGetsNothingNew() {
+        fixture.fleet.directory(List.of(DispatchFixture.entry("e0", 1, true), DispatchFixture.entry("e1", 1, false)));
+        List<EndpointKey> used = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            used.add(sent(fixture.first(fixture.arrive(SAFE))));
+        }
+        assertThat(used).containsOnly(DispatchFixture.key("e1"));
+    }
+
+    /** An endpoint crashed and restarted under its id: what was known of its failures holds no more. */
+    @Test
+    void anotherStartOfAnEndpointIsAnotherEndpoint() {
+        fixture.fleet.directory(List.of(DispatchFixture.entry("e0", 1, false), DispatchFixture.entry("e1", 1, false)));
+        fixture.fleet.observed(DispatchFixture.key("e0"), AttemptEnd.UNREACHABLE, fixture.nowNanos);
+        assertThat(fixture.endpoint("e0").isUsable(fixture.nowNanos)).isFalse();
+
+        fixture.fleet.directory(List.of(DispatchFixture.entry("e0", 2, false), DispatchFixture.entry("e1", 1, false)));
+
+        FleetEndpoint restarted = fixture.fleet.find(new EndpointKey("e0", 2)).orElseThrow();
+        assertThat(restarted.isUsable(fixture.nowNanos)).isTrue();
+    }
+
+    /** This host is cut off from all endpoints: half of them stay in use, or nothing would be tried when the cut heals. */
+    @Test
+    void failuresNeverLeaveOutMoreThanHalfOfAService() {
+        for (String id : List.of("e0", "e1", "e2", "e3")) {
+            fixture.fleet.observed(DispatchFixture.key(id), AttemptEnd.UNREACHABLE, fixture.nowNanos);
+        }
+        long usable = fixture.fleet.all().stream()
+                .filter(endpoint -> endpoint.isUsable(fixture.nowNanos))
+                .count();
+        assertThat(usable).isEqualTo(2);
+    }
+
+    /**
+     * A registration lapses while the store is away and comes back while a request still runs: its end must not make the
+     * endpoint seem to have less than nothing in flight.
+     */
+    @Test
+    void aRegistrationThatComesBackKeepsWhatIsInFlight() {
+        RoutedRequest request = fixture.arrive(SAFE);
+        EndpointKey key = sent(fixture.first(request));
+        fixture.fleet.directory(List.of());
+        fixture.fleet.directory(List.of(DispatchFixture.entry(key.id(), 1, false)));
+        assertThat(fixture.endpoint(key.id()).online()).isEqualTo(1);
+
+        fixture.core.attemptSucceeded(request, fixture.nowNanos);
+
+        assertThat(fixture.endpoint(key.id()).online()).isZero();
+    }
+
+    @Test
+    void aRequestThatCrashedEndpointsTwiceIsRefusedAsNotRun() {
+        RoutedRequest request = fixture.arrive(SAFE);
+        fixture.suspects.crashed("e0", List.of(request.intake().fingerprint()), fixture.nowNanos);
+        fixture.pass(3000);
+        fixture.suspects.crashed("e1", List.of(request.intake().fingerprint()), fixture.nowNanos);
+
+        assertThat(refusal(fixture.first(request)).code()).isEqualTo(ErrorCode.QUARANTINED);
+    }
+
+    private static EndpointKey sent(DispatchDecision decision) {
+        assertThat(decision).isInstanceOf(DispatchDecision.Send.class);
+        return ((DispatchDecision.Send) decision).endpoint().key();
+    }
+
+    private static Refusal refusal(DispatchDecision decision) {
+        assertThat(decision).isInstanceOf(DispatchDecision.Refuse.class);
+        return ((DispatchDecision.Refuse) decision).refusal();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
@@ -0,0 +1,97 @@
+package org.gooseberryhill.decision.dispatch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.contract.Fingerprint;
+import org.gooseberryhill.decision.quarantine.CrashSuspects;
+import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.route.Route;
+import org.gooseberryhill.route.RouteKind;
+import org.gooseberryhill.route.RouteTarget;
+import org.gooseberryhill.zone.AvailabilityZone;
+
+/** One host's dispatch over endpoints of one service, in virtual time. */
+final class DispatchFixture {
+    static final String SERVICE = "s";
+    static final AvailabilityZone ZONE = new AvailabilityZone("a");
+    static final int SLOTS = 8;
+
+    final Fleet fleet = new Fleet();
+    final CrashSuspects suspects = new CrashSuspects(60_000, 100);
+    final DispatchCore core;
+    long nowNanos = TimeUnit.SECONDS.toNanos(100);
+    private int requests;
+
+    DispatchFixture(int endpoints) {
+        this(endpoints, DispatchPolicies.product(new Random(1)));
+    }
+
+    DispatchFixture(int endpoints, DispatchPolicies policies) {
+        core = new DispatchCore(ZONE, policies, fleet, suspects);
+        List<EndpointEntry> entries = new ArrayList<>();
+        for (int i = 0; i < endpoints; i++) {
+            entries.add(entry("e" + i, 1, false));
+        }
+        fleet.directory(entries);
+    }
+
+    static EndpointEntry entry(String id, long startedAtMillis, boolean leaving) {
+        return new EndpointEntry(id, startedAtMillis, SERVICE, new Address("10.0.0.1", 8000), ZONE, SLOTS, leaving, 0);
+    }
+
+    static Route route(RouteKind kind, boolean resumable, int maxAttempts) {
+        return new Route(
+                "r",
+                "h",
+                "/p/",
+                kind,
+                List.of(new RouteTarget(SERVICE, 1)),
+                5000,
+                300,
+                maxAttempts,
+                0,
+                resumable,
+                true,
+                200,
+                0,
+                0);
+    }
+
+    RoutedRequest arrive(Route route) {
+        String id = "q" + requests++;
+        return core.arrived(new RoutedIntake(
+                id,
+                route,
+                SERVICE,
+                Optional.empty(),
+                Fingerprint.of("s", id.getBytes(StandardCharsets.UTF_8)),
+                nowNanos,
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(5000)));
+    }
+
+    DispatchDecision first(RoutedRequest request) {
+        return core.first(request, nowNanos);
+    }
+
+    DispatchDecision failed(RoutedRequest request, AttemptEnd end) {
+        return core.attemptFailed(request, end, nowNanos);
+    }
+
+    void pass(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    FleetEndpoint endpoint(String id) {
+        return fleet.find(new EndpointKey(id, 1)).orElseThrow();
+    }
+
+    static EndpointKey key(String id) {
+        return new EndpointKey(id, 1);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchFixture.java
@@ -0,0 +1,42 @@
+package org.gooseberryhill.decision.requestbatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Small batches for tests. */
+final class BatchFixture {
+    private BatchFixture() {}
+
+    static BatchRecord record(int items, String owner, String start) {
+        return new BatchRecord("h", "/b/1", "hash", owner, start, 0, 1, items, false, List.of(), 0);
+    }
+
+    static List<BatchItem> items(int number) {
+        List<BatchItem> items = new ArrayList<>();
+        for (int i = 0; i < number; i++) {
+            items.add(new BatchItem("i" + i, "/b/1/" + i, Map.of(), new byte[0], 100));
+        }
+        return items;
+    }
+
+    static OwnedBatch batch(int items) {
+        return new OwnedBatch("batch", record(items, "a", "1"), 5, items(items), List.of());
+    }
+
+    /** Runs an item to its end with a number of events from where it was. */
+    static void run(OwnedBatch batch, ItemProgress item, int events) {
+        batch.started(item);
+        events(item, events);
+        batch.ended(item, RunEnd.COMPLETED, 3, 0);
+    }
+
+    /** Events with growing ids from where the item was. */
+    static void events(ItemProgress item, int number) {
+        long from = item.lastEventId().orElse(0L) + 1;
+        for (long id = from; id < from + number; id++) {
+            item.event(Optional.of(id), "w" + id);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchOwnershipModel.java
@@ -0,0 +1,186 @@
+package org.gooseberryhill.decision.requestbatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.gooseberryhill.decision.FakeKeyValue;
+import org.gooseberryhill.decision.FakeKeyValue.Condition;
+import org.gooseberryhill.decision.FakeKeyValue.Stored;
+
+/**
+ * A batch and two hosts that may both think they own it, over a key-value service that loses answers, does writes late, and
+ * never. Positions that were once shown are remembered and compared with all that is shown later.
+ */
+final class BatchOwnershipModel {
+    private static final String RECORD = "record";
+    private static final int ITEMS = 6;
+    private static final int MANY = 1_000_000;
+
+    private final FakeKeyValue<Object> store;
+    private final Random random;
+    private final List<HostView> hosts = List.of(new HostView("a"), new HostView("b"));
+    private final Map<Integer, String> shown = new HashMap<>();
+
+    BatchOwnershipModel(Random random, int faultPercent) {
+        this.random = random;
+        this.store = new FakeKeyValue<>(random, faultPercent);
+        BatchRecord record = BatchFixture.record(ITEMS, "a", "1");
+        while (store.now(RECORD).isEmpty()) {
+            store.write(List.of(Condition.absent(RECORD)), Map.of(RECORD, record));
+        }
+    }
+
+    void step() {
+        HostView host = hosts.get(random.nextInt(hosts.size()));
+        switch (random.nextInt(8)) {
+            case 0 -> host.takeOver();
+            case 1, 2, 3 -> host.runAnItem();
+            case 4, 5 -> host.commit();
+            case 6 -> store.arriveDelayed();
+            default -> host.show();
+        }
+    }
+
+    /** One host is left alone without faults: it finishes the batch. */
+    void finish() {
+        for (int i = 0; i < 200 && !record().isFinished(); i++) {
+            hosts.get(0).takeOver();
+            hosts.get(0).runAnItem();
+            hosts.get(0).commit();
+            store.arriveDelayed();
+        }
+        hosts.get(0).show();
+    }
+
+    BatchRecord record() {
+        return (BatchRecord) store.now(RECORD).orElseThrow().value();
+    }
+
+    Map<Integer, String> shown() {
+        return shown;
+    }
+
+    @SuppressWarnings("unchecked")
+    private List<ItemResult> committed(BatchRecord record) {
+        List<ItemResult> results = new ArrayList<>();
+        for (int first : record.chunks()) {
+            results.addAll((List<ItemResult>)
+                    store.now("results/" + first).orElseThrow().value());
+        }
+        return results;
+    }
+
+    /** What one host believes. */
+    private final class HostView {
+        private final String name;
+        private int process;
+        private Optional<OwnedBatch> batch = Optional.empty();
+        private Optional<RecordWrite> writing = Optional.empty();
+        private BatchRecord intended;
+        private List<ItemResult> results = List.of();
+        private boolean commit;
+        private long expectedRevision;
+
+        HostView(String name) {
+            this.name = name;
+        }
+
+        void takeOver() {
+            if (batch.isPresent() || writing.isPresent() || record().isFinished()) {
+                return;
+            }
+            Optional<Optional<Stored<Object>>> read = store.read(RECORD);
+            if (read.isEmpty()) {
+                return;
+            }
+            Stored<Object> stored = read.get().orElseThrow();
+            process++;
+            begin(((BatchRecord) stored.value()).ownedBy(name, "p" + process), stored.modified(), List.of(), false);
+        }
+
+        void runAnItem() {
+            batch.ifPresent(owned -> owned.startable(0).stream().findFirst().ifPresent(item -> {
+                // Another host's run of the same item brings the same events.
+                BatchFixture.run(owned, item, 2);
+            }));
+        }
+
+        void commit() {
+            if (writing.isPresent()) {
+                goOn();
+            } else if (batch.isPresent() && batch.get().hasUncommitted()) {
+                List<ItemResult> chunk = batch.get().beginCommit(MANY);
+                begin(batch.get().record().withChunk(chunk.size()), batch.get().recordRevision(), chunk, true);
+            }
+        }
+
+        void show() {
+            batch.ifPresent(owned -> {
+                List<ItemResult> page = owned.page(0, MANY).results();
+                for (int position = 0; position < page.size(); position++) {
+                    String before =
+                            shown.putIfAbsent(position, page.get(position).id());
+                    assertThat(before).isIn(null, page.get(position).id());
+                }
+            });
+        }
+
+        private void begin(BatchRecord record, long revision, List<ItemResult> chunk, boolean isCommit) {
+            intended = record;
+            results = chunk;
+            commit = isCommit;
+            expectedRevision = revision;
+            writing = Optional.of(new RecordWrite(record));
+            goOn();
+        }
+
+        private void goOn() {
+            Map<String, Object> writes = new HashMap<>();
+            writes.put(RECORD, intended);
+            if (commit) {
+                writes.put("results/" + batch.orElseThrow().record().listed(), results);
+            }
+            Optional<Boolean> answer = store.write(List.of(Condition.modifiedAt(RECORD, expectedRevision)), writes);
+            if (answer.isEmpty()) {
+                assertThat(writing.orElseThrow().writeUnanswered()).isEqualTo(RecordWrite.Step.WRITE);
+                return;
+            }
+            if (writing.orElseThrow().written(answer.get()) == RecordWrite.Step.DONE) {
+                done();
+                return;
+            }
+            Optional<Optional<Stored<Object>>> read = store.read(RECORD);
+            if (read.isEmpty()) {
+                return;
+            }
+            Optional<BatchRecord> found = read.get().map(stored -> (BatchRecord) stored.value());
+            if (writing.orElseThrow().read(found) == RecordWrite.Step.DONE) {
+                done();
+            } else {
+                writing = Optional.empty();
+                batch = Optional.empty();
+            }
+        }
+
+        private void done() {
+            writing = Optional.empty();
+            long revision = store.now(RECORD).orElseThrow().modified();
+            boolean overtaken = !record().equals(intended);
+            if (overtaken) {
+                // Another host has taken it since; this one finds out at its next write.
+                revision = expectedRevision;
+            }
+            if (commit) {
+                batch.orElseThrow().commitSucceeded(intended, revision);
+            } else if (!overtaken) {
+                batch = Optional.of(
+                        new OwnedBatch("batch", intended, revision, BatchFixture.items(ITEMS), committed(intended)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchOwnershipProperties.java
@@ -0,0 +1,31 @@
+package org.gooseberryhill.decision.requestbatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class BatchOwnershipProperties {
+    /**
+     * Two hosts take a batch from each other while answers of the store are lost and writes arrive late. Whatever a reader
+     * was shown at a position stays there, no item stands twice, and in the end each item has its place.
+     */
+    @Property
+    void positionsAreGivenOnceHoweverOftenTheOwnerChanges(
+            @ForAll Random random, @ForAll @IntRange(min = 0, max = 60) int faultPercent) {
+        BatchOwnershipModel model = new BatchOwnershipModel(random, faultPercent);
+        for (int i = 0; i < 120; i++) {
+            model.step();
+        }
+        model.finish();
+
+        assertThat(new HashSet<>(model.shown().values()))
+                .hasSameSizeAs(model.shown().values());
+        if (faultPercent == 0) {
+            assertThat(model.record().listed()).isEqualTo(6);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
@@ -0,0 +1,182 @@
+package org.gooseberryhill.decision.requestbatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class OwnedBatchTest {
+    private static final int MAX_ATTEMPTS = 3;
+    private static final int MANY = 1_000_000;
+
+    private final OwnedBatch batch = BatchFixture.batch(3);
+    private long nowNanos = TimeUnit.SECONDS.toNanos(50);
+
+    @Test
+    void aResultIsShownOnlyAfterItsCommitAndKeepsItsPosition() {
+        BatchFixture.run(batch, first(), 2);
+        assertThat(batch.page(0, MANY).results()).isEmpty();
+
+        commit();
+        BatchFixture.run(batch, first(), 1);
+        commit();
+
+        assertThat(batch.page(0, MANY).results()).extracting(ItemResult::id).containsExactly("i0", "i1");
+        assertThat(batch.page(1, MANY).results()).extracting(ItemResult::id).containsExactly("i1");
+        assertThat(batch.page(0, MANY).total()).isEqualTo(3);
+    }
+
+    /** A run is cut after its second event: the next run goes on after it, and the text has each event once. */
+    @Test
+    void aRunThatIsCutGoesOnAfterItsLastEvent() {
+        ItemProgress item = first();
+        batch.started(item);
+        BatchFixture.events(item, 2);
+        batch.ended(item, RunEnd.CUT, MAX_ATTEMPTS, nowNanos);
+        assertThat(item.lastEventId()).contains(2L);
+
+        batch.started(item);
+        item.event(Optional.of(2L), "w2");
+        item.event(Optional.of(3L), "w3");
+        batch.ended(item, RunEnd.COMPLETED, MAX_ATTEMPTS, nowNanos);
+        commit();
+
+        assertThat(batch.page(0, MANY).results().get(0).text()).isEqualTo("w1\nw2\nw3");
+    }
+
+    /** Events without ids can't be continued: what a cut run generated is forgotten, or it would stand twice. */
+    @Test
+    void eventsWithoutIdsBeginAnew() {
+        ItemProgress item = first();
+        batch.started(item);
+        item.event(Optional.empty(), "a");
+        batch.ended(item, RunEnd.CUT, MAX_ATTEMPTS, nowNanos);
+
+        batch.started(item);
+        item.event(Optional.empty(), "a");
+        batch.ended(item, RunEnd.COMPLETED, MAX_ATTEMPTS, nowNanos);
+        commit();
+
+        assertThat(batch.page(0, MANY).results().get(0).text()).isEqualTo("a");
+    }
+
+    @Test
+    void anItemIsGivenUpAfterAsManyErrorAnswersAsItsRouteAllowsAndNotBefore() {
+        ItemProgress item = first();
+        for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+            assertThat(item.result()).isEmpty();
+            batch.started(item);
+            batch.ended(item, RunEnd.ERROR_ANSWER, MAX_ATTEMPTS, nowNanos);
+        }
+        assertThat(item.result().map(ItemResult::state)).contains(ItemState.GIVEN_UP);
+    }
+
+    @Test
+    void anItemThatCanNeverBeDoneIsGivenUpAtOnce() {
+        ItemProgress item = first();
+        batch.started(item);
+        batch.ended(item, RunEnd.REJECTED, MAX_ATTEMPTS, nowNanos);
+
+        assertThat(item.result().map(ItemResult::state)).contains(ItemState.GIVEN_UP);
+    }
+
+    /** Full endpoints and cut runs are no attempts: an item that never got its turn must not be given up for it. */
+    @Test
+    void cutsRefusalsAndYieldsNeverGiveAnItemUp() {
+        ItemProgress item = first();
+        for (int i = 0; i < 50; i++) {
+            batch.started(item);
+            batch.ended(
+                    item, List.of(RunEnd.CUT, RunEnd.NOT_RUN, RunEnd.YIELDED).get(i % 3), MAX_ATTEMPTS, nowNanos);
+        }
+        assertThat(item.result()).isEmpty();
+    }
+
+    /**
+     * An item crashes each endpoint that begins to run it: three endpoints are down after a moment. After the third it gets
+     * pauses that double, so that a few seconds later not all endpoints are down, and an innocent item still gets its turn.
+     */
+    @Test
+    void anItemWhoseRunsBringNothingGetsLongerAndLongerPauses() {
+        ItemProgress item = first();
+        int starts = 0;
+        long endNanos = nowNanos + TimeUnit.SECONDS.toNanos(30);
+        while (nowNanos < endNanos) {
+            if (batch.startable(nowNanos).contains(item)) {
+                batch.started(item);
+                batch.ended(item, RunEnd.CUT, MAX_ATTEMPTS, nowNanos);
+                starts++;
+            }
+            nowNanos += TimeUnit.MILLISECONDS.toNanos(50);
+        }
+        assertThat(starts).isBetween(5, 7);
+    }
+
+    @Test
+    void afterItsEndHasBegunNoItemStarts() {
+        batch.beginEnding();
+
+        assertThat(batch.startable(nowNanos)).isEmpty();
+    }
+
+    /** A write was not answered, and more results came meanwhile: its repetition must say what it said before. */
+    @Test
+    void aCommitOnItsWayStaysTheSameWhateverCompletesMeanwhile() {
+        BatchFixture.run(batch, first(), 1);
+        List<ItemResult> once = batch.beginCommit(MANY);
+        BatchFixture.run(batch, first(), 1);
+
+        assertThat(batch.beginCommit(MANY)).isEqualTo(once);
+    }
+
+    @Test
+    void aCommitHoldsNoMoreCharactersThanAskedForButAtLeastOneResult() {
+        BatchFixture.run(batch, first(), 2);
+        BatchFixture.run(batch, first(), 2);
+
+        assertThat(batch.beginCommit(1)).hasSize(1);
+    }
+
+    @Test
+    void anotherOwnerGoesOnFromWhatTheItemsHadGenerated() {
+        ItemProgress item = first();
+        batch.started(item);
+        BatchFixture.events(item, 4);
+        batch.ended(item, RunEnd.YIELDED, MAX_ATTEMPTS, nowNanos);
+
+        OwnedBatch next = BatchFixture.batch(3);
+        next.restore(batch.checkpoints());
+
+        ItemProgress restored = next.startable(nowNanos).get(0);
+        assertThat(restored.item().id()).isEqualTo(item.item().id());
+        assertThat(restored.lastEventId()).contains(4L);
+    }
+
+    @Test
+    void aPageHoldsAtLeastOneResultHoweverLargeItIs() {
+        BatchFixture.run(batch, first(), 500);
+        commit();
+
+        assertThat(batch.page(0, 10).results()).hasSize(1);
+    }
+
+    @Test
+    void theBodyOfAnItemIsThereUntilItIsListed() {
+        assertThat(batch.unlistedItem("i0")).isPresent();
+        BatchFixture.run(batch, first(), 1);
+        assertThat(batch.unlistedItem("i0")).isPresent();
+        commit();
+        assertThat(batch.unlistedItem("i0")).isEmpty();
+    }
+
+    private ItemProgress first() {
+        return batch.startable(nowNanos).get(0);
+    }
+
+    private void commit() {
+        int results = batch.beginCommit(MANY).size();
+        batch.commitSucceeded(batch.record().withChunk(results), batch.recordRevision() + 1);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/timeline/TimelineTest.java
@@ -0,0 +1,72 @@
+package org.gooseberryhill.timeline;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.link.HybridClock;
+import org.junit.jupiter.api.Test;
+
+class TimelineTest {
+    private final List<TimelineEvent> taken = new ArrayList<>();
+    private long nowNanos = TimeUnit.SECONDS.toNanos(5);
+    private final Timeline timeline = new Timeline("p", new HybridClock(() -> 1000), taken::add, () -> nowNanos);
+
+    @Test
+    void anEventComesBackFromItsLineAsItWas() {
+        timeline.event(EventKind.ATTEMPT_FAILED)
+                .request("r1")
+                .endpoint("e1")
+                .with("attempt", 2)
+                .with("detail", "status \"503\"")
+                .write();
+
+        TimelineEvent event = taken.get(0);
+        TimelineEvent read = TimelineLines.parse(TimelineLines.line(event)).orElseThrow();
+
+        assertThat(read.at()).isEqualTo(event.at());
+        assertThat(read.kind()).isEqualTo("attempt.failed");
+        assertThat(read.request()).contains("r1");
+        assertThat(read.endpoint()).contains("e1");
+        assertThat(read.detail("attempt")).isEqualTo("2");
+        assertThat(read.detail("detail")).isEqualTo("status \"503\"");
+    }
+
+    @Test
+    void linesThatAreNoEventsArePassedOver() {
+        assertThat(TimelineLines.parse("{\"at\":1,\"ki")).isEmpty();
+        assertThat(TimelineLines.parse("plain text")).isEmpty();
+        assertThat(TimelineLines.parse("{\"level\":\"WARN\",\"message\":\"m\"}"))
+                .isEmpty();
+    }
+
+    /** A flood of answered requests within a second: their lines are bounded, counted, and the count is told. */
+    @Test
+    void aFloodOfSuccessesIsBoundedAndCounted() {
+        for (int i = 0; i < 1000; i++) {
+            timeline.event(EventKind.REQUEST_ENDED).request("r" + i).write();
+        }
+        assertThat(taken).hasSize(EventLimiter.ROUTINE_PER_SECOND);
+
+        nowNanos += TimeUnit.SECONDS.toNanos(1);
+        timeline.event(EventKind.REQUEST_ENDED).request("later").write();
+
+        TimelineEvent dropped = taken.get(EventLimiter.ROUTINE_PER_SECOND);
+        assertThat(dropped.kind()).isEqualTo("lines.dropped");
+        assertThat(dropped.detail("request.ended")).isEqualTo("800");
+    }
+
+    /** One request in a flood of others fails: its line is there, whatever the others' number. */
+    @Test
+    void aFailedRequestKeepsItsLineInAFlood() {
+        for (int i = 0; i < 5000; i++) {
+            timeline.event(EventKind.REQUEST_ENDED).request("r" + i).write();
+            timeline.event(EventKind.ATTEMPT_SENT).request("r" + i).write();
+        }
+        timeline.event(EventKind.REQUEST_FAILED).request("failed").write();
+
+        assertThat(taken).anyMatch(event -> event.request().equals(Optional.of("failed")));
+    }
+}
