--- a/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
@@ -37,7 +37,7 @@
     void advance() {
         for (OwnedBatch batch : board.batches()) {
             boolean settled = !committer.isWriting(batch.id()) && !batch.hasUncommitted();
-            if (!batch.isFinished() && settled && offered.add(batch.id())) {
+            if (!batch.isFinished() && settled && !offered.contains(batch.id())) {
                 offer(batch);
             }
         }
@@ -56,6 +56,7 @@
         if (chosen.isEmpty()) {
             return;
         }
+        offered.add(batch.id());
         PeerMessage handOver = new GatewayMessage.BatchHandOver(
                 batch.id(), batch.recordRevision(), batch.record(), batch.checkpoints());
         context.onLoop(links.ask(chosen.get(), handOver), (reply, failure) -> {
@@ -66,6 +67,10 @@
                     .with("to", chosen.get().id().value())
                     .with("taken", taken)
                     .write();
+            if (!taken) {
+                // Perhaps it stops as well, or has not heard of this host: the next look chooses among those that stay.
+                offered.remove(batch.id());
+            }
             if (taken) {
                 board.drop(batch.id());
                 board.ownedBy(batch.id(), chosen.get().id());
--- a/src/main/java/org/gooseberryhill/logging/LineAppender.java
+++ b/src/main/java/org/gooseberryhill/logging/LineAppender.java
@@ -1,8 +1,6 @@
 package org.gooseberryhill.logging;
 
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
-import java.io.IOException;
+import java.io.PrintStream;
 import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.appender.AbstractAppender;
 import org.apache.logging.log4j.core.config.Property;
@@ -11,7 +9,7 @@
  * Writes lines to standard output. Used by the log's own thread only, which is the one that waits when nobody reads.
  */
 final class LineAppender extends AbstractAppender {
-    private final FileOutputStream out = new FileOutputStream(FileDescriptor.out);
+    private final PrintStream out = System.out;
 
     LineAppender() {
         super("lines", null, new LineLayout(), true, Property.EMPTY_ARRAY);
@@ -19,11 +17,8 @@
 
     @Override
     public void append(LogEvent event) {
-        try {
-            out.write(getLayout().toByteArray(event));
-        } catch (IOException e) {
-            // Nobody can be told: standard output is where it would be said.
-            error("a line could not be written", event, e);
-        }
+        byte[] line = getLayout().toByteArray(event);
+        out.write(line, 0, line.length);
+        out.flush();
     }
 }
