--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -68,7 +68,8 @@
         return TimeUnit.NANOSECONDS.toMillis(intake.deadlineNanos() - nowNanos);
     }
 
-    long runNanos(long nowNanos) {
+    /** How long the present attempt has lasted. */
+    public long runNanos(long nowNanos) {
         return nowNanos - sentNanos;
     }
 
--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -24,7 +24,7 @@
     }
 
     private final long graceNanos;
-    private final long boundNanos;
+    private long boundNanos;
     private volatile Phase phase = Phase.SERVING;
     private long sinceNanos;
 
@@ -39,6 +39,13 @@
         this.boundNanos = TimeUnit.MILLISECONDS.toNanos(boundMillis);
     }
 
+    /** Changes the bound, by a reload of the settings; one that was asked for already keeps its own. */
+    public void bound(long boundMillis) {
+        if (phase == Phase.SERVING) {
+            boundNanos = TimeUnit.MILLISECONDS.toNanos(boundMillis);
+        }
+    }
+
     /** Asks for the stop; a second time changes nothing. */
     public void ask(long nowNanos) {
         if (phase == Phase.SERVING) {
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -32,6 +32,9 @@
 
     private static final double NEWEST_WEIGHT = 1.0 / 16;
 
+    /** Without a route a batch waits this long for a configuration that has it again; then nobody can be owed it. */
+    private static final long ROUTE_GONE_MILLIS = 20_000;
+
     private final GatewayContext context;
     private final BatchBoard board;
     private final ItemPlacement placement;
@@ -66,6 +69,7 @@
 
     /** Fits what runs to what is known now: items yield where too much is in flight, others start where slots are free. */
     void balance() {
+        abandon();
         yieldWhereFull();
         if (!paused) {
             startWhereFree();
@@ -100,6 +104,7 @@
         if (end == RunEnd.COMPLETED && !run.isContinuation()) {
             runMillis.add(run.ranMillis());
         }
+        context.metrics().itemRunEnded(end);
         int maxAttempts = route(run.batch()).map(Route::maxAttempts).orElse(1);
         run.batch().ended(run.item(), end, maxAttempts, context.nowNanos());
         context.timeline()
@@ -113,6 +118,28 @@
         onLoadChange.run();
     }
 
+    /** Gives up what its route no longer keeps: items of batches that are too old, or whose route is gone when they are due. */
+    private void abandon() {
+        long nowMillis = System.currentTimeMillis();
+        for (OwnedBatch batch : board.batches()) {
+            Optional<Route> route = route(batch);
+            long ageMillis = nowMillis - batch.record().acceptedAtMillis();
+            boolean tooOld = route.map(found -> found.retentionMillis() > 0 && ageMillis > found.retentionMillis())
+                    .orElse(ageMillis > ROUTE_GONE_MILLIS);
+            if (tooOld && batch.openItems() > 0 && !batch.record().ended()) {
+                context.timeline()
+                        .event(EventKind.ITEM_GIVEN_UP)
+                        .job(batch.id())
+                        .with("items", batch.openItems())
+                        .with("ageMillis", ageMillis)
+                        .with("routeKnown", route.isPresent())
+                        .write();
+                stop(batch.id());
+                batch.giveUpAll();
+            }
+        }
+    }
+
     private void yieldWhereFull() {
         for (EndpointKey key : List.copyOf(runs.keySet())) {
             Optional<FleetEndpoint> endpoint = context.fleet().find(key);
--- a/src/main/java/org/gooseberryhill/gateway/GatewayContext.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayContext.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.gateway;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.gooseberryhill.control.ControlLoop;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
 import org.gooseberryhill.decision.dispatch.Fleet;
@@ -14,7 +15,7 @@
 /**
  * What the parts of the gateway share. Immutable; its parts say how they may be used.
  *
- * @param settings the settings
+ * @param settingsInForce the settings as last read
  * @param processStart tells this process from earlier ones of the same host
  * @param loop the control thread
  * @param http the HTTP client
@@ -25,9 +26,10 @@
  * @param core the decisions about routed requests; for the control thread
  * @param stop the planned stop
  * @param timeline the time line
+ * @param metrics the metrics
  */
 record GatewayContext(
-        GatewaySettings settings,
+        Supplier<GatewaySettings> settingsInForce,
         String processStart,
         ControlLoop loop,
         HttpClient http,
@@ -37,7 +39,13 @@
         Fleet fleet,
         DispatchCore core,
         PlannedStop stop,
-        Timeline timeline) {
+        Timeline timeline,
+        GatewayMetrics metrics) {
+    /** The settings in force; a reload may change some of them. */
+    GatewaySettings settings() {
+        return settingsInForce.get();
+    }
+
     long nowNanos() {
         return loop.nowNanos();
     }
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessages.java
@@ -0,0 +1,96 @@
+package org.gooseberryhill.gateway;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.peer.GatewayMessage;
+import org.gooseberryhill.peer.PeerMessage;
+
+/** Answers what other gateways say. Entered from traffic threads, decides on the control thread. */
+final class GatewayMessages {
+    private final GatewayContext context;
+    private final LoadExchange load;
+    private final GatewayViews views;
+    private final CrashTracking crashes;
+    private final BatchBoard board;
+    private final BatchDesk desk;
+    private final BatchTakeover takeover;
+    private final RelayedStore store;
+    private final Runnable onLoad;
+
+    /**
+     * Handlers of messages.
+     *
+     * @param onLoad runs after each report of what another host has in flight
+     */
+    GatewayMessages(
+            GatewayContext context,
+            LoadExchange load,
+            GatewayViews views,
+            CrashTracking crashes,
+            BatchBoard board,
+            BatchDesk desk,
+            BatchTakeover takeover,
+            RelayedStore store,
+            Runnable onLoad) {
+        this.context = context;
+        this.load = load;
+        this.views = views;
+        this.crashes = crashes;
+        this.board = board;
+        this.desk = desk;
+        this.takeover = takeover;
+        this.store = store;
+        this.onLoad = onLoad;
+    }
+
+    /** The reply to a message; from any thread. */
+    CompletionStage<PeerMessage> handle(HostId from, PeerMessage message) {
+        CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+        context.loop().execute(() -> dispatch(from, message, reply));
+        return reply;
+    }
+
+    private void dispatch(HostId from, PeerMessage message, CompletableFuture<PeerMessage> reply) {
+        if (message instanceof GatewayMessage.InFlightReport report) {
+            load.heard(from, report);
+            onLoad.run();
+        } else if (message instanceof GatewayMessage.ViewChanges changes) {
+            views.passedOn(from, changes);
+        } else if (message instanceof PeerMessage.CrashNotice notice) {
+            crashes.heard(notice);
+        } else if (message instanceof PeerMessage.SuspectRelease release) {
+            crashes.heard(release);
+        } else if (message instanceof GatewayMessage.BatchNotice notice) {
+            board.ownedBy(notice.batch(), from);
+        } else if (message instanceof GatewayMessage.ResultsAsk question) {
+            desk.ownResults(
+                    question.batch(),
+                    question.after(),
+                    question.waitMillis(),
+                    page -> reply.complete(new GatewayMessage.Results(page)));
+            return;
+        } else if (message instanceof GatewayMessage.ItemBodyAsk question) {
+            boolean owned = board.find(question.batch()).isPresent();
+            reply.complete(new GatewayMessage.ItemBody(owned, desk.ownItem(question.batch(), question.item())));
+            return;
+        } else if (message instanceof GatewayMessage.BatchEndAsk question) {
+            if (!desk.endOwn(question.batch(), () -> reply.complete(new GatewayMessage.BatchEnded(true)))) {
+                reply.complete(new GatewayMessage.BatchEnded(false));
+            }
+            return;
+        } else if (message instanceof GatewayMessage.BatchHandOver handedOver) {
+            takeover.takeOver(handedOver, taken -> reply.complete(new GatewayMessage.BatchEnded(taken)));
+            return;
+        } else if (message instanceof GatewayMessage.StoreCall call) {
+            store.serve(call).thenAccept(reply::complete);
+            return;
+        } else if (message instanceof GatewayMessage.ViewAsk question) {
+            reply.complete(views.listing(question.prefix())
+                    .map(listing -> (PeerMessage) listing)
+                    .orElseGet(PeerMessage.Ack::new));
+            return;
+        }
+        reply.complete(new PeerMessage.Ack());
+    }
+}
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gooseberryhill.control.ControlLoop;
@@ -31,7 +30,9 @@
 import org.gooseberryhill.http.HttpLimits;
 import org.gooseberryhill.http.HttpServer;
 import org.gooseberryhill.http.WholeBody;
+import org.gooseberryhill.link.Address;
 import org.gooseberryhill.link.HybridClock;
+import org.gooseberryhill.logging.DroppingQueueFullPolicy;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerClient;
 import org.gooseberryhill.peer.PeerMessage;
@@ -72,7 +73,7 @@
     private static final int MAX_REQUEST_LINE_BYTES = 8192;
     private static final int MAX_PENDING_WRITE_BYTES = 4 * 1024 * 1024;
 
-    private final GatewaySettings settings;
+    private volatile GatewaySettings settings;
     private final Random random;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
@@ -81,6 +82,7 @@
     private final GatewayContext context;
     private final PeerLinks links;
     private final LoadExchange load;
+    private final CrashTracking crashes;
     private final GatewayTraffic traffic;
     private final FrontRouter router;
     private final HostRegistration registration;
@@ -91,10 +93,12 @@
     private final BatchDesk desk;
     private final BatchTakeover takeover;
     private final BatchHandOver handOver;
+    private final GatewayMessages messages;
     private final AtomicBoolean closed = new AtomicBoolean();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final List<HttpServer> servers = new ArrayList<>();
     private Optional<PeerServer> peerServer = Optional.empty();
+    private Optional<MetricsServer> metricsServer = Optional.empty();
     private volatile RouteTable table = RouteTable.EMPTY;
     private volatile boolean ready;
 
@@ -105,11 +109,11 @@
         HostId self = settings.self().id();
         HttpClient http = new HttpClient(group);
         Fleet fleet = new Fleet();
-        this.store = new RelayedStore(storeFactory.create(http), reach, this::relay);
+        this.store = new RelayedStore(storeFactory.create(http), reach, this::relay, this::storeReachChanged);
         CrashSuspects suspects = new CrashSuspects(SUSPECT_MEMORY_MILLIS, MAX_SUSPECTS);
         DispatchPolicies policies = DispatchPolicies.product(random);
         this.context = new GatewayContext(
-                settings,
+                () -> this.settings,
                 UUID.randomUUID().toString(),
                 new ControlLoop(self.value()),
                 http,
@@ -119,10 +123,12 @@
                 fleet,
                 new DispatchCore(settings.self().zone(), policies, fleet, suspects),
                 new PlannedStop(STOP_GRACE_MILLIS, settings.stopBoundMillis()),
-                new Timeline(self.value(), clock, new LogSink()));
+                new Timeline(self.value(), clock, new LogSink()),
+                new GatewayMetrics());
         this.links = new PeerLinks(context);
         this.load = new LoadExchange(context, links, reach);
-        this.traffic = new GatewayTraffic(context, this::loadChanged);
+        this.crashes = new CrashTracking(context, links, suspects);
+        this.traffic = new GatewayTraffic(context, crashes, this::loadChanged);
         this.registration = new HostRegistration(context);
         BatchStore batchStore = new BatchStore(context.store(), dialects.batches());
         this.runner = new BatchRunner(context, board, policies.items(), this::loadChanged);
@@ -134,6 +140,8 @@
                 new BatchTakeover(context, links, board, batchStore, runner::balance, committer::changedElsewhere);
         this.handOver = new BatchHandOver(context, links, board, committer);
         this.views = new GatewayViews(context, links, this::configure, runner::balance);
+        this.messages =
+                new GatewayMessages(context, load, views, crashes, board, desk, takeover, store, runner::balance);
         this.router = new FrontRouter(context, traffic, intake, desk, random);
     }
 
@@ -151,12 +159,38 @@
                 settings.self().address(),
                 clock,
                 context.peers().traffic(),
-                this::handle));
+                messages::handle));
         servers.add(HttpServer.start(group, settings.callersAddress(), this::limits, router::route));
         servers.add(HttpServer.start(group, settings.readinessAddress(), HttpLimits.DEFAULT, this::answerReadiness));
+        settings.metricsAddress().ifPresent(this::startMetrics);
         context.loop().execute(this::begin);
     }
 
+    /**
+     * Takes in settings that were read again; from any thread. Identity and addresses stay those of the start, since peers
+     * and callers know them: a change of these is told and waits for the next start.
+     */
+    public void reload(GatewaySettings newSettings) {
+        context.loop().execute(() -> {
+            GatewaySettings before = settings;
+            settings = before.reloaded(newSettings);
+            context.stop().bound(settings.stopBoundMillis());
+            context.timeline()
+                    .event(EventKind.SETTINGS_RELOADED)
+                    .with("changed", !settings.equals(before))
+                    .with("waitsForStart", !settings.equals(newSettings))
+                    .write();
+        });
+    }
+
+    /** Settings that were read again can't be used; those in force stay. From any thread. */
+    public void rejectSettings(String finding) {
+        context.timeline()
+                .event(EventKind.SETTINGS_REJECTED)
+                .with("finding", finding)
+                .write();
+    }
+
     /** Asks for the planned stop; from any thread, any number of times. */
     public void askStop() {
         context.loop().execute(() -> {
@@ -191,6 +225,7 @@
         context.loop().close();
         servers.forEach(HttpServer::close);
         peerServer.ifPresent(PeerServer::close);
+        metricsServer.ifPresent(MetricsServer::close);
         context.peers().close();
         context.http().close();
         group.shutdownGracefully(0, GROUP_SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
@@ -198,6 +233,22 @@
         ended.complete(null);
     }
 
+    private void startMetrics(Address address) {
+        GatewayMetrics metrics = context.metrics();
+        metrics.gauge("gooseberry_requests_in_progress", "Routed requests in progress", traffic::inProgress);
+        metrics.gauge("gooseberry_items_in_progress", "Items of request batches that run", runner::running);
+        metrics.gauge("gooseberry_batches_open", "Request batches that this host runs", handOver::left);
+        metrics.gauge("gooseberry_store_calls", "Calls of the key-value store", () -> store.calls());
+        metrics.gauge(
+                "gooseberry_connects", "Connections made", () -> context.http().connects());
+        metrics.gauge("gooseberry_lines_dropped", "Log lines dropped by a full ring", DroppingQueueFullPolicy::dropped);
+        metrics.gauge(
+                "gooseberry_configuration_version",
+                "Configuration in force",
+                () -> table.configuration().version());
+        metricsServer = Optional.of(new MetricsServer(group, context, address));
+    }
+
     private void begin() {
         registration.start();
         views.start();
@@ -243,6 +294,14 @@
         runner.balance();
     }
 
+    /** From any thread. */
+    private void storeReachChanged(boolean reached, String reason) {
+        context.timeline()
+                .event(reached ? EventKind.STORE_REGAINED : EventKind.STORE_LOST)
+                .with("reason", reason)
+                .write();
+    }
+
     /** Has another host call the store. From any thread. */
     private CompletableFuture<PeerMessage> relay(GatewayMessage.StoreCall call, long timeoutMillis) {
         CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
@@ -304,51 +363,6 @@
                 () -> call.reply(413, Map.of(), new byte[0]));
     }
 
-    private CompletionStage<PeerMessage> handle(HostId from, PeerMessage message) {
-        CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
-        context.loop().execute(() -> dispatch(from, message, reply));
-        return reply;
-    }
-
-    private void dispatch(HostId from, PeerMessage message, CompletableFuture<PeerMessage> reply) {
-        if (message instanceof GatewayMessage.InFlightReport report) {
-            load.heard(from, report);
-            runner.balance();
-        } else if (message instanceof GatewayMessage.ViewChanges changes) {
-            views.passedOn(from, changes);
-        } else if (message instanceof GatewayMessage.BatchNotice notice) {
-            board.ownedBy(notice.batch(), from);
-        } else if (message instanceof GatewayMessage.ResultsAsk question) {
-            desk.ownResults(
-                    question.batch(),
-                    question.after(),
-                    question.waitMillis(),
-                    page -> reply.complete(new GatewayMessage.Results(page)));
-            return;
-        } else if (message instanceof GatewayMessage.ItemBodyAsk question) {
-            boolean owned = board.find(question.batch()).isPresent();
-            reply.complete(new GatewayMessage.ItemBody(owned, desk.ownItem(question.batch(), question.item())));
-            return;
-        } else if (message instanceof GatewayMessage.BatchEndAsk question) {
-            if (!desk.endOwn(question.batch(), () -> reply.complete(new GatewayMessage.BatchEnded(true)))) {
-                reply.complete(new GatewayMessage.BatchEnded(false));
-            }
-            return;
-        } else if (message instanceof GatewayMessage.BatchHandOver handedOver) {
-            takeover.takeOver(handedOver, taken -> reply.complete(new GatewayMessage.BatchEnded(taken)));
-            return;
-        } else if (message instanceof GatewayMessage.StoreCall call) {
-            store.serve(call).thenAccept(reply::complete);
-            return;
-        } else if (message instanceof GatewayMessage.ViewAsk question) {
-            reply.complete(views.listing(question.prefix())
-                    .map(listing -> (PeerMessage) listing)
-                    .orElseGet(PeerMessage.Ack::new));
-            return;
-        }
-        reply.complete(new PeerMessage.Ack());
-    }
-
     /** Makes the client of the key-value store. */
     @FunctionalInterface
     public interface StoreFactory {
--- a/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
@@ -23,4 +23,16 @@
         Optional<Address> metricsAddress,
         List<Address> seeds,
         long stopBoundMillis,
-        int storeTimeoutMillis) {}
+        int storeTimeoutMillis) {
+    /** These settings with what may change while the process runs taken from newer ones. */
+    GatewaySettings reloaded(GatewaySettings newer) {
+        return new GatewaySettings(
+                self,
+                callersAddress,
+                readinessAddress,
+                metricsAddress,
+                newer.seeds,
+                newer.stopBoundMillis,
+                newer.storeTimeoutMillis);
+    }
+}
--- a/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
@@ -12,14 +12,20 @@
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final GatewayContext context;
+    private final CrashTracking crashes;
     private final Runnable onLoadChange;
     private int inProgress;
 
-    GatewayTraffic(GatewayContext context, Runnable onLoadChange) {
+    GatewayTraffic(GatewayContext context, CrashTracking crashes, Runnable onLoadChange) {
         this.context = context;
+        this.crashes = crashes;
         this.onLoadChange = onLoadChange;
     }
 
+    CrashTracking crashes() {
+        return crashes;
+    }
+
     int inProgress() {
         return inProgress;
     }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -1,12 +1,15 @@
 package org.gooseberryhill.gateway;
 
-import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.external.KeyChange;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
@@ -30,9 +33,12 @@
     private final PeerLinks links;
     private final Consumer<RouteConfiguration> onConfiguration;
     private final Runnable onEndpoints;
+    private final Evacuations evacuations;
     private final ViewKeeper registrations;
     private final ViewKeeper operators;
     private final ViewKeeper hosts;
+    private final Map<String, Long> reportedInvalid = new HashMap<>();
+    private Map<EndpointKey, Boolean> knownEndpoints = Map.of();
 
     GatewayViews(
             GatewayContext context,
@@ -43,6 +49,7 @@
         this.links = links;
         this.onConfiguration = onConfiguration;
         this.onEndpoints = onEndpoints;
+        this.evacuations = new Evacuations(context);
         this.registrations = new ViewKeeper(
                 context,
                 links,
@@ -97,16 +104,67 @@
     private void endpointsChanged(List<KeyChange> news) {
         List<EndpointEntry> entries = new ArrayList<>();
         for (KeyChange entry : registrations.view().entries()) {
-            Either<String, EndpointEntry> endpoint =
-                    context.dialects().directory().endpoint(entry);
-            endpoint.peek(entries::add);
+            context.dialects()
+                    .directory()
+                    .endpoint(entry)
+                    .peek(entries::add)
+                    .peekLeft(finding -> reportInvalid(entry, finding));
         }
+        tellDirectoryChanges(entries);
         context.fleet().directory(entries);
         onEndpoints.run();
     }
 
+    /** Another writer's entry is told once for each of its revisions. */
+    private void reportInvalid(KeyChange entry, String finding) {
+        Long before = reportedInvalid.put(entry.key(), entry.revision());
+        if (before != null && before == entry.revision()) {
+            return;
+        }
+        context.timeline()
+                .event(EventKind.REGISTRATION_INVALID)
+                .with("key", entry.key())
+                .with("finding", finding)
+                .write();
+    }
+
+    private void tellDirectoryChanges(List<EndpointEntry> entries) {
+        Map<EndpointKey, Boolean> leavingByKey = new HashMap<>();
+        entries.forEach(entry -> leavingByKey.put(entry.key(), entry.leaving()));
+        if (leavingByKey.equals(knownEndpoints)) {
+            return;
+        }
+        Set<EndpointKey> all = new TreeSet<>(leavingByKey.keySet());
+        all.addAll(knownEndpoints.keySet());
+        for (EndpointKey key : all) {
+            String before = state(knownEndpoints.get(key));
+            String after = state(leavingByKey.get(key));
+            if (!before.equals(after)) {
+                context.timeline()
+                        .event(EventKind.DIRECTORY_CHANGED)
+                        .endpoint(key.id())
+                        .with("before", before)
+                        .with("after", after)
+                        .with("ageMillis", registrations.ageMillis())
+                        .write();
+            }
+        }
+        knownEndpoints = leavingByKey;
+    }
+
+    private static String state(Boolean leaving) {
+        if (leaving == null) {
+            return "absent";
+        }
+        return leaving ? "leaving" : "ready";
+    }
+
     private void operatorsWrote(List<KeyChange> news) {
         for (KeyChange entry : news) {
+            context.dialects()
+                    .operators()
+                    .evacuatedHost(entry)
+                    .ifPresent(host -> evacuations.asked(host, entry.revision(), rank()));
             context.dialects()
                     .operators()
                     .configuration(entry)
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/MetricsServer.java
@@ -0,0 +1,45 @@
+package org.gooseberryhill.gateway;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.Closeable;
+import java.util.Map;
+import org.gooseberryhill.http.HttpBody;
+import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.HttpLimits;
+import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.http.WholeBody;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.process.AdminServer;
+
+/** Serves a gateway's metrics at {@code /metrics}. Thread-safe. */
+final class MetricsServer implements Closeable {
+    private static final int MAX_BODY_BYTES = 1024;
+
+    private final GatewayContext context;
+    private final HttpServer server;
+
+    /** Starts listening. */
+    MetricsServer(EventLoopGroup group, GatewayContext context, Address address) {
+        this.context = context;
+        this.server = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private HttpBody handle(HttpCall call) {
+        return new WholeBody(MAX_BODY_BYTES, body -> answer(call), () -> call.reply(413, Map.of(), new byte[0]));
+    }
+
+    private void answer(HttpCall call) {
+        if (!call.path().equals("/metrics")) {
+            call.reply(404, Map.of(), new byte[0]);
+            return;
+        }
+        // Gauges read control state, so they are read on the control thread.
+        context.loop()
+                .execute(() -> AdminServer.replyMetrics(call, context.metrics().registry()));
+    }
+}
--- a/src/main/java/org/gooseberryhill/gateway/RelayedStore.java
+++ b/src/main/java/org/gooseberryhill/gateway/RelayedStore.java
@@ -25,11 +25,13 @@
     private final PollingKeyValueStore direct;
     private final StoreReach reach;
     private final Relay relay;
+    private final ReachListener onChange;
 
-    RelayedStore(PollingKeyValueStore direct, StoreReach reach, Relay relay) {
+    RelayedStore(PollingKeyValueStore direct, StoreReach reach, Relay relay, ReachListener onChange) {
         this.direct = direct;
         this.reach = reach;
         this.relay = relay;
+        this.onChange = onChange;
     }
 
     @Override
@@ -165,10 +167,11 @@
     private <T> CompletableFuture<T> observed(CompletableFuture<T> own) {
         return own.whenComplete((result, failure) -> {
             Kind kind = failure == null ? null : ExternalServiceException.kindOf(failure);
-            if (kind == Kind.NOT_DONE || kind == Kind.UNKNOWN) {
-                reach.failed();
-            } else {
-                reach.answered();
+            boolean unanswered = kind == Kind.NOT_DONE || kind == Kind.UNKNOWN;
+            if (unanswered && reach.failed()) {
+                onChange.changed(false, String.valueOf(failure.getMessage()));
+            } else if (!unanswered && reach.answered()) {
+                onChange.changed(true, "");
             }
         });
     }
@@ -221,6 +224,12 @@
                 Optional.empty(), Optional.empty(), false, Optional.empty(), grantMillis, renew);
     }
 
+    /** Told when the store stops or begins to answer this host. From any thread. */
+    @FunctionalInterface
+    interface ReachListener {
+        void changed(boolean reached, String reason);
+    }
+
     /** Asks a host that the store serves; fails with kind NOT_DONE if there is none. From any thread. */
     @FunctionalInterface
     interface Relay {
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -157,16 +157,25 @@
             if (finished || attempt != attemptNumber) {
                 return;
             }
+            attemptMetric(AttemptEnd.ANSWERED);
+            traffic.crashes()
+                    .completed(request.intake().service(), request.intake().fingerprint());
             context.core().attemptSucceeded(request, context.nowNanos());
-            finish(context.timeline()
-                    .event(EventKind.REQUEST_ENDED)
-                    .with("end", "answered")
-                    .with("status", status));
+            finish(
+                    "answered",
+                    context.timeline()
+                            .event(EventKind.REQUEST_ENDED)
+                            .with("end", "answered")
+                            .with("status", status));
         });
     }
 
     /** The caller has a part of the answer. From any thread. */
     void answerBegun() {
+        context.metrics()
+                .firstByte(
+                        request.intake().route().name(),
+                        seconds(context.nowNanos() - request.intake().arrivedNanos()));
         context.loop().execute(request::answerBegun);
     }
 
@@ -188,39 +197,59 @@
                     .with("end", end)
                     .with("detail", detail)
                     .write();
+            attemptMetric(end);
+            if (!relay.isBegun()) {
+                traffic.crashes().ended(request.intake().fingerprint(), endpoint, end);
+            }
             DispatchDecision decision = context.core().attemptFailed(request, end, context.nowNanos());
             if (decision instanceof DispatchDecision.Refuse && answer.isPresent() && end == AttemptEnd.ERROR_ANSWER) {
                 call.reply(
                         answer.get().status(),
                         answer.get().headers(),
                         answer.get().body());
-                finish(context.timeline()
-                        .event(EventKind.REQUEST_ENDED)
-                        .with("end", "answered")
-                        .with("status", answer.get().status()));
+                finish(
+                        "answered",
+                        context.timeline()
+                                .event(EventKind.REQUEST_ENDED)
+                                .with("end", "answered")
+                                .with("status", answer.get().status()));
                 return;
             }
             follow(decision);
         });
     }
 
+    private void attemptMetric(AttemptEnd end) {
+        request.endpoint()
+                .ifPresent(key ->
+                        context.metrics().attemptEnded(key.id(), end, seconds(request.runNanos(context.nowNanos()))));
+    }
+
+    private static double seconds(long nanos) {
+        return (double) nanos / TimeUnit.SECONDS.toNanos(1);
+    }
+
     private void refuse(Refusal refusal) {
         if (relay.isBegun()) {
             call.abortStream();
         } else {
             traffic.refuse(call, request.intake().id(), refusal);
         }
-        finish(context.timeline()
-                .event(EventKind.REQUEST_FAILED)
-                .with("code", refusal.code().wireName())
-                .with("reason", refusal.message())
-                .with("retryAfterMillis", refusal.retryAfterMillis().orElse(0L)));
+        finish(
+                refusal.code().wireName(),
+                context.timeline()
+                        .event(EventKind.REQUEST_FAILED)
+                        .with("code", refusal.code().wireName())
+                        .with("reason", refusal.message())
+                        .with("retryAfterMillis", refusal.retryAfterMillis().orElse(0L)));
     }
 
     private void callerGone() {
         if (!finished) {
             abandon();
-            finish(context.timeline().event(EventKind.REQUEST_ENDED).with("end", "caller-gone"));
+            finish(
+                    "caller-gone",
+                    context.timeline().event(EventKind.REQUEST_ENDED).with("end", "caller-gone"));
         }
     }
 
@@ -240,10 +269,11 @@
         context.core().abandoned(request, context.nowNanos());
     }
 
-    private void finish(EventBuilder event) {
+    private void finish(String end, EventBuilder event) {
         finished = true;
         traffic.ended();
         traffic.loadChanged();
+        context.metrics().requestEnded(request.intake().route().name(), end);
         event.request(request.intake().id())
                 .with("route", request.intake().route().name())
                 .with("sends", request.sends())
--- a/src/main/java/org/gooseberryhill/gateway/StoreReach.java
+++ b/src/main/java/org/gooseberryhill/gateway/StoreReach.java
@@ -25,12 +25,18 @@
         return direct || System.nanoTime() - failedNanos >= PAUSE_NANOS;
     }
 
-    void answered() {
+    /** An own call was answered; returns whether the one before was not. */
+    boolean answered() {
+        boolean regained = !direct;
         direct = true;
+        return regained;
     }
 
-    void failed() {
+    /** An own call was not answered; returns whether the one before was. */
+    boolean failed() {
+        boolean lost = direct;
         failedNanos = System.nanoTime();
         direct = false;
+        return lost;
     }
 }
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -60,6 +60,8 @@
     ENDPOINT_HEALTH("endpoint.health", Importance.STATE),
     /** An endpoint broke off with requests in flight. */
     ENDPOINT_CRASHED("endpoint.crashed", Importance.FAILURE),
+    /** A host with a disk was said to be empty. */
+    HOST_EVACUATED("host.evacuated", Importance.STATE),
     /** An order was sent to an endpoint. */
     ORDER_SENT("order.sent", Importance.STATE),
     /** An order ended. */
