Hold the first requests of a starting host until it knows its configuration; ask the store first

They now wait, 1.5 s after the start at the most; later ones are refused at once, since then the store is out. The store is asked before the listening sockets are made.

--- a/src/main/java/org/gooseberryhill/gateway/FrontRouter.java
+++ b/src/main/java/org/gooseberryhill/gateway/FrontRouter.java
@@ -31,14 +31,22 @@
     private final GatewayTraffic traffic;
     private final BatchIntake intake;
     private final BatchDesk batches;
+    private final StartGate gate;
     private final Random random;
     private volatile RouteTable table = RouteTable.EMPTY;
 
-    FrontRouter(GatewayContext context, GatewayTraffic traffic, BatchIntake intake, BatchDesk batches, Random random) {
+    FrontRouter(
+            GatewayContext context,
+            GatewayTraffic traffic,
+            BatchIntake intake,
+            BatchDesk batches,
+            StartGate gate,
+            Random random) {
         this.context = context;
         this.traffic = traffic;
         this.intake = intake;
         this.batches = batches;
+        this.gate = gate;
         this.random = random;
     }
 
@@ -61,6 +69,19 @@
     }
 
     private void routed(HttpCall call, RequestTraits traits, byte[] body, long arrivedNanos) {
+        if (!gate.isOpen()) {
+            context.loop().execute(() -> {
+                boolean held = gate.pass(() -> routedNow(call, traits, body, arrivedNanos), context.nowNanos());
+                if (!held) {
+                    routedNow(call, traits, body, arrivedNanos);
+                }
+            });
+            return;
+        }
+        routedNow(call, traits, body, arrivedNanos);
+    }
+
+    private void routedNow(HttpCall call, RequestTraits traits, byte[] body, long arrivedNanos) {
         RouteTable now = table;
         String id = traits.id().orElse("");
         if (now.configuration().isEmpty()) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -94,6 +94,7 @@
     private final BatchTakeover takeover;
     private final BatchHandOver handOver;
     private final GatewayMessages messages;
+    private final StartGate gate;
     private final AtomicBoolean closed = new AtomicBoolean();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private final List<HttpServer> servers = new ArrayList<>();
@@ -139,20 +140,17 @@
         this.takeover =
                 new BatchTakeover(context, links, board, batchStore, runner::balance, committer::changedElsewhere);
         this.handOver = new BatchHandOver(context, links, board, committer);
-        this.views = new GatewayViews(context, links, this::configure, runner::balance);
+        this.views = new GatewayViews(context, links, this::configure, this::endpointsChanged);
+        this.gate = new StartGate(context.nowNanos());
         this.messages =
                 new GatewayMessages(context, load, views, crashes, board, desk, takeover, store, runner::balance);
-        this.router = new FrontRouter(context, traffic, intake, desk, random);
+        this.router = new FrontRouter(context, traffic, intake, desk, gate, random);
     }
 
     /** Starts serving. */
     public void start() {
-        context.timeline()
-                .event(EventKind.PROCESS_STARTED)
-                .with("role", "gateway")
-                .with("zone", settings.self().zone().name())
-                .with("start", context.processStart())
-                .write();
+        // The store is asked first: its answers come while the rest of the start takes its time.
+        context.loop().execute(this::begin);
         peerServer = Optional.of(new PeerServer(
                 group,
                 settings.self().id(),
@@ -163,7 +161,12 @@
         servers.add(HttpServer.start(group, settings.callersAddress(), this::limits, router::route));
         servers.add(HttpServer.start(group, settings.readinessAddress(), HttpLimits.DEFAULT, this::answerReadiness));
         settings.metricsAddress().ifPresent(this::startMetrics);
-        context.loop().execute(this::begin);
+        context.timeline()
+                .event(EventKind.PROCESS_STARTED)
+                .with("role", "gateway")
+                .with("zone", settings.self().zone().name())
+                .with("start", context.processStart())
+                .write();
     }
 
     /**
@@ -263,9 +266,17 @@
         views.tick();
         runner.balance();
         committer.tick(!context.stop().takesNew());
+        updateReadiness();
+    }
+
+    private void updateReadiness() {
         boolean nowReady = context.stop().phase() == PlannedStop.Phase.SERVING
                 && views.areKnown()
                 && !table.configuration().isEmpty();
+        gate.tick(context.nowNanos());
+        if (nowReady) {
+            gate.open();
+        }
         if (nowReady != ready) {
             ready = nowReady;
             context.timeline()
@@ -279,6 +290,11 @@
         load.changed();
     }
 
+    private void endpointsChanged() {
+        updateReadiness();
+        runner.balance();
+    }
+
     private void configure(RouteConfiguration configuration) {
         if (configuration.version() <= table.configuration().version()) {
             return;
@@ -291,6 +307,7 @@
                 .with("version", configuration.version())
                 .with("routes", configuration.routes().size())
                 .write();
+        updateReadiness();
         runner.balance();
     }
 
