Listen before anything else at a start; write events without the logging library

Events are written by a thread of their own instead of through the logging library, whose start took a sixth of a process's start; the library writes all other messages and starts with the first of them, so nothing has to be kept and put off any more. The level that the environment asks for still turns events off.

What is left of the start is processor time after the process is ready.

--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -27,6 +27,7 @@
 import org.gooseberryhill.http.HttpClient;
 import org.gooseberryhill.http.HttpLimits;
 import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.http.ListeningSocket;
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.link.HybridClock;
 import org.gooseberryhill.logging.LogSink;
@@ -68,9 +69,6 @@
 
     private static final long GROUP_SHUTDOWN_MILLIS = 100;
 
-    /** A host that does not become ready has something to tell as well. */
-    private static final long LOG_START_MILLIS = 2500;
-
     /** How long a line of the ordinary course may wait for others: a host that is lost loses no more of them. */
     private static final long LOG_FLUSH_MILLIS = 250;
 
@@ -163,15 +161,20 @@
         this.handOver = new BatchHandOver(context, links, board, committer);
         this.views = new GatewayViews(context, links, this::configure, this::endpointsChanged);
         StartGate gate = new StartGate(context.nowNanos());
-        this.readiness = new Readiness(context, gate, this::startLog);
+        this.readiness = new Readiness(context, gate);
         this.stop = new StopSequence(context, traffic, runner, handOver, registration, () -> servers, this::stopAsked);
         this.messages = new GatewayMessages(
                 context, load, views, crashes, board, desk, ending, takeover, store, runner::balance);
         this.router = new FrontRouter(context, traffic, intake, desk, gate, random);
     }
 
-    /** Starts serving. */
+    /** Starts serving at the addresses of its settings. */
     public void start() {
+        start(ListeningSocket.open(settings.callersAddress()));
+    }
+
+    /** Starts serving, callers at a socket that listens already. */
+    public void start(ListeningSocket callers) {
         // The store is asked first: its answers come while the rest of the start takes its time.
         context.loop().execute(this::begin);
         peerServer = Optional.of(new PeerServer(
@@ -181,7 +184,7 @@
                 clock,
                 context.peers().traffic(),
                 messages::handle));
-        servers.add(HttpServer.start(group, settings.callersAddress(), this::limits, router::route));
+        servers.add(HttpServer.start(group, callers, this::limits, router::route));
         servers.add(HttpServer.start(group, settings.readinessAddress(), HttpLimits.DEFAULT, readiness::answer));
         settings.metricsAddress().ifPresent(this::startMetrics);
         context.timeline()
@@ -227,6 +230,11 @@
         return stop.ended();
     }
 
+    /** Writes what the log still holds, in a time in milliseconds at the most. */
+    public void finishLog(long millis) {
+        log.finish(millis);
+    }
+
     @Override
     public void close() {
         if (!closed.compareAndSet(false, true)) {
@@ -261,7 +269,6 @@
     private void begin() {
         registration.start();
         views.start();
-        context.loop().after(LOG_START_MILLIS, this::startLog);
         context.loop().every(TICK_MILLIS, this::tick);
         context.loop().every(BEAT_MILLIS, load::beat);
         context.loop().every(LOG_FLUSH_MILLIS, log::flush);
@@ -291,13 +298,6 @@
         readiness.update(knowsEnough, context.stop().phase() != PlannedStop.Phase.SERVING);
     }
 
-    /** The log takes a third of a start, and callers wait for the rest of it: it is started when the host is ready. */
-    private void startLog() {
-        Thread thread = new Thread(log::start, "log-start");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     private void loadChanged() {
         load.changed();
     }
--- a/src/main/java/org/gooseberryhill/gateway/Readiness.java
+++ b/src/main/java/org/gooseberryhill/gateway/Readiness.java
@@ -18,19 +18,12 @@
 
     private final GatewayContext context;
     private final StartGate gate;
-    private final Runnable onFirstReady;
     private volatile boolean ready;
-    private boolean everReady;
 
-    /**
-     * A host that is not ready yet.
-     *
-     * @param onFirstReady runs once, when the host has become ready
-     */
-    Readiness(GatewayContext context, StartGate gate, Runnable onFirstReady) {
+    /** A host that is not ready yet. */
+    Readiness(GatewayContext context, StartGate gate) {
         this.context = context;
         this.gate = gate;
-        this.onFirstReady = onFirstReady;
     }
 
     /**
@@ -54,10 +47,6 @@
                 .with("ready", ready)
                 .with("stopping", stopping)
                 .write();
-        if (ready && !everReady) {
-            everReady = true;
-            onFirstReady.run();
-        }
     }
 
     /** Answers the balancer; from any thread. */
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -14,25 +14,21 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.Closeable;
-import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 import org.gooseberryhill.link.Address;
 
 /** An HTTP/1.1 server. Thread-safe. */
 public final class HttpServer implements Closeable {
-    private static final int BACKLOG = 1024;
     private static final int LOW_WATER_BYTES = 64 * 1024;
 
     private final Channel listener;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile boolean closingConnections;
 
-    private HttpServer(EventLoopGroup group, Address address, Supplier<HttpLimits> limits, HttpHandler handler) {
-        ServerBootstrap bootstrap = new ServerBootstrap()
+    private HttpServer(EventLoopGroup group, ListeningSocket socket, Supplier<HttpLimits> limits, HttpHandler handler) {
+        listener = new ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -49,22 +45,21 @@
                                 .addLast(new HttpServerCodec(decoder))
                                 .addLast(new ServerConnectionHandler(handler, now, () -> closingConnections));
                     }
-                });
-        listener = bootstrap
-                .bind(new InetSocketAddress(address.ip(), address.port()))
+                })
+                .register()
                 .syncUninterruptibly()
                 .channel();
     }
 
     /** Starts listening; throws the bind's failure if the address is taken. */
     public static HttpServer start(EventLoopGroup group, Address address, HttpLimits limits, HttpHandler handler) {
-        return new HttpServer(group, address, () -> limits, handler);
+        return new HttpServer(group, ListeningSocket.open(address), () -> limits, handler);
     }
 
-    /** Starts listening; each new connection is held to the limits of its moment. */
+    /** Serves a socket that listens already; each new connection is held to the limits of its moment. */
     public static HttpServer start(
-            EventLoopGroup group, Address address, Supplier<HttpLimits> limits, HttpHandler handler) {
-        return new HttpServer(group, address, limits, handler);
+            EventLoopGroup group, ListeningSocket socket, Supplier<HttpLimits> limits, HttpHandler handler) {
+        return new HttpServer(group, socket, limits, handler);
     }
 
     /** From now on each answer tells the caller that its connection closes after it. */
--- a/src/main/java/org/gooseberryhill/logging/LineLayout.java
+++ b/src/main/java/org/gooseberryhill/logging/LineLayout.java
@@ -8,24 +8,15 @@
 import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.layout.AbstractStringLayout;
 import org.gooseberryhill.link.Json;
-import org.gooseberryhill.timeline.EventMessage;
 
-/** One JSON object a line: events of the time line as they are, any other message with its level and place. Thread-safe. */
+/** One JSON object a line, with a message's level and place. Thread-safe. */
 final class LineLayout extends AbstractStringLayout {
     LineLayout() {
         super(StandardCharsets.UTF_8);
     }
 
-    @Override
-    public byte[] toByteArray(LogEvent event) {
-        return event.getMessage() instanceof EventMessage message ? message.lines() : super.toByteArray(event);
-    }
-
     @Override
     public String toSerializable(LogEvent event) {
-        if (event.getMessage() instanceof EventMessage message) {
-            return message.getFormattedMessage();
-        }
         ObjectNode line = Json.object()
                 .put("time", Instant.ofEpochMilli(event.getTimeMillis()).toString())
                 .put("level", event.getLevel().name())
--- a/src/main/java/org/gooseberryhill/logging/LogSink.java
+++ b/src/main/java/org/gooseberryhill/logging/LogSink.java
@@ -1,34 +1,31 @@
 package org.gooseberryhill.logging;
 
-import io.vavr.Lazy;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
+import java.util.Locale;
 import java.util.Set;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.timeline.EventKind;
-import org.gooseberryhill.timeline.EventMessage;
 import org.gooseberryhill.timeline.EventSink;
 import org.gooseberryhill.timeline.Importance;
 import org.gooseberryhill.timeline.TimelineEvent;
 
 /**
- * Hands events to the process's log, which writes them to standard output. Thread-safe.
+ * Writes a process's events to its standard output. Thread-safe.
  *
- * <p>Each hand-over wakes the log's thread, which costs more than the lines: events of the ordinary course wait for
+ * <p>Each hand-over wakes the thread that writes, which costs more than the lines: events of the ordinary course wait for
  * others until {@link #flush} or until they are many; any other event goes at once, and those before it with it.
  *
- * <p>Invariants: until the log is started, events are kept, up to a bound; they are written in the order in which they
- * came. Events left out by the bound are counted in a line of their own.
+ * <p>Not through the logging library: its start takes a sixth of a process's start, and a process that starts again after a
+ * loss has callers waiting. The library writes all messages that are no events, and starts with the first of them.
+ *
+ * <p>Invariant: events are written in the order in which they came.
  */
 public final class LogSink implements EventSink {
-    /** More than a process writes in the seconds that the log's start may be put off. */
-    static final int MAX_KEPT = 2000;
-
     /** So many are worth a hand-over of their own. */
     static final int MANY = 64;
 
@@ -37,27 +34,29 @@
             .map(EventKind::wireName)
             .collect(Collectors.toUnmodifiableSet());
 
-    private static final Lazy<Logger> LOG = Logs.of(LogSink.class);
+    /** Levels above that of events, which is INFO. */
+    private static final Set<String> LEVELS_WITHOUT_EVENTS = Set.of("WARN", "ERROR", "FATAL", "OFF");
 
-    private final Supplier<Consumer<List<TimelineEvent>>> opener;
+    private final boolean written;
+    private final LineOutput output;
     private final List<TimelineEvent> waiting = new ArrayList<>();
-    private Optional<Consumer<List<TimelineEvent>>> log = Optional.empty();
-    private int leftOut;
-    private long droppedLines;
 
-    /** A sink whose log is not started yet. */
+    /** A sink to this process's standard output, at the level that its environment asks for. */
     public LogSink() {
-        this(LogSink::openLog);
+        this(
+                new FileOutputStream(FileDescriptor.out),
+                System.getenv().getOrDefault(LineConfiguration.LEVEL_VARIABLE, "INFO"));
     }
 
-    LogSink(Supplier<Consumer<List<TimelineEvent>>> opener) {
-        this.opener = opener;
+    /** A sink that writes nothing if the least level that is written lies above that of events. */
+    LogSink(OutputStream out, String leastLevel) {
+        this.written = !LEVELS_WITHOUT_EVENTS.contains(leastLevel.toUpperCase(Locale.ROOT));
+        this.output = new LineOutput(out);
     }
 
     @Override
     public synchronized void take(TimelineEvent event) {
-        if (waiting.size() >= MAX_KEPT) {
-            leftOut++;
+        if (!written) {
             return;
         }
         waiting.add(event);
@@ -68,39 +67,20 @@
 
     @Override
     public synchronized void flush() {
-        if (log.isEmpty() || waiting.isEmpty()) {
-            return;
-        }
-        long before = DroppingQueueFullPolicy.dropped();
-        log.get().accept(waiting);
-        if (DroppingQueueFullPolicy.dropped() > before) {
-            droppedLines += waiting.size();
+        if (!waiting.isEmpty()) {
+            output.write(waiting);
+            waiting.clear();
         }
-        waiting.clear();
     }
 
-    /** How many lines a full ring has dropped, since nobody read them. */
-    public synchronized long droppedLines() {
-        return droppedLines;
-    }
-
-    /** Starts the log on the calling thread, and writes what was kept; calls after the first change nothing. */
-    public void start() {
-        Consumer<List<TimelineEvent>> opened = opener.get();
-        synchronized (this) {
-            if (log.isPresent()) {
-                return;
-            }
-            log = Optional.of(opened);
-            flush();
-            if (leftOut > 0) {
-                LOG.get().warn("{} events were left out before the log was started", leftOut);
-            }
-        }
+    /** How many lines were dropped, since nobody read them. */
+    public long droppedLines() {
+        return output.droppedLines();
     }
 
-    private static Consumer<List<TimelineEvent>> openLog() {
-        Logger logger = Logs.named("timeline").get();
-        return events -> logger.info(new EventMessage(events));
+    /** Writes all that was taken, in a time in milliseconds at the most: nobody may be reading. */
+    public void finish(long millis) {
+        flush();
+        output.await(millis);
     }
 }
--- a/src/main/java/org/gooseberryhill/outbox/OutboxProcess.java
+++ b/src/main/java/org/gooseberryhill/outbox/OutboxProcess.java
@@ -70,7 +70,6 @@
 
     /** Starts serving. */
     public void start() {
-        log.start();
         timeline.event(EventKind.PROCESS_STARTED)
                 .with("role", "outbox")
                 .with("zone", settings.self().zone().name())
@@ -106,6 +105,11 @@
         return ended;
     }
 
+    /** Writes what the log still holds, in a time in milliseconds at the most. */
+    public void finishLog(long millis) {
+        log.finish(millis);
+    }
+
     @Override
     public void close() {
         if (!closed.compareAndSet(false, true)) {
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -94,7 +94,7 @@
         this.claimValue = (self + "/" + UUID.randomUUID()).getBytes(StandardCharsets.UTF_8);
         this.sink = settings.timelineFolder()
                 .<EventSink>map(folder -> new FileSink(folder, self.value()))
-                .orElseGet(HostProcess::startedLog);
+                .orElseGet(LogSink::new);
         this.timeline = new Timeline(self.value(), clock, sink);
         this.loop = new ControlLoop(self.value());
         this.http = new HttpClient(group);
@@ -329,12 +329,6 @@
         return future;
     }
 
-    private static EventSink startedLog() {
-        LogSink sink = new LogSink();
-        sink.start();
-        return sink;
-    }
-
     private CompletableFuture<PeerMessage> dispatch(HostId from, PeerMessage message) {
         Optional<CompletableFuture<PeerMessage>> common =
                 membershipDriver.handle(from, message).or(() -> configuration.handle(from, message));
--- a/src/main/java/org/gooseberryhill/timeline/TimelineLines.java
+++ b/src/main/java/org/gooseberryhill/timeline/TimelineLines.java
@@ -31,7 +31,7 @@
     }
 
     /** Events as lines, each with its end, in UTF-8. */
-    static byte[] lines(List<TimelineEvent> events) {
+    public static byte[] lines(List<TimelineEvent> events) {
         LineWriter writer = new LineWriter(events.size() * USUAL_LINE_CHARACTERS);
         events.forEach(event -> write(event, writer));
         return writer.bytes();
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/logging/LineOutputTest.java
@@ -0,0 +1,69 @@
+package org.gooseberryhill.logging;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.OutputStream;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.link.HybridTimestamp;
+import org.gooseberryhill.timeline.TimelineEvent;
+import org.junit.jupiter.api.Test;
+
+class LineOutputTest {
+    private static final TimelineEvent EVENT = new TimelineEvent(
+            new HybridTimestamp(1), "p", "kind", Optional.empty(), Optional.empty(), Optional.empty(), Map.of());
+
+    /** Nobody reads a process's standard output, and its writer waits for ever: who hands events over must not. */
+    @Test
+    void aBlockedStreamHoldsNobodyUpAndIsCounted() throws InterruptedException {
+        BlockedStream stream = new BlockedStream();
+        LineOutput output = new LineOutput(stream);
+        output.write(List.of(EVENT));
+        stream.blocked.await(10, TimeUnit.SECONDS);
+
+        for (int i = 0; i < LineOutput.MAX_WAITING + 5; i++) {
+            output.write(List.of(EVENT, EVENT));
+        }
+
+        assertThat(output.droppedLines()).isEqualTo(10);
+        stream.released.countDown();
+    }
+
+    /** A process ends while nobody reads: the end waits no longer than it was told to. */
+    @Test
+    void theEndDoesNotWaitForABlockedStream() throws InterruptedException {
+        BlockedStream stream = new BlockedStream();
+        LineOutput output = new LineOutput(stream);
+        output.write(List.of(EVENT));
+        stream.blocked.await(10, TimeUnit.SECONDS);
+
+        output.await(1);
+
+        assertThat(stream.released.getCount()).isEqualTo(1);
+        stream.released.countDown();
+    }
+
+    /** A stream whose first write waits until it is released. */
+    private static final class BlockedStream extends OutputStream {
+        private final CountDownLatch blocked = new CountDownLatch(1);
+        private final CountDownLatch released = new CountDownLatch(1);
+
+        @Override
+        public void write(int next) {
+            write(new byte[] {(byte) next}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
+            blocked.countDown();
+            try {
+                released.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
