--- a/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
@@ -128,9 +128,13 @@
         return heardGateways(sign -> !sign.leaving(), nowNanos);
     }
 
-    /** The other gateways that reach the key-value store. */
+    /**
+     * The other gateways that may call the key-value store for this host: those that reach it, or all that are listed while
+     * none was heard. A host that starts while the store turns it away is known to nobody and hears nothing.
+     */
     public List<Host> reachingStore(long nowNanos) {
-        return heardGateways(HostSign::storeReached, nowNanos);
+        boolean noneIsHeard = heardGateways(sign -> true, nowNanos).isEmpty();
+        return noneIsHeard ? gateways(nowNanos) : heardGateways(HostSign::storeReached, nowNanos);
     }
 
     /** A host that is listed, or lapsed and heard. */
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/BatchAcceptance.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/BatchAcceptance.java
@@ -11,6 +11,12 @@
  * are durable; once a copy may be kept anywhere, or the record written, nobody says that the batch has not run.
  */
 public final class BatchAcceptance {
+    /**
+     * The share of the target for a confirmation after which the key-value store counts as slow. It answers in a few
+     * milliseconds or, in a slow spell, later than the target; what is left is for the disks of busy hosts.
+     */
+    private static final double COPIES_SHARE_OF_TARGET = 0.25;
+
     private final int copiesNeeded;
     private int copiesKept;
     private boolean copiesAsked;
@@ -25,6 +31,11 @@
         this.copiesNeeded = copiesNeeded;
     }
 
+    /** How long after its arrival copies of a submission are asked for, if the key-value store has not answered. */
+    public static long copiesAfterMillis(long targetLatencyMillis) {
+        return Math.round(COPIES_SHARE_OF_TARGET * targetLatencyMillis);
+    }
+
     /** Whether the caller has its answer. */
     public boolean isAnswered() {
         return answered;
--- a/src/main/java/org/gooseberryhill/gateway/BatchIntake.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchIntake.java
@@ -34,12 +34,6 @@
     /** How long a submission is tried while its caller waits: the store's outages are longer or much shorter. */
     private static final long SUBMIT_MILLIS = 2500;
 
-    /**
-     * After this long without an answer of the store copies are asked for: a second write has had its time by then, and half of
-     * the shortest target latency of a batch in use is left for the disks.
-     */
-    private static final long COPIES_MILLIS = 220;
-
     private final GatewayContext context;
     private final BatchReplies replies;
     private final PeerLinks links;
@@ -116,7 +110,8 @@
                     }
                 });
         long spentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - submission.arrivedNanos);
-        context.loop().after(COPIES_MILLIS, () -> askCopies(submission));
+        long copiesAfterMillis = BatchAcceptance.copiesAfterMillis(submission.route.targetLatencyMillis());
+        context.loop().after(Math.max(0, copiesAfterMillis - spentMillis), () -> askCopies(submission));
         context.loop().after(Math.max(0, SUBMIT_MILLIS - spentMillis), () -> giveUp(submission, pending));
     }
 
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/BatchForms.java
@@ -0,0 +1,135 @@
+package org.gooseberryhill.peer;
+
+import java.io.IOException;
+import java.util.List;
+import org.gooseberryhill.decision.requestbatch.BatchPage;
+import org.gooseberryhill.decision.requestbatch.BatchRecord;
+import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
+import org.gooseberryhill.decision.requestbatch.ItemResult;
+import org.gooseberryhill.decision.requestbatch.ItemState;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The compact forms of messages about request batches. Stateless. */
+final class BatchForms {
+    private BatchForms() {}
+
+    static List<CompactForm<?>> all() {
+        return List.of(
+                new CompactForm<>(
+                        6,
+                        GatewayMessage.BatchNotice.class,
+                        (notice, packer) -> packer.packString(notice.batch()),
+                        unpacker -> new GatewayMessage.BatchNotice(unpacker.unpackString())),
+                new CompactForm<>(
+                        7,
+                        GatewayMessage.ResultsAsk.class,
+                        (ask, packer) -> packer.packString(ask.batch())
+                                .packInt(ask.after())
+                                .packLong(ask.waitMillis()),
+                        unpacker -> new GatewayMessage.ResultsAsk(
+                                unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackLong())),
+                new CompactForm<>(
+                        8,
+                        GatewayMessage.Results.class,
+                        (results, packer) -> CompactFields.writeOptional(packer, results.page(), BatchForms::writePage),
+                        unpacker ->
+                                new GatewayMessage.Results(CompactFields.readOptional(unpacker, BatchForms::readPage))),
+                new CompactForm<>(
+                        9,
+                        GatewayMessage.ItemBodyAsk.class,
+                        (ask, packer) -> packer.packString(ask.batch()).packString(ask.item()),
+                        unpacker -> new GatewayMessage.ItemBodyAsk(unpacker.unpackString(), unpacker.unpackString())),
+                new CompactForm<>(
+                        10,
+                        GatewayMessage.ItemBody.class,
+                        (body, packer) -> CompactFields.writeOptional(
+                                packer.packBoolean(body.owned()), body.body(), CompactFields::writeBytes),
+                        unpacker -> new GatewayMessage.ItemBody(
+                                unpacker.unpackBoolean(),
+                                CompactFields.readOptional(unpacker, CompactFields::readBytes))),
+                new CompactForm<>(
+                        11,
+                        GatewayMessage.BatchEndAsk.class,
+                        (ask, packer) -> packer.packString(ask.batch()),
+                        unpacker -> new GatewayMessage.BatchEndAsk(unpacker.unpackString())),
+                new CompactForm<>(
+                        12,
+                        GatewayMessage.BatchEnded.class,
+                        (answer, packer) -> packer.packBoolean(answer.ended()),
+                        unpacker -> new GatewayMessage.BatchEnded(unpacker.unpackBoolean())),
+                new CompactForm<>(
+                        15, GatewayMessage.BatchHandOver.class, BatchForms::writeHandOver, BatchForms::readHandOver));
+    }
+
+    private static void writePage(MessagePacker packer, BatchPage page) throws IOException {
+        packer.packInt(page.total()).packInt(page.after());
+        CompactFields.writeList(packer, page.results(), BatchForms::writeResult);
+    }
+
+    private static BatchPage readPage(MessageUnpacker unpacker) throws IOException {
+        int total = unpacker.unpackInt();
+        int after = unpacker.unpackInt();
+        return new BatchPage(total, after, CompactFields.readList(unpacker, BatchForms::readResult));
+    }
+
+    private static void writeResult(MessagePacker packer, ItemResult result) throws IOException {
+        packer.packString(result.id()).packString(result.state().name()).packString(result.text());
+    }
+
+    private static ItemResult readResult(MessageUnpacker unpacker) throws IOException {
+        String id = unpacker.unpackString();
+        return new ItemResult(id, ItemState.valueOf(unpacker.unpackString()), unpacker.unpackString());
+    }
+
+    private static void writeHandOver(GatewayMessage.BatchHandOver handOver, MessagePacker packer) throws IOException {
+        packer.packString(handOver.batch()).packLong(handOver.revision());
+        writeRecord(packer, handOver.record());
+        CompactFields.writeList(packer, handOver.progress(), BatchForms::writeCheckpoint);
+    }
+
+    private static GatewayMessage.BatchHandOver readHandOver(MessageUnpacker unpacker) throws IOException {
+        return new GatewayMessage.BatchHandOver(
+                unpacker.unpackString(),
+                unpacker.unpackLong(),
+                readRecord(unpacker),
+                CompactFields.readList(unpacker, BatchForms::readCheckpoint));
+    }
+
+    private static void writeCheckpoint(MessagePacker packer, ItemCheckpoint checkpoint) throws IOException {
+        packer.packString(checkpoint.id()).packLong(checkpoint.lastEventId()).packString(checkpoint.text());
+    }
+
+    private static ItemCheckpoint readCheckpoint(MessageUnpacker unpacker) throws IOException {
+        return new ItemCheckpoint(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString());
+    }
+
+    static void writeRecord(MessagePacker packer, BatchRecord record) throws IOException {
+        packer.packString(record.host())
+                .packString(record.target())
+                .packString(record.bodyHash())
+                .packString(record.owner())
+                .packString(record.ownerStart())
+                .packLong(record.acceptedAtMillis())
+                .packInt(record.bodyParts())
+                .packInt(record.items())
+                .packBoolean(record.ended());
+        CompactFields.writeList(packer, record.chunks(), MessagePacker::packInt);
+        packer.packInt(record.listed());
+    }
+
+    static BatchRecord readRecord(MessageUnpacker unpacker) throws IOException {
+        return new BatchRecord(
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackLong(),
+                unpacker.unpackInt(),
+                unpacker.unpackInt(),
+                unpacker.unpackBoolean(),
+                CompactFields.readList(unpacker, MessageUnpacker::unpackInt),
+                unpacker.unpackInt());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/peer/StoreCallForms.java
@@ -0,0 +1,134 @@
+package org.gooseberryhill.peer;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.gooseberryhill.external.ExternalServiceException;
+import org.gooseberryhill.external.KeyValueStore;
+import org.gooseberryhill.external.Transaction;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** The compact forms of calls of the key-value store that a host makes for another. Stateless. */
+final class StoreCallForms {
+    private StoreCallForms() {}
+
+    static List<CompactForm<?>> all() {
+        return List.of(
+                new CompactForm<>(
+                        21, GatewayMessage.StoreCall.class, StoreCallForms::writeCall, StoreCallForms::readCall),
+                new CompactForm<>(
+                        22, GatewayMessage.StoreAnswer.class, StoreCallForms::writeAnswer, StoreCallForms::readAnswer));
+    }
+
+    private static void writeCall(GatewayMessage.StoreCall call, MessagePacker packer) throws IOException {
+        CompactFields.writeOptional(packer, call.readKey(), MessagePacker::packString);
+        CompactFields.writeOptional(packer, call.listPrefix(), MessagePacker::packString);
+        packer.packBoolean(call.mayBeStale());
+        CompactFields.writeOptional(packer, call.write(), StoreCallForms::writeTransaction);
+        CompactFields.writeOptional(packer, call.grantMillis(), MessagePacker::packLong);
+        CompactFields.writeOptional(packer, call.renewLease(), MessagePacker::packLong);
+    }
+
+    private static GatewayMessage.StoreCall readCall(MessageUnpacker unpacker) throws IOException {
+        return new GatewayMessage.StoreCall(
+                CompactFields.readOptional(unpacker, MessageUnpacker::unpackString),
+                CompactFields.readOptional(unpacker, MessageUnpacker::unpackString),
+                unpacker.unpackBoolean(),
+                CompactFields.readOptional(unpacker, StoreCallForms::readTransaction),
+                CompactFields.readOptional(unpacker, MessageUnpacker::unpackLong),
+                CompactFields.readOptional(unpacker, MessageUnpacker::unpackLong));
+    }
+
+    private static void writeTransaction(MessagePacker packer, Transaction transaction) throws IOException {
+        CompactFields.writeList(packer, transaction.conditions(), StoreCallForms::writeCondition);
+        CompactFields.writeList(packer, transaction.writes(), StoreCallForms::writeWrite);
+    }
+
+    private static Transaction readTransaction(MessageUnpacker unpacker) throws IOException {
+        List<Transaction.Condition> conditions = CompactFields.readList(unpacker, StoreCallForms::readCondition);
+        return new Transaction(conditions, CompactFields.readList(unpacker, StoreCallForms::readWrite));
+    }
+
+    private static void writeCondition(MessagePacker packer, Transaction.Condition condition) throws IOException {
+        packer.packString(condition.key()).packString(condition.target().name()).packLong(condition.revision());
+    }
+
+    private static Transaction.Condition readCondition(MessageUnpacker unpacker) throws IOException {
+        String key = unpacker.unpackString();
+        return new Transaction.Condition(
+                key, Transaction.Target.valueOf(unpacker.unpackString()), unpacker.unpackLong());
+    }
+
+    private static void writeWrite(MessagePacker packer, Transaction.Write write) throws IOException {
+        packer.packString(write.key());
+        CompactFields.writeOptional(packer, write.value(), CompactFields::writeBytes);
+        CompactFields.writeOptional(packer, write.leaseId(), MessagePacker::packLong);
+    }
+
+    private static Transaction.Write readWrite(MessageUnpacker unpacker) throws IOException {
+        String key = unpacker.unpackString();
+        Optional<byte[]> value = CompactFields.readOptional(unpacker, CompactFields::readBytes);
+        return new Transaction.Write(key, value, CompactFields.readOptional(unpacker, MessageUnpacker::unpackLong));
+    }
+
+    private static void writeAnswer(GatewayMessage.StoreAnswer answer, MessagePacker packer) throws IOException {
+        CompactFields.writeOptional(packer, answer.failure().map(Enum::name), MessagePacker::packString);
+        CompactFields.writeOptional(packer, answer.read(), StoreCallForms::writeReadResult);
+        CompactFields.writeOptional(packer, answer.listing(), StoreCallForms::writeListing);
+        CompactFields.writeOptional(packer, answer.written(), StoreCallForms::writeWriteResult);
+        CompactFields.writeOptional(packer, answer.lease(), MessagePacker::packLong);
+    }
+
+    private static GatewayMessage.StoreAnswer readAnswer(MessageUnpacker unpacker) throws IOException {
+        return new GatewayMessage.StoreAnswer(
+                CompactFields.readOptional(unpacker, MessageUnpacker::unpackString)
+                        .map(ExternalServiceException.Kind::valueOf),
+                CompactFields.readOptional(unpacker, StoreCallForms::readReadResult),
+                CompactFields.readOptional(unpacker, StoreCallForms::readListing),
+                CompactFields.readOptional(unpacker, StoreCallForms::readWriteResult),
+                CompactFields.readOptional(unpacker, MessageUnpacker::unpackLong));
+    }
+
+    private static void writeReadResult(MessagePacker packer, KeyValueStore.ReadResult read) throws IOException {
+        packer.packLong(read.revision()).packBoolean(read.more());
+        CompactFields.writeList(packer, read.entries(), StoreCallForms::writeEntry);
+    }
+
+    private static KeyValueStore.ReadResult readReadResult(MessageUnpacker unpacker) throws IOException {
+        long revision = unpacker.unpackLong();
+        boolean more = unpacker.unpackBoolean();
+        return new KeyValueStore.ReadResult(
+                revision, CompactFields.readList(unpacker, StoreCallForms::readEntry), more);
+    }
+
+    private static void writeEntry(MessagePacker packer, KeyValueStore.Entry entry) throws IOException {
+        packer.packString(entry.key()).packLong(entry.createRevision()).packLong(entry.modRevision());
+        CompactFields.writeBytes(packer, entry.value());
+    }
+
+    private static KeyValueStore.Entry readEntry(MessageUnpacker unpacker) throws IOException {
+        String key = unpacker.unpackString();
+        long createRevision = unpacker.unpackLong();
+        long modRevision = unpacker.unpackLong();
+        return new KeyValueStore.Entry(key, CompactFields.readBytes(unpacker), createRevision, modRevision);
+    }
+
+    private static void writeListing(MessagePacker packer, KeyValueStore.Listing listing) throws IOException {
+        packer.packLong(listing.revision());
+        CompactFields.writeList(packer, listing.entries(), CompactFields::writeKey);
+    }
+
+    private static KeyValueStore.Listing readListing(MessageUnpacker unpacker) throws IOException {
+        return new KeyValueStore.Listing(
+                unpacker.unpackLong(), CompactFields.readList(unpacker, CompactFields::readKey));
+    }
+
+    private static void writeWriteResult(MessagePacker packer, KeyValueStore.WriteResult written) throws IOException {
+        packer.packBoolean(written.succeeded()).packLong(written.revision());
+    }
+
+    private static KeyValueStore.WriteResult readWriteResult(MessageUnpacker unpacker) throws IOException {
+        return new KeyValueStore.WriteResult(unpacker.unpackBoolean(), unpacker.unpackLong());
+    }
+}
--- a/src/test/java/org/gooseberryhill/decision/membership/HostRosterTest.java
+++ b/src/test/java/org/gooseberryhill/decision/membership/HostRosterTest.java
@@ -132,6 +132,19 @@
         assertThat(roster.reachingStore(at(1))).extracting(Host::id).containsExactly(A);
     }
 
+    /**
+     * A host starts while the store turns it away: nobody has it on the list yet, so nobody tells it anything, and it can't
+     * be put on the list since it knows of no host that would call for it.
+     */
+    @Test
+    void aHostThatNobodyKnowsYetAsksTheListedOnesForHelp() {
+        list(0, "self", "a", "b");
+        assertThat(roster.reachingStore(at(1))).extracting(Host::id).containsExactly(A, B);
+
+        roster.heard(A, new HostSign("a1", false, false), at(2));
+        assertThat(roster.reachingStore(at(3))).isEmpty();
+    }
+
     @Test
     void anAnswerShowsThatAHostLives() {
         list(0, "self", "a");
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -22,6 +22,8 @@
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.external.KeyChange;
+import org.gooseberryhill.external.KeyValueStore;
+import org.gooseberryhill.external.Transaction;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.HybridTimestamp;
 import org.junit.jupiter.api.Test;
@@ -135,6 +137,63 @@
         assertThat(put.body()).isEqualTo(value);
     }
 
+    /** The mapper's first use takes a third of a second of processor time, whenever it comes. */
+    @ParameterizedTest
+    @MethodSource("gatewayMessages")
+    void whatGatewaysExchangeNeedsNoMapper(PeerMessage message) {
+        assertThat(CompactForms.of(message)).isPresent();
+    }
+
+    @Test
+    void aTransactionForAnotherHostComesOutAsItWentIn() throws IOException {
+        byte[] value = {0, 1, -1, 127};
+        Transaction transaction = Transaction.builder()
+                .ifAbsent("a")
+                .ifWrittenAt("b", 7)
+                .put("c", value)
+                .putUnderLease("d", value, 9)
+                .delete("e")
+                .build();
+
+        GatewayMessage.StoreCall call = (GatewayMessage.StoreCall) roundTrip(new GatewayMessage.StoreCall(
+                Optional.empty(),
+                Optional.of("p/"),
+                true,
+                Optional.of(transaction),
+                Optional.of(4000L),
+                Optional.empty()));
+
+        Transaction read = call.write().orElseThrow();
+        assertThat(call.listPrefix()).contains("p/");
+        assertThat(call.mayBeStale()).isTrue();
+        assertThat(call.grantMillis()).contains(4000L);
+        assertThat(read.conditions()).isEqualTo(transaction.conditions());
+        assertThat(read.writes()).extracting(Transaction.Write::key).containsExactly("c", "d", "e");
+        assertThat(read.writes().get(0).value().orElseThrow()).isEqualTo(value);
+        assertThat(read.writes().get(1).leaseId()).contains(9L);
+        assertThat(read.writes().get(2).value()).isEmpty();
+    }
+
+    @Test
+    void whatTheStoreAnsweredComesOutAsItWentIn() throws IOException {
+        byte[] value = {0, 1, -1, 127};
+        GatewayMessage.StoreAnswer answer = (GatewayMessage.StoreAnswer) roundTrip(new GatewayMessage.StoreAnswer(
+                Optional.empty(),
+                Optional.of(new KeyValueStore.ReadResult(9, List.of(new KeyValueStore.Entry("k", value, 3, 8)), true)),
+                Optional.of(new KeyValueStore.Listing(7, List.of(KeyChange.written("p/k", value, 6)))),
+                Optional.of(new KeyValueStore.WriteResult(true, 5)),
+                Optional.empty()));
+
+        KeyValueStore.Entry entry = answer.read().orElseThrow().first().orElseThrow();
+        assertThat(entry.key()).isEqualTo("k");
+        assertThat(entry.value()).isEqualTo(value);
+        assertThat(entry.modRevision()).isEqualTo(8);
+        assertThat(answer.read().orElseThrow().more()).isTrue();
+        assertThat(answer.listing().orElseThrow().entries().get(0).value().orElseThrow())
+                .isEqualTo(value);
+        assertThat(answer.written()).contains(new KeyValueStore.WriteResult(true, 5));
+    }
+
     /** A frame of another version of the system names a message that this one does not know: the connection fails. */
     @Test
     void aFrameWithAnUnknownCodeIsRefused() {
