Say which side closed a connection, how long a request waited in its host, what is open when a process ends

The hypotheses of both losses could not be told apart by the logs. attempt.failed says now that this host closed the connection and why; attempt.sent says the time since the arrival of the request; process.ended says how many requests have no whole answer and how many connections are open. No decision changes.

--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -136,6 +136,10 @@
                 .with("batch", facts.batch())
                 .with("slots", facts.slots())
                 .with("waitMillis", facts.waitMillis())
+                .with(
+                        "sinceArrivalMillis",
+                        TimeUnit.NANOSECONDS.toMillis(
+                                context.nowNanos() - request.intake().arrivedNanos()))
                 .with("directoryAgeMillis", traffic.directoryAgeMillis())
                 .write();
         HttpHeaders headers = ForwardedHeaders.ofRequest(call.headers());
--- a/src/main/java/org/gooseberryhill/gateway/StopSequence.java
+++ b/src/main/java/org/gooseberryhill/gateway/StopSequence.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.http.HttpServer;
 import org.gooseberryhill.registration.HostRegistration;
@@ -89,7 +90,13 @@
         context.timeline()
                 .event(EventKind.PROCESS_ENDED)
                 .with("inProgress", inProgress)
+                .with("unanswered", sum(HttpServer::unanswered))
+                .with("openConnections", sum(HttpServer::openConnections))
                 .write();
         ended.complete(null);
     }
+
+    private int sum(ToIntFunction<HttpServer> number) {
+        return servers.get().stream().mapToInt(number).sum();
+    }
 }
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -59,7 +59,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        lost("the connection closed inside the answer");
+        lost(LocalClose.reason(context.channel())
+                .map(reason -> "this host closed the connection: " + reason)
+                .orElse("the connection closed inside the answer"));
     }
 
     @Override
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -42,7 +42,7 @@
         cancelled = true;
         Channel current = channel;
         if (current != null) {
-            current.close();
+            LocalClose.close(current, "an exchange was given up");
         }
     }
 
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.Closeable;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.gooseberryhill.link.Address;
 
@@ -23,6 +24,7 @@
 
     private final Channel listener;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger unanswered = new AtomicInteger();
     private volatile boolean closingConnections;
 
     private HttpServer(EventLoopGroup group, ListeningSocket socket, Supplier<HttpLimits> limits, HttpHandler handler) {
@@ -43,7 +45,8 @@
                                 .setMaxHeaderSize(now.maxHeaderBytes());
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(decoder))
-                                .addLast(new ServerConnectionHandler(handler, now, () -> closingConnections));
+                                .addLast(new ServerConnectionHandler(
+                                        handler, now, () -> closingConnections, unanswered));
                     }
                 })
                 .register()
@@ -82,6 +85,11 @@
         return connections.size();
     }
 
+    /** How many requests have begun to come in and have no whole answer yet. */
+    public int unanswered() {
+        return unanswered.get();
+    }
+
     /** Closes the listening socket; connections in progress go on. */
     public void stopListening() {
         listener.close().syncUninterruptibly();
--- a/src/main/java/org/gooseberryhill/http/KeptConnections.java
+++ b/src/main/java/org/gooseberryhill/http/KeptConnections.java
@@ -44,7 +44,7 @@
         ConcurrentLinkedDeque<Channel> channels =
                 byAddress.computeIfAbsent(address, key -> new ConcurrentLinkedDeque<>());
         if (closed || channels.size() >= MAX_KEPT_PER_ADDRESS) {
-            channel.close();
+            LocalClose.close(channel, "enough connections are kept");
             return;
         }
         channel.attr(IDLE_SINCE).set(nowNanos);
@@ -67,7 +67,7 @@
                 channels.addFirst(channel);
                 return null;
             }
-            channel.close();
+            LocalClose.close(channel, "it was idle for too long");
             channel = channels.pollFirst();
         }
         return null;
@@ -84,13 +84,15 @@
     void drop(Address address) {
         ConcurrentLinkedDeque<Channel> channels = byAddress.remove(address);
         if (channels != null) {
-            channels.forEach(Channel::close);
+            channels.forEach(channel -> LocalClose.close(channel, "its address has another endpoint"));
         }
     }
 
     void close() {
         closed = true;
-        byAddress.values().forEach(channels -> channels.forEach(Channel::close));
+        byAddress
+                .values()
+                .forEach(channels -> channels.forEach(channel -> LocalClose.close(channel, "the client is closed")));
     }
 
     private static boolean isExpired(Channel channel, long nowNanos) {
--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -23,6 +23,7 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.logging.Logs;
@@ -46,12 +47,20 @@
     private HttpBody body;
     private boolean bodyDone;
     private final BooleanSupplier closing;
+    private final AtomicInteger unanswered;
     private ScheduledFuture<?> idleTimer;
 
-    ServerConnectionHandler(HttpHandler handler, HttpLimits limits, BooleanSupplier closing) {
+    /**
+     * Serves a connection.
+     *
+     * @param closing whether answers are to say that their connection closes
+     * @param unanswered counts the requests of all connections that have no whole answer yet
+     */
+    ServerConnectionHandler(HttpHandler handler, HttpLimits limits, BooleanSupplier closing, AtomicInteger unanswered) {
         this.handler = handler;
         this.limits = limits;
         this.closing = closing;
+        this.unanswered = unanswered;
     }
 
     /** Whether answers are to say that their connection closes. */
@@ -86,6 +95,7 @@
                 body.onAborted();
             }
             call.disconnected();
+            unanswered.decrementAndGet();
         }
     }
 
@@ -115,6 +125,7 @@
     void callEnded(ChannelHandlerContext context, boolean keepAlive) {
         boolean unreadBody = !bodyDone;
         call = null;
+        unanswered.decrementAndGet();
         if (!keepAlive || unreadBody) {
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
@@ -144,6 +155,7 @@
 
     private void begin(ChannelHandlerContext context, HttpRequest request) {
         cancelIdleTimer();
+        unanswered.incrementAndGet();
         bodyDone = false;
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
