Leave a connection alone once its exchange has ended

Callers saw an answer cut in the middle, with an endpoint and a host that did nothing wrong.

Cause: an exchange whose answer is whole gives its connection back, where the next exchange takes it. Its owner learns of the end on the control thread, up to a tick and the thread's queue later, and may give it up until then: an item gives way, a caller leaves, a time is over. cancel() closed the connection whoever used it by then. readAnswer() and, on the callers' side, readBody() stopped the reading of a connection that had gone on to the next exchange or request in the same way; and an exchange that ended while it was held back left a kept connection that nobody read.

Class of fault: a right to a pooled resource that outlives its return to the pool. cancel(), readAnswer() and readBody() now act on the connection's event loop, where the end of the exchange is decided, and do nothing after it; an end makes the connection readable.

Evidence: EndedExchangeTest failed before in three of its four tests: CONNECTION_LOST "this host closed the connection: an exchange was given up" for the first, SILENT "no byte for 5000 ms" for the two of reading; the fourth holds the cancel in time and was green.

--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -11,13 +11,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.gooseberryhill.contract.Outcome;
 
 /**
- * One exchange on one connection. Thread-safe: everything but {@link #cancel} runs on the connection's event loop.
+ * One exchange on one connection. Thread-safe: whatever touches the connection runs on its event loop.
  *
- * <p>Invariant: the outcome turns to may-have-run before the first byte is handed to the connection, never after, so
- * not-run can't be said of a request that some byte of reached the endpoint.
+ * <p>Invariants: the outcome turns to may-have-run before the first byte is handed to the connection, never after, so
+ * not-run can't be said of a request that some byte of reached the endpoint; once it has ended, the exchange does nothing to
+ * its connection, which another exchange may use by then.
  */
 final class ClientExchange implements Exchange {
     private final HttpClient client;
@@ -25,7 +27,7 @@
     private final ExchangeListener listener;
     private volatile boolean cancelled;
     private volatile Channel channel;
-    private volatile boolean paused;
+    private boolean paused;
     private Outcome outcome = Outcome.NOT_RUN;
     private boolean ended;
     private ScheduledFuture<?> silenceTimer;
@@ -40,19 +42,15 @@
     @Override
     public void cancel() {
         cancelled = true;
-        Channel current = channel;
-        if (current != null) {
-            LocalClose.close(current, "an exchange was given up");
-        }
+        whileOwned(connection -> LocalClose.close(connection, "the exchange was given up"));
     }
 
     @Override
     public void readAnswer(boolean reading) {
-        Channel current = channel;
-        if (current != null) {
+        whileOwned(connection -> {
             paused = !reading;
-            current.config().setAutoRead(reading);
-        }
+            connection.config().setAutoRead(reading);
+        });
     }
 
     /** Sends the request on a connection. */
@@ -92,6 +90,7 @@
         }
         Channel connection = channel;
         connection.pipeline().get(ClientConnectionHandler.class).detach();
+        connection.config().setAutoRead(true);
         if (keepAlive && !cancelled) {
             client.keep(request.address(), connection);
         } else {
@@ -181,6 +180,19 @@
         }
     }
 
+    /** Runs an action on the connection's event loop, unless the exchange has ended by then. */
+    private void whileOwned(Consumer<Channel> action) {
+        Channel connection = channel;
+        if (connection == null) {
+            return;
+        }
+        connection.eventLoop().execute(() -> {
+            if (!ended) {
+                action.accept(connection);
+            }
+        });
+    }
+
     private boolean finish() {
         if (ended) {
             return false;
--- a/src/main/java/org/gooseberryhill/http/ServerCall.java
+++ b/src/main/java/org/gooseberryhill/http/ServerCall.java
@@ -147,7 +147,11 @@
 
     @Override
     public void readBody(boolean reading) {
-        onLoop(() -> context.channel().config().setAutoRead(reading));
+        onLoop(() -> {
+            if (!ended) {
+                context.channel().config().setAutoRead(reading);
+            }
+        });
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/EndedExchangeTest.java
@@ -0,0 +1,138 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gooseberryhill.http.RawEndpoint.ascii;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.link.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** An exchange that has ended has given its connection back: what its owner still does must not meet the next exchange. */
+class EndedExchangeTest {
+    private static final int SILENCE_MILLIS = 5000;
+    private static final int MAX_ANSWER_BYTES = 100;
+
+    private final EventLoopGroup group = Loopback.group();
+    private final HttpClient client = new HttpClient(group);
+    private final Address address = Loopback.freeAddress();
+    private final BlockingQueue<HttpCall> calls = new LinkedBlockingQueue<>();
+    private final HttpServer endpoint = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
+
+    @AfterEach
+    void close() {
+        client.close();
+        endpoint.close();
+        group.shutdownGracefully();
+    }
+
+    /** Guards against an answer that is cut because an earlier exchange of its connection was given up late. */
+    @Test
+    void givingAnEndedExchangeUpDoesNotCutTheNextOnItsConnection() throws InterruptedException {
+        Exchange ended = endedExchange();
+        CompletableFuture<HttpResult> next = begunExchange();
+
+        ended.cancel();
+        answer("next");
+
+        assertThat(next.join().body()).isEqualTo(ascii("next"));
+        assertThat(client.connects()).isEqualTo(1);
+    }
+
+    /** Guards against an answer that nobody reads because an earlier exchange of its connection was held back late. */
+    @Test
+    void holdingAnEndedExchangeBackDoesNotHoldTheNextOnItsConnection() throws InterruptedException {
+        Exchange ended = endedExchange();
+        CompletableFuture<HttpResult> next = begunExchange();
+
+        ended.readAnswer(false);
+        answer("next");
+
+        assertThat(next.join().body()).isEqualTo(ascii("next"));
+    }
+
+    /** Guards against a kept connection that is never read because its exchange ended while it was held back. */
+    @Test
+    void anExchangeThatEndsWhileItIsHeldBackLeavesItsConnectionReadable() throws InterruptedException {
+        EndListener listener = new EndListener();
+        Exchange held = client.start(request(), listener);
+        listener.onHead = () -> held.readAnswer(false);
+        answer("first");
+        listener.ended.join();
+
+        CompletableFuture<HttpResult> next = begunExchange();
+        answer("next");
+
+        assertThat(next.join().body()).isEqualTo(ascii("next"));
+    }
+
+    /** Guards against an exchange that goes on after it was given up while its answer was on the way. */
+    @Test
+    void givingAnExchangeUpInTimeClosesItsConnection() throws InterruptedException {
+        EndListener listener = new EndListener();
+        Exchange exchange = client.start(request(), listener);
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        calls.take().onDisconnect(() -> left.complete(null));
+
+        exchange.cancel();
+
+        left.join();
+        assertThat(listener.ended).isNotDone();
+    }
+
+    private Exchange endedExchange() throws InterruptedException {
+        EndListener listener = new EndListener();
+        Exchange exchange = client.start(request(), listener);
+        answer("first");
+        listener.ended.join();
+        return exchange;
+    }
+
+    private CompletableFuture<HttpResult> begunExchange() {
+        CompletableFuture<HttpResult> result = client.call(request(), MAX_ANSWER_BYTES);
+        Loopback.await("the request at the endpoint", () -> !calls.isEmpty());
+        return result;
+    }
+
+    private void answer(String text) throws InterruptedException {
+        calls.take().reply(200, Map.of(), ascii(text));
+    }
+
+    private HttpBody handle(HttpCall call) {
+        return new WholeBody(MAX_ANSWER_BYTES, body -> calls.add(call), () -> call.reply(413, Map.of(), new byte[0]));
+    }
+
+    private ExchangeRequest request() {
+        return new ExchangeRequest(address, "GET", "/", Map.of(), new byte[0], SILENCE_MILLIS, false);
+    }
+
+    /** Completes when the exchange has ended with its whole answer. */
+    private static final class EndListener implements ExchangeListener {
+        private final CompletableFuture<Void> ended = new CompletableFuture<>();
+        private volatile Runnable onHead = () -> {};
+
+        @Override
+        public void onHead(int status, HttpHeaders headers) {
+            onHead.run();
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {}
+
+        @Override
+        public void onEnd() {
+            ended.complete(null);
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            ended.completeExceptionally(new ExchangeException(failure));
+        }
+    }
+}
