End a stopped host only when no caller can reach it any more

Callers saw a request on an open connection reach an endpoint that began to answer, and the connection close without an answer, 2.6 s after SIGTERM of the host.

Cause: the stop ended as soon as the control thread counted no routed request. The socket still listened, the connections were open and the traffic thread served them, while the process took its key back (a call of the store) and finished its log: some 55 ms. The branch that closes connections which wait was never reached, since the phase went from the announcement to the end in one step.

Class of fault: an end decided by a count of what has begun, while the sources of new work are open. The stop has a phase more now: when nothing is in progress the host stops listening and closes what waits, answers what crosses that, and ends when the socket and all connections are closed (or at its bound). A connection counts from its acceptance on. Looked for elsewhere: the entry ended between reading a request and its answer; it counts unanswered requests now. Steward and store have no callers.

Ruled out: a cut at the stop's bound (process.ended is written 4 s before it), a closed idle connection whose request was read (the endpoint ran it).

--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -5,10 +5,10 @@
 /**
  * The planned stop of one process. Not thread-safe, but any thread may ask for the phase.
  *
- * <p>Invariant: after the stop is asked for nothing new is taken in, and the process ends only when nothing is in
- * progress or the bound has passed. Asking again changes nothing, so a second signal can't cut what the first waits
- * for. A grace period comes first in which new requests are still served: the balancer and the peers need it to learn
- * of the stop, or their next requests would meet a closed door.
+ * <p>Invariants: the process ends only when nothing is in progress and nothing can come in any more, or when the bound has
+ * passed. That nothing is in progress is not enough while callers are connected: their next request would be taken in
+ * and lost. Asking again changes nothing, so a second signal can't cut what the first waits for. A grace period comes
+ * first in which new requests are still served, since the balancer and the peers need time to learn of the stop.
  */
 public final class PlannedStop {
     /** How far the stop is. */
@@ -17,8 +17,10 @@
         SERVING,
         /** Announced as not ready; what still comes is served. */
         ANNOUNCED,
-        /** Nothing new is taken in. */
+        /** What is in progress ends; connections that wait for a request are closed. */
         DRAINING,
+        /** Nothing was in progress: the process stops listening and closes what is still connected. */
+        CLOSING,
         /** The process ends now. */
         ENDED
     }
@@ -54,14 +56,23 @@
         }
     }
 
-    /** Advances the stop. */
-    public Phase advance(int inProgress, long nowNanos) {
+    /**
+     * Advances the stop.
+     *
+     * @param inProgress how much has begun and not ended
+     * @param reachable whether something new may still come in: callers are connected, or can connect
+     */
+    public Phase advance(int inProgress, boolean reachable, long nowNanos) {
         long elapsedNanos = nowNanos - sinceNanos;
         if (phase == Phase.ANNOUNCED && elapsedNanos >= graceNanos) {
             phase = Phase.DRAINING;
         }
-        boolean drained = inProgress == 0 || elapsedNanos >= boundNanos;
-        if (phase == Phase.DRAINING && drained) {
+        if (phase == Phase.DRAINING && inProgress == 0) {
+            phase = Phase.CLOSING;
+        }
+        boolean begun = phase == Phase.DRAINING || phase == Phase.CLOSING;
+        boolean over = phase == Phase.CLOSING && inProgress == 0 && !reachable;
+        if (over || begun && elapsedNanos >= boundNanos) {
             phase = Phase.ENDED;
         }
         return phase;
--- a/src/main/java/org/gooseberryhill/entry/EntryProcess.java
+++ b/src/main/java/org/gooseberryhill/entry/EntryProcess.java
@@ -41,10 +41,7 @@
         CallRouter router = new CallRouter(context);
         server = Optional.of(
                 HttpServer.start(process.group(), settings.httpAddress(), settings.httpLimits(), router::route));
-        process.loop()
-                .every(
-                        STOP_CHECK_MILLIS,
-                        () -> process.advanceStop(context.traffic().inProgress()));
+        process.loop().every(STOP_CHECK_MILLIS, this::advanceStop);
     }
 
     /** The common part of the process. */
@@ -69,6 +66,12 @@
         process.close();
     }
 
+    /** What comes in once the stop is under way is refused: it never runs, but its answer has to reach the caller. */
+    private void advanceStop() {
+        int unanswered = server.map(HttpServer::unanswered).orElse(0);
+        process.advanceStop(Math.max(context.traffic().inProgress(), unanswered), false);
+    }
+
     private CompletableFuture<PeerMessage> handle(HostId from, PeerMessage message) {
         if (message instanceof PeerMessage.CrashNotice notice) {
             context.traffic().heardCrash(notice);
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -4,8 +4,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.Closeable;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -111,7 +109,8 @@
     private final Readiness readiness;
     private final StopSequence stop;
     private final AtomicBoolean closed = new AtomicBoolean();
-    private final List<HttpServer> servers = new ArrayList<>();
+    private Optional<HttpServer> callersServer = Optional.empty();
+    private Optional<HttpServer> readinessServer = Optional.empty();
     private Optional<PeerServer> peerServer = Optional.empty();
     private Optional<MetricsServer> metricsServer = Optional.empty();
     private volatile RouteTable table = RouteTable.EMPTY;
@@ -166,7 +165,8 @@
         this.views = new GatewayViews(context, links, this::configure, this::endpointsChanged);
         StartGate gate = new StartGate(context.nowNanos());
         this.readiness = new Readiness(context, gate);
-        this.stop = new StopSequence(context, traffic, runner, handOver, registration, () -> servers, this::stopAsked);
+        this.stop = new StopSequence(
+                context, traffic, runner, handOver, registration, this::callersServer, this::stopAsked);
         this.messages = new GatewayMessages(context, load, views, crashes, board, desk, ending, takeover, store);
         this.router = new FrontRouter(context, traffic, intake, desk, gate, random);
     }
@@ -187,8 +187,9 @@
                 clock,
                 context.peers().traffic(),
                 messages::handle));
-        servers.add(HttpServer.start(group, callers, this::limits, router::route));
-        servers.add(HttpServer.start(group, settings.readinessAddress(), HttpLimits.DEFAULT, readiness::answer));
+        callersServer = Optional.of(HttpServer.start(group, callers, this::limits, router::route));
+        readinessServer = Optional.of(
+                HttpServer.start(group, settings.readinessAddress(), HttpLimits.DEFAULT, readiness::answer));
         settings.metricsAddress().ifPresent(this::startMetrics);
         context.timeline()
                 .event(EventKind.PROCESS_STARTED)
@@ -244,7 +245,8 @@
             return;
         }
         context.loop().close();
-        servers.forEach(HttpServer::close);
+        callersServer.ifPresent(HttpServer::close);
+        readinessServer.ifPresent(HttpServer::close);
         peerServer.ifPresent(PeerServer::close);
         metricsServer.ifPresent(MetricsServer::close);
         context.peers().close();
@@ -349,6 +351,10 @@
         return views.directoryAgeMillis();
     }
 
+    private HttpServer callersServer() {
+        return callersServer.orElseThrow();
+    }
+
     private void stopAsked() {
         updateReadiness();
         load.beat();
--- a/src/main/java/org/gooseberryhill/gateway/StopSequence.java
+++ b/src/main/java/org/gooseberryhill/gateway/StopSequence.java
@@ -1,31 +1,30 @@
 package org.gooseberryhill.gateway;
 
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
-import java.util.function.ToIntFunction;
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.http.StoppingServer;
 import org.gooseberryhill.registration.HostRegistration;
 import org.gooseberryhill.timeline.EventKind;
 
 /** Carries out the planned stop of a gateway. For the control thread. */
 final class StopSequence {
-    private static final long CHECK_MILLIS = 100;
+    private static final long CHECK_MILLIS = 25;
 
     private final GatewayContext context;
     private final GatewayTraffic traffic;
     private final BatchRunner runner;
     private final BatchHandOver handOver;
     private final HostRegistration registration;
-    private final Supplier<List<HttpServer>> servers;
+    private final Supplier<HttpServer> callers;
     private final Runnable onAsked;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
     /**
      * The stop of a gateway.
      *
-     * @param servers what listens for callers
+     * @param callers what listens for callers, once the process has started
      * @param onAsked tells the balancer and the other hosts
      */
     StopSequence(
@@ -34,14 +33,14 @@
             BatchRunner runner,
             BatchHandOver handOver,
             HostRegistration registration,
-            Supplier<List<HttpServer>> servers,
+            Supplier<HttpServer> callers,
             Runnable onAsked) {
         this.context = context;
         this.traffic = traffic;
         this.runner = runner;
         this.handOver = handOver;
         this.registration = registration;
-        this.servers = servers;
+        this.callers = callers;
         this.onAsked = onAsked;
     }
 
@@ -60,7 +59,6 @@
         onAsked.run();
         runner.pause();
         runner.stopAll();
-        servers.get().forEach(HttpServer::closeAfterAnswers);
         advance();
         context.loop().every(CHECK_MILLIS, this::advance);
     }
@@ -76,10 +74,9 @@
         }
         handOver.advance();
         int inProgress = traffic.inProgress() + runner.running() + handOver.left();
-        PlannedStop.Phase phase = context.stop().advance(inProgress, context.nowNanos());
-        if (phase == PlannedStop.Phase.DRAINING) {
-            servers.get().forEach(HttpServer::closeIdle);
-        }
+        HttpServer server = callers.get();
+        PlannedStop.Phase phase = context.stop().advance(inProgress, server.isReachable(), context.nowNanos());
+        StoppingServer.follow(server, phase);
         if (phase == PlannedStop.Phase.ENDED) {
             runner.stopAll();
             registration.release(() -> end(inProgress));
@@ -90,13 +87,9 @@
         context.timeline()
                 .event(EventKind.PROCESS_ENDED)
                 .with("inProgress", inProgress)
-                .with("unanswered", sum(HttpServer::unanswered))
-                .with("openConnections", sum(HttpServer::openConnections))
+                .with("unanswered", callers.get().unanswered())
+                .with("openConnections", callers.get().openConnections())
                 .write();
         ended.complete(null);
     }
-
-    private int sum(ToIntFunction<HttpServer> number) {
-        return servers.get().stream().mapToInt(number).sum();
-    }
 }
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -31,11 +33,11 @@
         listener = new ServerBootstrap()
                 .group(group)
                 .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
+                .handler(new AcceptedConnections())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        connections.add(channel);
                         HttpLimits now = limits.get();
                         channel.config()
                                 .setWriteBufferWaterMark(
@@ -90,15 +92,29 @@
         return unanswered.get();
     }
 
-    /** Closes the listening socket; connections in progress go on. */
+    /** Begins to close the listening socket; connections go on. */
     public void stopListening() {
-        listener.close().syncUninterruptibly();
+        listener.close();
+    }
+
+    /** Whether a request may still come in: the socket listens, or a connection is open. */
+    public boolean isReachable() {
+        return listener.isOpen() || !connections.isEmpty();
     }
 
     /** Closes the listening socket and cuts all connections. */
     @Override
     public void close() {
-        stopListening();
+        listener.close().syncUninterruptibly();
         connections.close().awaitUninterruptibly();
     }
+
+    /** Knows each connection from its acceptance on: before the listening socket can be seen as closed. */
+    private final class AcceptedConnections extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object accepted) {
+            connections.add((Channel) accepted);
+            context.fireChannelRead(accepted);
+        }
+    }
 }
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -160,12 +160,17 @@
         });
     }
 
-    /** Advances the planned stop; completes {@link #ended()} when it is over. */
-    public void advanceStop(int inProgress) {
+    /**
+     * Advances the planned stop; completes {@link #ended()} when it is over.
+     *
+     * @param inProgress how much has begun and not ended
+     * @param reachable whether callers may still send something new
+     */
+    public void advanceStop(int inProgress, boolean reachable) {
         if (stop.phase() == PlannedStop.Phase.SERVING || stop.phase() == PlannedStop.Phase.ENDED) {
             return;
         }
-        if (stop.advance(inProgress, loop.nowNanos()) == PlannedStop.Phase.ENDED) {
+        if (stop.advance(inProgress, reachable, loop.nowNanos()) == PlannedStop.Phase.ENDED) {
             timeline.event(EventKind.PROCESS_ENDED)
                     .with("inProgress", inProgress)
                     .write();
--- a/src/main/java/org/gooseberryhill/steward/StewardProcess.java
+++ b/src/main/java/org/gooseberryhill/steward/StewardProcess.java
@@ -84,7 +84,7 @@
             releasing = true;
             lease.release(() -> released = true);
         }
-        process.advanceStop(batch.inProgress() + (released ? 0 : 1));
+        process.advanceStop(batch.inProgress() + (released ? 0 : 1), false);
     }
 
     private CompletableFuture<PeerMessage> handle(HostId from, PeerMessage message) {
--- a/src/main/java/org/gooseberryhill/store/StoreProcess.java
+++ b/src/main/java/org/gooseberryhill/store/StoreProcess.java
@@ -62,7 +62,7 @@
         if (process.stop().phase() != PlannedStop.Phase.SERVING) {
             repair.roundNow();
         }
-        process.advanceStop(inProgress + (repair.isHandedOver() ? 0 : 1));
+        process.advanceStop(inProgress + (repair.isHandedOver() ? 0 : 1), false);
     }
 
     private CompletableFuture<PeerMessage> handle(HostId from, PeerMessage message) {
--- a/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
+++ b/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
@@ -16,30 +16,52 @@
     void aStopWaitsForWhatIsInProgress() {
         stop.ask(0);
 
-        assertThat(stop.advance(3, 400 * MILLI)).isEqualTo(Phase.ANNOUNCED);
+        assertThat(stop.advance(3, true, 400 * MILLI)).isEqualTo(Phase.ANNOUNCED);
         assertThat(stop.takesNew()).isTrue();
-        assertThat(stop.advance(3, 600 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(stop.advance(3, true, 600 * MILLI)).isEqualTo(Phase.DRAINING);
         assertThat(stop.takesNew()).isFalse();
-        assertThat(stop.advance(1, 9000 * MILLI)).isEqualTo(Phase.DRAINING);
-        assertThat(stop.advance(0, 9100 * MILLI)).isEqualTo(Phase.ENDED);
+        assertThat(stop.advance(1, true, 9000 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(stop.advance(0, false, 9100 * MILLI)).isEqualTo(Phase.ENDED);
+    }
+
+    /** Guards against requests that are lost because they come in after the process has found nothing in progress. */
+    @Test
+    void aStopDoesNotEndWhileSomethingMayStillComeIn() {
+        stop.ask(0);
+
+        assertThat(stop.advance(0, true, 600 * MILLI)).isEqualTo(Phase.CLOSING);
+        assertThat(stop.advance(0, true, 700 * MILLI)).isEqualTo(Phase.CLOSING);
+        assertThat(stop.advance(1, true, 800 * MILLI)).isEqualTo(Phase.CLOSING);
+        assertThat(stop.advance(1, false, 900 * MILLI)).isEqualTo(Phase.CLOSING);
+        assertThat(stop.advance(0, false, 1000 * MILLI)).isEqualTo(Phase.ENDED);
+    }
+
+    /** A caller whose connection does not close must not keep the process for ever. */
+    @Test
+    void aStopEndsAtItsBoundWhileCallersAreConnected() {
+        stop.ask(0);
+        stop.advance(0, true, 600 * MILLI);
+
+        assertThat(stop.advance(0, true, 9_999 * MILLI)).isEqualTo(Phase.CLOSING);
+        assertThat(stop.advance(0, true, 10_000 * MILLI)).isEqualTo(Phase.ENDED);
     }
 
     /** The operator loses patience and asks again: what is in progress still ends whole. */
     @Test
     void aSecondStopCutsNothing() {
         stop.ask(0);
-        stop.advance(3, 600 * MILLI);
+        stop.advance(3, true, 600 * MILLI);
         stop.ask(700 * MILLI);
 
-        assertThat(stop.advance(3, 1300 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(stop.advance(3, true, 1300 * MILLI)).isEqualTo(Phase.DRAINING);
     }
 
     @Test
     void aStopEndsAtItsBound() {
         stop.ask(0);
-        stop.advance(1, 600 * MILLI);
+        stop.advance(1, true, 600 * MILLI);
 
-        assertThat(stop.advance(1, 10_000 * MILLI)).isEqualTo(Phase.ENDED);
+        assertThat(stop.advance(1, true, 10_000 * MILLI)).isEqualTo(Phase.ENDED);
     }
 
     /** The host list lags; the endpoint itself has said that it is leaving, and later that it is back. */
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -58,6 +58,25 @@
         assertThat(answer.indexOf("/one")).isPositive().isLessThan(answer.indexOf("/two"));
     }
 
+    /** Guards against a process that ends while a caller is connected: its next request would be lost. */
+    @Test
+    void aServerIsReachableUntilItsLastConnectionHasEnded() throws IOException {
+        try (Socket caller = new Socket(address.ip(), address.port())) {
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /stream HTTP/1.1\r\n\r\n"));
+            assertThat(caller.getInputStream().read()).isPositive();
+
+            server.stopListening();
+            server.closeIdle();
+            Loopback.await("the end of listening", () -> !accepts());
+
+            assertThat(server.isReachable()).isTrue();
+            assertThat(server.unanswered()).isEqualTo(1);
+        }
+
+        Loopback.await("the end of the last connection", () -> !server.isReachable());
+        assertThat(server.unanswered()).isZero();
+    }
+
     @Test
     void anIdleConnectionIsClosed() throws IOException {
         assertThat(send("")).isEmpty();
@@ -100,6 +119,14 @@
                 () -> call.reply(413, Map.of(), new byte[0]));
     }
 
+    private boolean accepts() {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private String send(String request) throws IOException {
         try (Socket socket = new Socket(address.ip(), address.port())) {
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
