Don't take an endpoint's silence for a crash

Callers of a repeatable stream were refused for a minute (503, quarantined) although nothing had crashed: two full endpoints had each let the request wait for 0.7 s.

Cause: an exchange that hears nothing ended as CUT, like one whose connection broke, and two cuts of the same request at two endpoints quarantine it on all hosts. A wave above the endpoints' slots makes requests wait in their queues for that long. A plain request that is slower than its route's timeout counted likewise.

The end is SILENT now: it may have run and counts against the endpoint's health as before, and is no crash.

--- a/src/main/java/org/gooseberryhill/decision/dispatch/AttemptEnd.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/AttemptEnd.java
@@ -10,8 +10,10 @@
     BUSY,
     /** Another endpoint has the address now and did not run the request. */
     OTHER_ENDPOINT,
-    /** The connection ended, or went silent, before the whole answer: may have run. */
+    /** The connection ended before the whole answer: may have run. */
     CUT,
+    /** The endpoint sent nothing for too long: may have run, or wait for a slot still. */
+    SILENT,
     /** What came was no valid answer: may have run. */
     MALFORMED,
     /** The endpoint ran the request and answered with a server error. */
@@ -23,6 +25,9 @@
 
     /** Whether the request may have run in the attempt. */
     public boolean mayHaveRun() {
-        return this == CUT || this == MALFORMED || this == ERROR_ANSWER || this == ANSWERED || this == ABANDONED;
+        return switch (this) {
+            case CUT, SILENT, MALFORMED, ERROR_ANSWER, ANSWERED, ABANDONED -> true;
+            default -> false;
+        };
     }
 }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/Fleet.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/Fleet.java
@@ -215,7 +215,7 @@
             case BUSY -> health.busy(nowNanos);
             case UNREACHABLE -> ifOthersLeft(endpoint, nowNanos, health::unreachable);
             case OTHER_ENDPOINT -> ifOthersLeft(endpoint, nowNanos, health::misdirected);
-            case CUT, ERROR_ANSWER, MALFORMED -> ifOthersLeft(endpoint, nowNanos, health::failed);
+            case CUT, SILENT, ERROR_ANSWER, MALFORMED -> ifOthersLeft(endpoint, nowNanos, health::failed);
             case ABANDONED, DROPPED -> {
                 // The host's own doing: it shows nothing of the endpoint.
             }
--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -188,7 +188,11 @@
             if (failure.outcome() == Outcome.NOT_RUN) {
                 return AttemptEnd.UNREACHABLE;
             }
-            return failure.kind() == ExchangeFailure.Kind.MALFORMED ? AttemptEnd.MALFORMED : AttemptEnd.CUT;
+            return switch (failure.kind()) {
+                case MALFORMED -> AttemptEnd.MALFORMED;
+                case SILENT -> AttemptEnd.SILENT;
+                default -> AttemptEnd.CUT;
+            };
         }
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/CrashTracking.java
+++ b/src/main/java/org/gooseberryhill/gateway/CrashTracking.java
@@ -26,7 +26,7 @@
         this.suspects = suspects;
     }
 
-    /** An attempt ended before any part of its answer had come. */
+    /** An attempt ended before any part of its answer had come; a silent endpoint may be a full one and has not crashed. */
     void ended(Fingerprint request, String endpoint, AttemptEnd end) {
         if (end != AttemptEnd.CUT) {
             return;
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchProperties.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchProperties.java
@@ -17,6 +17,7 @@
             AttemptEnd.BUSY,
             AttemptEnd.OTHER_ENDPOINT,
             AttemptEnd.CUT,
+            AttemptEnd.SILENT,
             AttemptEnd.MALFORMED,
             AttemptEnd.ERROR_ANSWER);
 
