Hold the end of a stopped host by stricter tests; drained means nothing unanswered, too

The socket alone, the count after an answer and a late hold of a request's body have tests.

A server is drained now only when neither is left, so the test asks for both at one moment, as strictly as before, and process.ended can't count one too many.

--- a/src/main/java/org/gooseberryhill/gateway/StopSequence.java
+++ b/src/main/java/org/gooseberryhill/gateway/StopSequence.java
@@ -75,7 +75,7 @@
         handOver.advance();
         int inProgress = traffic.inProgress() + runner.running() + handOver.left();
         HttpServer server = callers.get();
-        PlannedStop.Phase phase = context.stop().advance(inProgress, server.isReachable(), context.nowNanos());
+        PlannedStop.Phase phase = context.stop().advance(inProgress, !server.isDrained(), context.nowNanos());
         StoppingServer.follow(server, phase);
         if (phase == PlannedStop.Phase.ENDED) {
             runner.stopAll();
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -87,7 +87,7 @@
         return connections.size();
     }
 
-    /** How many requests have begun to come in and have no whole answer yet. */
+    /** How many requests have begun to come in whose whole answer has not been handed to their connection yet. */
     public int unanswered() {
         return unanswered.get();
     }
@@ -97,9 +97,9 @@
         listener.close();
     }
 
-    /** Whether a request may still come in: the socket listens, or a connection is open. */
-    public boolean isReachable() {
-        return listener.isOpen() || !connections.isEmpty();
+    /** Whether nothing can come in any more and nothing is unanswered: the socket and all connections are closed. */
+    public boolean isDrained() {
+        return !listener.isOpen() && connections.isEmpty() && unanswered.get() == 0;
     }
 
     /** Closes the listening socket and cuts all connections. */
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.link.Address;
@@ -17,10 +19,12 @@
 
 class HttpServerTest {
     private static final HttpLimits LIMITS = new HttpLimits(512, 256, 200, 1024 * 1024, 1000);
+    private static final int SMALL_ANSWER_BYTES = 1024;
 
     private final EventLoopGroup group = Loopback.group();
     private final Address address = Loopback.freeAddress();
     private final AtomicInteger disconnects = new AtomicInteger();
+    private final Queue<HttpCall> held = new ConcurrentLinkedQueue<>();
     private final HttpServer server = HttpServer.start(group, address, LIMITS, this::handle);
 
     @AfterEach
@@ -60,7 +64,7 @@
 
     /** Guards against a process that ends while a caller is connected: its next request would be lost. */
     @Test
-    void aServerIsReachableUntilItsLastConnectionHasEnded() throws IOException {
+    void aServerIsDrainedOnlyWhenItsLastConnectionHasEnded() throws IOException {
         try (Socket caller = new Socket(address.ip(), address.port())) {
             caller.getOutputStream().write(RawEndpoint.ascii("GET /stream HTTP/1.1\r\n\r\n"));
             assertThat(caller.getInputStream().read()).isPositive();
@@ -69,14 +73,56 @@
             server.closeIdle();
             Loopback.await("the end of listening", () -> !accepts());
 
-            assertThat(server.isReachable()).isTrue();
+            assertThat(server.isDrained()).isFalse();
             assertThat(server.unanswered()).isEqualTo(1);
         }
 
-        Loopback.await("the end of the last connection", () -> !server.isReachable());
+        Loopback.await("the end of the last connection", server::isDrained);
         assertThat(server.unanswered()).isZero();
     }
 
+    /** Guards against a process that ends while callers can connect to it. */
+    @Test
+    void aServerThatListensIsNotDrained() {
+        assertThat(server.isDrained()).isFalse();
+
+        server.stopListening();
+
+        Loopback.await("the end of listening", server::isDrained);
+    }
+
+    /** Guards against a stop that waits for answers which have been given. */
+    @Test
+    void aRequestIsNoLongerUnansweredOnceItsAnswerIsWhole() throws IOException {
+        try (Socket caller = new Socket(address.ip(), address.port())) {
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /held HTTP/1.1\r\n\r\n"));
+            Loopback.await("the request", () -> server.unanswered() == 1 && !held.isEmpty());
+
+            held.remove().reply(200, Map.of(), RawEndpoint.ascii("whole"));
+
+            Loopback.await("its answer", () -> server.unanswered() == 0);
+            assertThat(server.openConnections()).isEqualTo(1);
+        }
+    }
+
+    /** Guards against a request that is never read since the owner of the one before it held its connection back late. */
+    @Test
+    void holdingTheBodyOfAnAnsweredRequestBackDoesNotHoldTheNextOne() throws IOException {
+        try (Socket caller = new Socket(address.ip(), address.port())) {
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /held HTTP/1.1\r\n\r\n"));
+            Loopback.await("the request", () -> !held.isEmpty());
+            HttpCall answered = held.remove();
+            answered.reply(200, Map.of(), RawEndpoint.ascii("whole"));
+            assertThat(caller.getInputStream().read(new byte[SMALL_ANSWER_BYTES]))
+                    .isPositive();
+
+            answered.readBody(false);
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /held HTTP/1.1\r\n\r\n"));
+
+            Loopback.await("the next request", () -> !held.isEmpty());
+        }
+    }
+
     @Test
     void anIdleConnectionIsClosed() throws IOException {
         assertThat(send("")).isEmpty();
@@ -108,6 +154,9 @@
             call.write(RawEndpoint.ascii("part"));
             return new WholeBody(100, body -> {}, () -> {});
         }
+        if (call.path().equals("/held")) {
+            return new WholeBody(100, body -> held.add(call), () -> {});
+        }
         if (call.path().equals("/abort")) {
             call.beginStream(200, Map.of());
             call.write(RawEndpoint.ascii("part")).whenComplete((done, failure) -> call.abortStream());
