Close a connection only when its last answer has gone out, and take nothing in after it

Callers that read slowly saw the end of a whole answer cut as their host stopped, or at the idle timeout.

Cause: a connection counts as idle as soon as its answer is handed to the network library, and close() drops what that has not written yet. And after an answer that closes its connection a request that came before the close was still taken in, and cut. Of the same class as the stop: an end by a state that does not cover what was accepted.

Connections close after what was written has gone out, or after the idle timeout if a reader takes nothing; what comes after the last answer is left alone. The two new tests of HttpServerTest failed before (3,950,880 of more than 8,388,608 bytes; a request taken in).

--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -46,6 +46,7 @@
     private ServerCall call;
     private HttpBody body;
     private boolean bodyDone;
+    private boolean lastAnswerGiven;
     private final BooleanSupplier closing;
     private final AtomicInteger unanswered;
     private ScheduledFuture<?> idleTimer;
@@ -77,6 +78,10 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         HttpObject object = (HttpObject) message;
+        if (lastAnswerGiven) {
+            ReferenceCountUtil.release(object);
+            return;
+        }
         boolean belongsToNext = call != null && bodyDone;
         if (belongsToNext || !waiting.isEmpty()) {
             enqueue(context, object);
@@ -114,10 +119,10 @@
         context.close();
     }
 
-    /** Closes the connection unless a request is in progress on it. */
+    /** Closes the connection unless a request is in progress on it; an answer that is still on its way goes out before. */
     void closeIfIdle(Channel connection) {
         if (call == null) {
-            connection.close();
+            closeAfterFlush(connection);
         }
     }
 
@@ -127,7 +132,7 @@
         call = null;
         unanswered.decrementAndGet();
         if (!keepAlive || unreadBody) {
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            closeAfterFlush(context.channel());
             return;
         }
         armIdleTimer(context);
@@ -136,6 +141,21 @@
         }
     }
 
+    /** Takes nothing in any more, and closes when what was written has gone out or a reader takes nothing for too long. */
+    private void closeAfterFlush(Channel connection) {
+        if (lastAnswerGiven) {
+            return;
+        }
+        lastAnswerGiven = true;
+        cancelIdleTimer();
+        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        if (connection.isOpen()) {
+            idleTimer = connection
+                    .eventLoop()
+                    .schedule(() -> connection.close(), limits.idleMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void process(ChannelHandlerContext context, HttpObject object) {
         try {
             if (object.decoderResult().isFailure()) {
@@ -205,7 +225,9 @@
 
     private void armIdleTimer(ChannelHandlerContext context) {
         cancelIdleTimer();
-        idleTimer = context.executor().schedule(() -> context.close(), limits.idleMillis(), TimeUnit.MILLISECONDS);
+        Channel connection = context.channel();
+        idleTimer =
+                context.executor().schedule(() -> closeIfIdle(connection), limits.idleMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void cancelIdleTimer() {
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -18,12 +19,15 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpServerTest {
-    private static final HttpLimits LIMITS = new HttpLimits(512, 256, 200, 1024 * 1024, 1000);
+    private static final HttpLimits LIMITS = new HttpLimits(512, 256, 200, 16 * 1024 * 1024, 1000);
     private static final int SMALL_ANSWER_BYTES = 1024;
+    private static final int LARGE_ANSWER_BYTES = 8 * 1024 * 1024;
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
     private final EventLoopGroup group = Loopback.group();
     private final Address address = Loopback.freeAddress();
     private final AtomicInteger disconnects = new AtomicInteger();
+    private final AtomicInteger answered = new AtomicInteger();
     private final Queue<HttpCall> held = new ConcurrentLinkedQueue<>();
     private final HttpServer server = HttpServer.start(group, address, LIMITS, this::handle);
 
@@ -123,6 +127,34 @@
         }
     }
 
+    /** Guards against an answer that is cut since its connection counts as idle while its reader is still taking it. */
+    @Test
+    void closingIdleConnectionsCutsNoAnswerThatIsOnItsWay() throws IOException {
+        try (Socket caller = slowReader()) {
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /large HTTP/1.1\r\n\r\n"));
+            Loopback.await("the answer", () -> answered.get() == 1 && server.unanswered() == 0);
+
+            server.closeIdle();
+
+            assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_ANSWER_BYTES);
+        }
+    }
+
+    /** Guards against a request that is taken in after the last answer of its connection, and cut as that closes. */
+    @Test
+    void nothingIsTakenInAfterTheLastAnswerOfAConnection() throws IOException {
+        server.closeAfterAnswers();
+        try (Socket caller = slowReader()) {
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /large HTTP/1.1\r\n\r\n"));
+            Loopback.await("the answer", () -> answered.get() == 1 && server.unanswered() == 0);
+
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /held HTTP/1.1\r\n\r\n"));
+
+            assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_ANSWER_BYTES);
+            assertThat(held).isEmpty();
+        }
+    }
+
     @Test
     void anIdleConnectionIsClosed() throws IOException {
         assertThat(send("")).isEmpty();
@@ -154,6 +186,11 @@
             call.write(RawEndpoint.ascii("part"));
             return new WholeBody(100, body -> {}, () -> {});
         }
+        if (call.path().equals("/large")) {
+            call.reply(200, Map.of(), new byte[LARGE_ANSWER_BYTES]);
+            answered.incrementAndGet();
+            return new WholeBody(100, body -> {}, () -> {});
+        }
         if (call.path().equals("/held")) {
             return new WholeBody(100, body -> held.add(call), () -> {});
         }
@@ -168,6 +205,14 @@
                 () -> call.reply(413, Map.of(), new byte[0]));
     }
 
+    /** A caller whose answer fills all buffers on its way. */
+    private Socket slowReader() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress(address.ip(), address.port()));
+        return socket;
+    }
+
     private boolean accepts() {
         try (Socket socket = new Socket(address.ip(), address.port())) {
             return socket.isConnected();
