Let no answer end because its last endpoint is silent

Callers of a stream that may be resumed saw it cut in the middle after 1.4 s, with endpoints that only paused.

Cause: the exchange ended after 0.7 s without a byte, whether or not the request could go on elsewhere. The first silence sends a stream to another endpoint, which is meant; the second one, or the first where no other endpoint was left, ended the answer, far before the caller's deadline. Now the host looks after 0.7 s whether another attempt is allowed and an endpoint is there for it; else the endpoint keeps the request until its time is over.

--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -1,15 +1,19 @@
 package org.gooseberryhill.decision.dispatch;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.quarantine.CrashSuspects.Verdict;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.route.Route;
 import org.gooseberryhill.zone.AvailabilityZone;
 
 /**
@@ -101,6 +105,19 @@
         return another(request, nowNanos);
     }
 
+    /**
+     * Whether a stream whose endpoint is silent may go on at another one: it may be resumed, a further attempt is allowed, and
+     * there is an endpoint for it.
+     */
+    public boolean mayGoElsewhere(RoutedRequest request, long nowNanos) {
+        Route route = request.intake().route();
+        boolean allowed = route.isRepeatable()
+                && request.runs() + 1 < route.maxAttempts()
+                && request.sends() < MAX_SENDS
+                && request.leftMillis(nowNanos) >= MIN_LEFT_MILLIS;
+        return allowed && chooseOther(request, nowNanos).isPresent();
+    }
+
     /** The time of a {@link DispatchDecision.Wait} is over. */
     public DispatchDecision again(RoutedRequest request, long nowNanos) {
         if (request.leftMillis(nowNanos) < MIN_LEFT_MILLIS) {
@@ -197,14 +214,20 @@
     }
 
     private Optional<FleetEndpoint> choose(RoutedRequest request, long nowNanos) {
+        return choose(request, request.tried(), nowNanos);
+    }
+
+    /** An endpoint that neither has the request now nor had it before. */
+    private Optional<FleetEndpoint> chooseOther(RoutedRequest request, long nowNanos) {
+        Set<EndpointKey> had = new HashSet<>(request.tried());
+        request.endpoint().ifPresent(had::add);
+        return choose(request, had, nowNanos);
+    }
+
+    private Optional<FleetEndpoint> choose(RoutedRequest request, Set<EndpointKey> leftOut, long nowNanos) {
         List<FleetEndpoint> endpoints = fleet.of(request.intake().service());
         PlacementCase placement = new PlacementCase(
-                zone,
-                request.intake().prompt(),
-                reads,
-                request.tried(),
-                pace(request).meanRunMillis(),
-                nowNanos);
+                zone, request.intake().prompt(), reads, leftOut, pace(request).meanRunMillis(), nowNanos);
         return policies.placement().choose(endpoints, placement);
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -42,8 +42,11 @@
     /** Making a connection within a region takes milliseconds; what takes longer is lost. */
     private static final int CONNECT_MILLIS = 300;
 
-    /** A repeatable request goes on elsewhere after this silence inside its answer. */
-    private static final int SILENCE_MILLIS_REPEATABLE = 700;
+    /** A stream that may be resumed goes on elsewhere after this silence of its endpoint, if there is somewhere to go. */
+    private static final long SILENCE_MILLIS = 700;
+
+    /** Before a silent stream looks for somewhere to go once more. */
+    private static final long SILENCE_AGAIN_MILLIS = 100;
 
     private final GatewayContext context;
     private final GatewayTraffic traffic;
@@ -150,16 +153,36 @@
                 endpoint.address(), call.method(), call.target(), headers, body, options(leftMillis));
         AnswerRelay.Attempt attempt = relay.attempt(this, attemptNumber);
         exchange = Optional.of(context.http().start(exchangeRequest, attempt));
+        if (request.intake().route().kind() == RouteKind.STREAM) {
+            watch(attempt, attemptNumber, SILENCE_MILLIS);
+        }
+    }
+
+    private void watch(AnswerRelay.Attempt attempt, long number, long millis) {
+        context.loop().after(millis, () -> lookForSilence(attempt, number));
+    }
+
+    /** Silence alone ends no answer: the endpoint keeps the request unless another one may go on with it. */
+    private void lookForSilence(AnswerRelay.Attempt attempt, long number) {
+        if (finished || number != attemptNumber) {
+            return;
+        }
+        long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - attempt.heardNanos());
+        if (silentMillis < SILENCE_MILLIS) {
+            watch(attempt, number, SILENCE_MILLIS - silentMillis);
+        } else if (context.core().mayGoElsewhere(request, context.nowNanos())) {
+            exchange.ifPresent(Exchange::cancel);
+            attemptFailed(number, AttemptEnd.SILENT, "no byte for " + silentMillis + " ms", Optional.empty());
+        } else {
+            watch(attempt, number, SILENCE_AGAIN_MILLIS);
+        }
     }
 
     private ExchangeOptions options(long leftMillis) {
         boolean repeatable = request.intake().route().isRepeatable();
-        boolean stream = request.intake().route().kind() == RouteKind.STREAM;
-        // The silence of an endpoint is no reason to give up what can't be repeated: its answer may still come.
-        int silenceMillis = (int) Math.max(1, repeatable && stream ? SILENCE_MILLIS_REPEATABLE : leftMillis);
         String id = request.intake().id();
         return new ExchangeOptions(
-                silenceMillis,
+                (int) Math.max(1, leftMillis),
                 (int) Math.max(1, Math.min(CONNECT_MILLIS, leftMillis)),
                 repeatable ? Integer.MAX_VALUE : MAX_IDLE_MILLIS_UNREPEATABLE,
                 true,
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchCoreTest.java
@@ -310,4 +310,31 @@
         assertThat(decision).isInstanceOf(DispatchDecision.Refuse.class);
         return ((DispatchDecision.Refuse) decision).refusal();
     }
+
+    /** Guards against an answer that ends since its endpoint was silent, though no other one may go on with it. */
+    @Test
+    void silenceSendsAStreamElsewhereOnlyWhereThereIsSomewhereToGo() {
+        Route resumable = DispatchFixture.route(RouteKind.STREAM, true, 2);
+        RoutedRequest request = fixture.arrive(resumable);
+        fixture.first(request);
+        assertThat(fixture.core.mayGoElsewhere(request, fixture.nowNanos)).isTrue();
+
+        fixture.failed(request, AttemptEnd.SILENT);
+        assertThat(fixture.core.mayGoElsewhere(request, fixture.nowNanos))
+                .as("its last attempt")
+                .isFalse();
+
+        RoutedRequest once = fixture.arrive(DispatchFixture.route(RouteKind.STREAM, false, 2));
+        fixture.first(once);
+        assertThat(fixture.core.mayGoElsewhere(once, fixture.nowNanos))
+                .as("may run once")
+                .isFalse();
+
+        DispatchFixture single = new DispatchFixture(1);
+        RoutedRequest alone = single.arrive(resumable);
+        single.first(alone);
+        assertThat(single.core.mayGoElsewhere(alone, single.nowNanos))
+                .as("no other endpoint")
+                .isFalse();
+    }
 }
