End an answer as broken when a reply crosses its beginning

A caller waited on an open connection until its idle timeout: the time of its request was over at the moment at which the first event came. The control thread saw no answer begun and replied, the traffic thread had begun one; the encoder refuses a second head, and nothing closed the connection. A reply to an answer that has begun closes it now, as a cut stream is closed.

HttpServerTest failed before (read timed out after 10 s).

--- a/src/main/java/org/gooseberryhill/http/HttpCall.java
+++ b/src/main/java/org/gooseberryhill/http/HttpCall.java
@@ -22,7 +22,7 @@
     /** The request's headers. */
     HttpHeaders headers();
 
-    /** Answers at once with a whole body. */
+    /** Answers at once with a whole body; an answer that has begun ends as broken instead. */
     void reply(int status, Iterable<Map.Entry<String, String>> headers, byte[] body);
 
     /** Begins a streamed answer. */
--- a/src/main/java/org/gooseberryhill/http/ServerCall.java
+++ b/src/main/java/org/gooseberryhill/http/ServerCall.java
@@ -37,6 +37,7 @@
     private boolean keepAlive;
     private Runnable disconnectCallback;
     private boolean disconnected;
+    private boolean begun;
     private boolean ended;
 
     ServerCall(ChannelHandlerContext context, ServerConnectionHandler connection, HttpRequest request) {
@@ -80,6 +81,10 @@
             if (ended) {
                 return;
             }
+            if (begun) {
+                abort();
+                return;
+            }
             boolean bodyless = method.equals(HttpMethod.HEAD);
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
@@ -101,6 +106,7 @@
             if (ended) {
                 return;
             }
+            begun = true;
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
             MessageHeaders.addAll(response.headers(), replyHeaders);
             if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -139,8 +145,7 @@
     public void abortStream() {
         onLoop(() -> {
             if (!ended) {
-                ended = true;
-                context.close();
+                abort();
             }
         });
     }
@@ -182,6 +187,11 @@
         }
     }
 
+    private void abort() {
+        ended = true;
+        context.close();
+    }
+
     private void end(boolean keepConnection) {
         ended = true;
         context.channel().config().setAutoRead(true);
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -21,6 +21,10 @@
 class HttpServerTest {
     private static final HttpLimits LIMITS = new HttpLimits(512, 256, 200, 16 * 1024 * 1024, 1000);
     private static final int SMALL_ANSWER_BYTES = 1024;
+
+    /** For a test that would never end; less than the idle timeout that other servers have. */
+    private static final int OUTCOME_MILLIS = 10_000;
+
     private static final int LARGE_ANSWER_BYTES = 8 * 1024 * 1024;
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
@@ -155,6 +159,27 @@
         }
     }
 
+    /** Guards against a caller that waits until the idle timeout since a refusal crossed the beginning of its answer. */
+    @Test
+    void aReplyToAnAnswerThatHasBegunEndsItAsBroken() throws IOException {
+        Address patientAddress = Loopback.freeAddress();
+        HttpServer patient = HttpServer.start(group, patientAddress, HttpLimits.DEFAULT, this::handle);
+        try (patient;
+                Socket caller = new Socket(patientAddress.ip(), patientAddress.port())) {
+            caller.setSoTimeout(OUTCOME_MILLIS);
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /held HTTP/1.1\r\n\r\n"));
+            Loopback.await("the request", () -> !held.isEmpty());
+            HttpCall call = held.remove();
+            call.beginStream(200, Map.of());
+            call.write(RawEndpoint.ascii("part")).join();
+
+            call.reply(504, Map.of(), RawEndpoint.ascii("late"));
+
+            String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer).endsWith("part\r\n");
+        }
+    }
+
     @Test
     void anIdleConnectionIsClosed() throws IOException {
         assertThat(send("")).isEmpty();
