Take a batch that is offered twice once

The items of a batch ran twice after a planned stop beside a slow store: the reply to a hand-over came later than the 0.7 s for which it is waited, the owner offered the batch again, and the host that had it by then loaded it anew; the first load's runs went on for nobody.

A host says that it took a batch which it owns already, and a batch that nobody took is offered again after 0.1 s, not at the next look (25 ms). Found by the review; GatewayBatchTest.aHandOverWhoseReplyIsLateIsTakenOnce failed before (6 runs in place of 4).

--- a/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
@@ -20,6 +20,9 @@
  * that wait for their commit are committed first; a batch that nobody takes stays, and is found as that of a lost host.
  */
 final class BatchHandOver {
+    /** Before a batch that nobody took is offered again. */
+    private static final long OFFER_AGAIN_MILLIS = 100;
+
     private final GatewayContext context;
     private final PeerLinks links;
     private final BatchBoard board;
@@ -68,8 +71,8 @@
                     .with("taken", taken)
                     .write();
             if (!taken) {
-                // Perhaps it stops as well, or has not heard of this host: the next look chooses among those that stay.
-                offered.remove(batch.id());
+                // Perhaps it stops as well, or has not heard of this host: a later look chooses among those that stay.
+                context.loop().after(OFFER_AGAIN_MILLIS, () -> offered.remove(batch.id()));
             }
             if (taken) {
                 board.drop(batch.id());
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -83,8 +83,15 @@
         });
     }
 
-    /** Takes a batch that its owner gives to this host; the action gets whether that worked. */
+    /**
+     * Takes a batch that its owner gives to this host; the action gets whether that worked. An owner that has not heard of it
+     * in time offers the batch again.
+     */
     void takeOver(GatewayMessage.BatchHandOver handOver, Consumer<Boolean> then) {
+        if (board.find(handOver.batch()).isPresent()) {
+            then.accept(true);
+            return;
+        }
         if (context.stop().phase() != PlannedStop.Phase.SERVING || !taking.add(handOver.batch())) {
             then.accept(false);
             return;
