--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -38,6 +38,9 @@
     /** Messages of pipelined requests that may wait; more closes the connection. */
     private static final int MAX_WAITING_MESSAGES = 64;
 
+    /** How long a new connection is not idle yet: its first request is on the way. */
+    private static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private static final Lazy<Logger> LOG = Logs.of(ServerConnectionHandler.class);
 
     private final HttpHandler handler;
@@ -46,7 +49,9 @@
     private ServerCall call;
     private HttpBody body;
     private boolean bodyDone;
+    private boolean firstRequestCame;
     private boolean lastAnswerGiven;
+    private long acceptedNanos;
     private final BooleanSupplier closing;
     private final AtomicInteger unanswered;
     private ScheduledFuture<?> idleTimer;
@@ -71,6 +76,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
+        acceptedNanos = System.nanoTime();
         armIdleTimer(context);
         context.fireChannelActive();
     }
@@ -121,7 +127,8 @@
 
     /** Closes the connection unless a request is in progress on it; an answer that is still on its way goes out before. */
     void closeIfIdle(Channel connection) {
-        if (call == null) {
+        boolean isNew = !firstRequestCame && System.nanoTime() - acceptedNanos < FIRST_REQUEST_NANOS;
+        if (call == null && !isNew) {
             closeAfterFlush(connection);
         }
     }
@@ -175,6 +182,7 @@
 
     private void begin(ChannelHandlerContext context, HttpRequest request) {
         cancelIdleTimer();
+        firstRequestCame = true;
         unanswered.incrementAndGet();
         bodyDone = false;
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -226,8 +234,8 @@
     private void armIdleTimer(ChannelHandlerContext context) {
         cancelIdleTimer();
         Channel connection = context.channel();
-        idleTimer =
-                context.executor().schedule(() -> closeIfIdle(connection), limits.idleMillis(), TimeUnit.MILLISECONDS);
+        idleTimer = context.executor()
+                .schedule(() -> closeAfterFlush(connection), limits.idleMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void cancelIdleTimer() {
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -131,6 +131,38 @@
         }
     }
 
+    /** Guards against a caller whose connection is closed while its first request is on the way. */
+    @Test
+    void closingIdleConnectionsSparesOneThatHasJustBeenMade() throws IOException {
+        try (Socket caller = new Socket(address.ip(), address.port())) {
+            Loopback.await("the connection", () -> server.openConnections() == 1);
+            server.closeIdle();
+
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /one HTTP/1.1\r\nconnection: close\r\n\r\n"));
+
+            assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
+                    .contains("/one");
+        }
+    }
+
+    /** Guards against a stop that waits until the idle timeout for connections on which nothing comes. */
+    @Test
+    void closingIdleConnectionsClosesOneThatHadItsRequest() throws IOException {
+        Address patientAddress = Loopback.freeAddress();
+        HttpServer patient = HttpServer.start(group, patientAddress, HttpLimits.DEFAULT, this::handle);
+        try (patient;
+                Socket caller = new Socket(patientAddress.ip(), patientAddress.port())) {
+            caller.setSoTimeout(OUTCOME_MILLIS);
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /one HTTP/1.1\r\n\r\n"));
+            assertThat(caller.getInputStream().read()).isPositive();
+            Loopback.await("the answer", () -> patient.unanswered() == 0);
+
+            patient.closeIdle();
+
+            assertThat(caller.getInputStream().readAllBytes()).isNotEmpty();
+        }
+    }
+
     /** Guards against an answer that is cut since its connection counts as idle while its reader is still taking it. */
     @Test
     void closingIdleConnectionsCutsNoAnswerThatIsOnItsWay() throws IOException {
