--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -71,22 +71,22 @@
         if (phase == Phase.DRAINING && inProgress == 0) {
             phase = Phase.CLOSING;
         }
-        boolean begun = phase == Phase.DRAINING || phase == Phase.CLOSING;
-        boolean over = phase == Phase.CLOSING && inProgress == 0 && !reachable;
-        if (over || begun && elapsedNanos >= boundNanos) {
+        boolean graceOver = phase == Phase.DRAINING || phase == Phase.CLOSING;
+        boolean nothingLeft = phase == Phase.CLOSING && inProgress == 0 && !reachable;
+        if (nothingLeft || graceOver && elapsedNanos >= boundNanos) {
             phase = Phase.ENDED;
         }
         return phase;
     }
 
     /**
-     * Whether something that comes now is taken in.
+     * Whether a request that comes now is taken in.
      *
-     * @param longestMillis after which it is over, whatever happens
+     * @param allowedMillis how long the request may last at the most
      */
-    public boolean takes(long longestMillis, long nowNanos) {
+    public boolean takes(long allowedMillis, long nowNanos) {
         long leftNanos = boundNanos - (nowNanos - sinceNanos);
-        return takesNew() || leftNanos >= TimeUnit.MILLISECONDS.toNanos(longestMillis);
+        return takesAll() || leftNanos >= TimeUnit.MILLISECONDS.toNanos(allowedMillis);
     }
 
     /** The phase as last advanced. */
@@ -94,8 +94,8 @@
         return phase;
     }
 
-    /** Whether whatever comes is taken in. */
-    public boolean takesNew() {
+    /** Whether requests are taken in however long they may last: no stop was asked for, or its grace is not over. */
+    public boolean takesAll() {
         return phase == Phase.SERVING || phase == Phase.ANNOUNCED;
     }
 }
--- a/src/main/java/org/gooseberryhill/entry/JobCalls.java
+++ b/src/main/java/org/gooseberryhill/entry/JobCalls.java
@@ -54,7 +54,7 @@
     }
 
     private HttpBody submit(HttpCall call, String requestId, CallerSettings caller, JobKey key) {
-        if (!context.process().stop().takesNew()) {
+        if (!context.process().stop().takesAll()) {
             return refusing(call, requestId, ErrorCode.STOPPING, "this host is stopping");
         }
         String model = call.parameter("model").orElse("");
--- a/src/main/java/org/gooseberryhill/entry/OnlineCall.java
+++ b/src/main/java/org/gooseberryhill/entry/OnlineCall.java
@@ -145,7 +145,7 @@
     }
 
     private void admit() {
-        if (!process().stop().takesNew()) {
+        if (!process().stop().takesAll()) {
             reject(Refusal.notRun(ErrorCode.STOPPING, "this host is stopping", 1));
             return;
         }
--- a/src/main/java/org/gooseberryhill/gateway/DelayWatch.java
+++ b/src/main/java/org/gooseberryhill/gateway/DelayWatch.java
@@ -12,7 +12,7 @@
  */
 final class DelayWatch {
     /** Shorter delays are ordinary on a host with a share of one core. */
-    private static final long NOTICED_MILLIS = 200;
+    static final long NOTICED_MILLIS = 200;
 
     private final long periodMillis;
     private OptionalLong lastNanos = OptionalLong.empty();
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -64,8 +64,8 @@
     private static final long LOOK_MILLIS = 4000;
 
     /**
-     * How long connections that wait for a request are kept after a stop was asked for: the balancer asks each second and
-     * takes a host out after two answers.
+     * How long all requests are taken in and connections that wait are kept after a stop was asked for: the balancer asks
+     * each second and takes a host out after two answers. Half of the stop's bound if that is shorter.
      */
     private static final long STOP_GRACE_MILLIS = 2600;
 
@@ -106,6 +106,7 @@
     private final GatewayMessages messages;
     private final LogSink log = new LogSink();
     private final DelayWatch delayWatch = new DelayWatch(TICK_MILLIS);
+    private final TrafficDelay trafficDelay = new TrafficDelay(group, System::nanoTime, this::trafficDelayed);
     private final Readiness readiness;
     private final StopSequence stop;
     private final AtomicBoolean closed = new AtomicBoolean();
@@ -277,6 +278,7 @@
         context.loop().every(TICK_MILLIS, this::tick);
         context.loop().every(SLOW_TICK_MILLIS, this::slowTick);
         context.loop().every(BEAT_MILLIS, load::beat);
+        context.loop().every(BEAT_MILLIS, trafficDelay::measure);
         context.loop().every(LOG_FLUSH_MILLIS, log::flush);
         context.loop().every(LOOK_MILLIS, () -> takeover.look(true));
         // What an earlier process of this host left behind waits for nobody else.
@@ -288,16 +290,25 @@
                 .tick(context.nowNanos(), System.currentTimeMillis())
                 .ifPresent(delay -> context.timeline()
                         .event(EventKind.PROCESS_DELAYED)
+                        .with("thread", "control")
                         .with("millis", delay.millis())
                         .with("suspendedMillis", delay.suspendedMillis())
                         .write());
         views.tick();
         runner.takeEvents();
         runner.balance();
-        committer.tick(!context.stop().takesNew());
+        committer.tick(!context.stop().takesAll());
         updateReadiness();
     }
 
+    private void trafficDelayed(long millis) {
+        context.timeline()
+                .event(EventKind.PROCESS_DELAYED)
+                .with("thread", "traffic")
+                .with("millis", millis)
+                .write();
+    }
+
     private void slowTick() {
         takeover.tick();
         probes.tick();
--- a/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
@@ -15,7 +15,7 @@
     /** Another host takes it at once. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 10;
 
-    /** What comes so late in a stop that it might be cut. */
+    /** The refusal of what comes so late in a stop that it might be cut. */
     static final Refusal STOPPING =
             Refusal.notRun(ErrorCode.STOPPING, "this host is about to end", STOPPING_RETRY_AFTER_MILLIS);
 
--- a/src/main/java/org/gooseberryhill/gateway/StopSequence.java
+++ b/src/main/java/org/gooseberryhill/gateway/StopSequence.java
@@ -12,6 +12,9 @@
 final class StopSequence {
     private static final long CHECK_MILLIS = 25;
 
+    /** The end waits no longer for the host's key to be taken back: without that its lease runs out. */
+    private static final long RELEASE_MILLIS = 500;
+
     private final GatewayContext context;
     private final GatewayTraffic traffic;
     private final BatchRunner runner;
@@ -80,10 +83,14 @@
         if (phase == PlannedStop.Phase.ENDED) {
             runner.stopAll();
             registration.release(() -> end(inProgress));
+            context.loop().after(RELEASE_MILLIS, () -> end(inProgress));
         }
     }
 
     private void end(int inProgress) {
+        if (ended.isDone()) {
+            return;
+        }
         context.timeline()
                 .event(EventKind.PROCESS_ENDED)
                 .with("inProgress", inProgress)
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -1,8 +1,9 @@
 package org.gooseberryhill.http;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -10,10 +11,12 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /** Hands what comes on a client connection to the exchange that has it. Runs on the connection's event loop only. */
-final class ClientConnectionHandler extends SimpleChannelInboundHandler<HttpObject> {
+final class ClientConnectionHandler extends ChannelDuplexHandler {
     private ClientExchange exchange;
+    private boolean closedHere;
     private boolean keepAlive;
     private boolean passedOver;
     private boolean broken;
@@ -27,7 +30,21 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        closedHere = true;
+        context.close(promise);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            take(context, (HttpObject) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void take(ChannelHandlerContext context, HttpObject message) {
         if (exchange == null) {
             // Bytes that nobody asked for: the next exchange must never take them for its own answer.
             context.close();
@@ -59,9 +76,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        lost(LocalClose.reason(context.channel())
-                .map(reason -> "this host closed the connection: " + reason)
-                .orElse("the connection closed inside the answer"));
+        lost(
+                closedHere
+                        ? "this host closed the connection inside the answer"
+                        : "the connection closed inside the answer");
     }
 
     @Override
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -42,7 +42,7 @@
     @Override
     public void cancel() {
         cancelled = true;
-        whileOwned(connection -> LocalClose.close(connection, "the exchange was given up"));
+        whileOwned(Channel::close);
     }
 
     @Override
@@ -90,7 +90,6 @@
         }
         Channel connection = channel;
         connection.pipeline().get(ClientConnectionHandler.class).detach();
-        connection.config().setAutoRead(true);
         if (keepAlive && !cancelled) {
             client.keep(request.address(), connection);
         } else {
--- a/src/main/java/org/gooseberryhill/http/KeptConnections.java
+++ b/src/main/java/org/gooseberryhill/http/KeptConnections.java
@@ -44,7 +44,7 @@
         ConcurrentLinkedDeque<Channel> channels =
                 byAddress.computeIfAbsent(address, key -> new ConcurrentLinkedDeque<>());
         if (closed || channels.size() >= MAX_KEPT_PER_ADDRESS) {
-            LocalClose.close(channel, "enough connections are kept");
+            channel.close();
             return;
         }
         channel.attr(IDLE_SINCE).set(nowNanos);
@@ -67,7 +67,7 @@
                 channels.addFirst(channel);
                 return null;
             }
-            LocalClose.close(channel, "it was idle for too long");
+            channel.close();
             channel = channels.pollFirst();
         }
         return null;
@@ -84,15 +84,13 @@
     void drop(Address address) {
         ConcurrentLinkedDeque<Channel> channels = byAddress.remove(address);
         if (channels != null) {
-            channels.forEach(channel -> LocalClose.close(channel, "its address has another endpoint"));
+            channels.forEach(Channel::close);
         }
     }
 
     void close() {
         closed = true;
-        byAddress
-                .values()
-                .forEach(channels -> channels.forEach(channel -> LocalClose.close(channel, "the client is closed")));
+        byAddress.values().forEach(channels -> channels.forEach(Channel::close));
     }
 
     private static boolean isExpired(Channel channel, long nowNanos) {
--- a/src/main/java/org/gooseberryhill/http/StoppingServer.java
+++ b/src/main/java/org/gooseberryhill/http/StoppingServer.java
@@ -8,16 +8,21 @@
 
     /** Does what a phase of the stop asks of a server; called again and again until the stop is over. */
     public static void follow(HttpServer server, PlannedStop.Phase phase) {
-        if (phase == PlannedStop.Phase.SERVING) {
-            return;
+        switch (phase) {
+            case SERVING -> {
+                // Connections stay, and answers say so.
+            }
+            case ANNOUNCED -> server.closeAfterAnswers();
+            case DRAINING -> {
+                server.closeAfterAnswers();
+                server.closeIdle();
+            }
+            case CLOSING, ENDED -> {
+                server.closeAfterAnswers();
+                server.stopListening();
+                server.closeIdle();
+            }
+            default -> throw new IllegalStateException("unknown phase " + phase);
         }
-        server.closeAfterAnswers();
-        if (phase == PlannedStop.Phase.ANNOUNCED) {
-            return;
-        }
-        if (phase != PlannedStop.Phase.DRAINING) {
-            server.stopListening();
-        }
-        server.closeIdle();
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
+++ b/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
@@ -17,9 +17,9 @@
         stop.ask(0);
 
         assertThat(stop.advance(3, true, 400 * MILLI)).isEqualTo(Phase.ANNOUNCED);
-        assertThat(stop.takesNew()).isTrue();
+        assertThat(stop.takesAll()).isTrue();
         assertThat(stop.advance(3, true, 600 * MILLI)).isEqualTo(Phase.DRAINING);
-        assertThat(stop.takesNew()).isFalse();
+        assertThat(stop.takesAll()).isFalse();
         assertThat(stop.advance(1, true, 9000 * MILLI)).isEqualTo(Phase.DRAINING);
         assertThat(stop.advance(0, false, 9100 * MILLI)).isEqualTo(Phase.ENDED);
     }
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/gateway/TrafficDelayTest.java
@@ -0,0 +1,50 @@
+package org.gooseberryhill.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class TrafficDelayTest {
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private final List<Long> delays = new ArrayList<>();
+    private long nowNanos;
+    private final TrafficDelay delay = new TrafficDelay(tasks::add, () -> nowNanos, delays::add);
+
+    @Test
+    void aTrafficThreadThatIsLateIsNoticed() {
+        delay.measure();
+        runAfter(500);
+
+        assertThat(delays).containsExactly(500L);
+    }
+
+    @Test
+    void anOrdinaryDelayIsNotWorthALine() {
+        delay.measure();
+        runAfter(20);
+
+        assertThat(delays).isEmpty();
+    }
+
+    /** Guards against measurements that pile up in the queue of a thread which stands still. */
+    @Test
+    void onlyOneMeasurementWaitsAtATime() {
+        delay.measure();
+        delay.measure();
+        assertThat(tasks).hasSize(1);
+
+        runAfter(1);
+        delay.measure();
+        assertThat(tasks).hasSize(1);
+    }
+
+    private void runAfter(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        tasks.remove().run();
+    }
+}
--- a/src/test/java/org/gooseberryhill/http/EndedExchangeTest.java
+++ b/src/test/java/org/gooseberryhill/http/EndedExchangeTest.java
@@ -57,9 +57,9 @@
         assertThat(next.join().body()).isEqualTo(ascii("next"));
     }
 
-    /** Guards against a kept connection that is never read because its exchange ended while it was held back. */
+    /** Guards against a kept connection that is never read because its exchange was held back as its answer came whole. */
     @Test
-    void anExchangeThatEndsWhileItIsHeldBackLeavesItsConnectionReadable() throws InterruptedException {
+    void holdingAnExchangeBackAsItsAnswerComesWholeLeavesItsConnectionReadable() throws InterruptedException {
         EndListener listener = new EndListener();
         Exchange held = client.start(request(), listener);
         listener.onHead = () -> held.readAnswer(false);
