Keep one copy of a batch on its host

Results stood twice in a batch: 66 listed of 54 items.

Cause: a host that was started again takes its own earlier batch over by compare-and-set and reads it; before that was done the caller's resend found a record with this process as its owner and put the batch on the board. The copy that was read replaced it, without the twelve results that the first one had just committed, and listed them again. Two submissions of one batch that were kept by copies at one host in an outage of the store could do the same.

The board keeps the first copy; who comes second leaves his.

--- a/src/main/java/org/gooseberryhill/gateway/BatchBoard.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchBoard.java
@@ -12,7 +12,12 @@
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.host.HostId;
 
-/** The batches that this host owns, who waits for their results, and who owns others. For the control thread. */
+/**
+ * The batches that this host owns, who waits for their results, and who owns others. For the control thread.
+ *
+ * <p>Invariant: a batch stands here once from its adding to its dropping. A second copy would list again what the first one
+ * has committed.
+ */
 final class BatchBoard {
     /** Callers read results twice a second until they have all; each has some kilobytes, and a host owns many batches a day. */
     private static final long FREE_AFTER_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -22,9 +27,13 @@
     private final Map<String, HostId> owners = new HashMap<>();
     private final Map<String, Long> finishedSinceNanos = new HashMap<>();
 
-    void add(OwnedBatch batch) {
-        owned.put(batch.id(), batch);
+    /** Adds a batch that this host owns from now on; false if it has it already. */
+    boolean add(OwnedBatch batch) {
+        if (owned.putIfAbsent(batch.id(), batch) != null) {
+            return false;
+        }
         owners.remove(batch.id());
+        return true;
     }
 
     /** Another process owns the batch now. */
--- a/src/main/java/org/gooseberryhill/gateway/BatchIntake.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchIntake.java
@@ -209,7 +209,9 @@
     }
 
     private void own(Submission submission, BatchRecord record, long revision) {
-        board.add(new OwnedBatch(submission.id, record, revision, submission.items, List.of()));
+        if (!board.add(new OwnedBatch(submission.id, record, revision, submission.items, List.of()))) {
+            return;
+        }
         links.tellAll(new GatewayMessage.BatchNotice(submission.id));
         context.timeline()
                 .event(EventKind.BATCH_ACCEPTED)
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -208,7 +208,10 @@
 
     private void loaded(BatchStore.Stored taken, Loaded loaded) {
         taking.remove(taken.id());
-        board.add(loaded.batch);
+        if (!board.add(loaded.batch)) {
+            // Its caller has sent it again meanwhile.
+            return;
+        }
         context.timeline()
                 .event(EventKind.BATCH_TAKEN_OVER)
                 .job(taken.id())
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/gateway/BatchBoardTest.java
@@ -0,0 +1,48 @@
+package org.gooseberryhill.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.gooseberryhill.decision.requestbatch.BatchRecord;
+import org.gooseberryhill.decision.requestbatch.OwnedBatch;
+import org.gooseberryhill.host.HostId;
+import org.junit.jupiter.api.Test;
+
+class BatchBoardTest {
+    private final BatchBoard board = new BatchBoard();
+
+    /** Guards against results that stand twice since a batch comes again while its host is taking it over. */
+    @Test
+    void aBatchThatIsThereStaysWhenItIsAddedAgain() {
+        OwnedBatch first = batch();
+
+        assertThat(board.add(first)).isTrue();
+        assertThat(board.add(batch())).isFalse();
+
+        assertThat(board.find("b")).containsSame(first);
+    }
+
+    @Test
+    void aBatchThatWasDroppedMayBeAddedAgain() {
+        board.add(batch());
+        board.drop("b");
+        OwnedBatch later = batch();
+
+        assertThat(board.add(later)).isTrue();
+        assertThat(board.find("b")).containsSame(later);
+    }
+
+    @Test
+    void anOwnBatchHasNoOtherOwner() {
+        board.ownedBy("b", new HostId("other"));
+        board.add(batch());
+
+        assertThat(board.owner("b")).isEmpty();
+    }
+
+    private static OwnedBatch batch() {
+        BatchRecord record =
+                new BatchRecord("host", "/batch/new", "hash", "self", "start", 0, 1, 0, false, List.of(), 0);
+        return new OwnedBatch("b", record, 1, List.of(), List.of());
+    }
+}
