Read what has arrived on a connection before it is closed as idle

A caller's request lay unread on a kept connection for some 200 ms, as its host's traffic thread was late, and the connection was closed by the stop before the thread read it (seen by the soak as LOST 205 to 234 ms after the sending, while all gateways stopped at once). The close waits for the event loop's next round, which reads first.

--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.Closeable;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.gooseberryhill.link.Address;
@@ -24,6 +25,9 @@
 public final class HttpServer implements Closeable {
     private static final int LOW_WATER_BYTES = 64 * 1024;
 
+    /** Any delay has the event loop read what has arrived before it runs a task. */
+    private static final long READ_FIRST_MILLIS = 1;
+
     private final Channel listener;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger unanswered = new AtomicInteger();
@@ -72,12 +76,14 @@
         closingConnections = true;
     }
 
-    /** Closes the connections on which no request is in progress. */
+    /** Closes the connections on which no request is in progress; a request that has arrived is read before, and answered. */
     public void closeIdle() {
         for (Channel connection : connections) {
             ServerConnectionHandler handler = connection.pipeline().get(ServerConnectionHandler.class);
             if (handler != null) {
-                connection.eventLoop().execute(() -> handler.closeIfIdle(connection));
+                connection
+                        .eventLoop()
+                        .schedule(() -> handler.closeIfIdle(connection), READ_FIRST_MILLIS, TimeUnit.MILLISECONDS);
             }
         }
     }
