Let one question that waits long not fail the others of its connection

Hand-overs, relayed calls of the store and waiting reads failed together when one question to a host was not answered in its time: the connection was closed if nothing had come on it for that long, which is usual between two hosts that have little to say to each other.

A silent connection is asked a question now that every process answers at once, and is closed only if that is not answered within 0.3 s.

--- a/src/main/java/org/gooseberryhill/peer/PeerConnection.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerConnection.java
@@ -10,9 +10,11 @@
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
@@ -24,6 +26,9 @@
  * <p>Invariant: each question is answered, or failed when its connection ends; none waits on a lost connection.
  */
 final class PeerConnection {
+    /** How long a process may take for a question that it answers at once. */
+    private static final long PROBE_MILLIS = 300;
+
     private final Bootstrap bootstrap;
     private final Address address;
     private final HostId self;
@@ -71,21 +76,36 @@
     }
 
     /**
-     * Closes the connection if nothing has come on it for a time.
+     * Closes the connection if nothing has come on it for a time and a question that is answered at once is not answered
+     * either: one question that waits long must not fail the others.
      *
      * <p>Failure: an open connection goes silent for good without a reset, and each later question waits in vain, while a
      * new connection would work.
      */
-    synchronized void closeIfSilent(long silentMillis) {
-        if (connecting == null || !connecting.isDone()) {
+    void closeUnlessAlive(long silentMillis) {
+        Optional<Channel> suspect = silentChannel(silentMillis);
+        if (suspect.isEmpty()) {
             return;
         }
-        ReplyHandler replies = connecting.channel().pipeline().get(ReplyHandler.class);
-        boolean silent = replies == null
-                || System.nanoTime() - replies.lastReadNanos >= TimeUnit.MILLISECONDS.toNanos(silentMillis);
-        if (silent) {
-            connecting.channel().close();
+        CompletableFuture<PeerMessage> probe = new CompletableFuture<>();
+        send(suspect.get(), new PeerMessage.Ack(), probe);
+        probe.orTimeout(PROBE_MILLIS, TimeUnit.MILLISECONDS).whenComplete((reply, failure) -> {
+            if (failure instanceof TimeoutException) {
+                suspect.get().close();
+            }
+        });
+    }
+
+    /** The present connection if nothing has come on it for a time. */
+    private synchronized Optional<Channel> silentChannel(long silentMillis) {
+        if (connecting == null || !connecting.isDone()) {
+            return Optional.empty();
         }
+        Channel channel = connecting.channel();
+        ReplyHandler replies = channel.pipeline().get(ReplyHandler.class);
+        boolean silent = replies != null
+                && System.nanoTime() - replies.lastReadNanos >= TimeUnit.MILLISECONDS.toNanos(silentMillis);
+        return silent ? Optional.of(channel) : Optional.empty();
     }
 
     synchronized void close() {
