Examine a peer connection whenever a question on it was not answered in its time

Cause: a connection was examined only if nothing had come on it for as long as the question had waited, counted from the making of the connection. A question is timed from its asking, which is earlier by the time that connecting takes. So a question that opened the connection never had it examined, and if it was still connecting then, neither. Unless another question timed out later, a connection that went silent stayed in use. On a fast machine the two moments fell together and the test passed.

Change: the time of the last reading plays no part any more. Each question that was not answered in its time has its connection asked something that is answered at once, after it is made if need be.

--- a/src/main/java/org/gooseberryhill/peer/PeerClient.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerClient.java
@@ -53,7 +53,7 @@
                 .orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .whenComplete((reply, failure) -> {
                     if (failure instanceof TimeoutException) {
-                        connection.closeUnlessAlive(timeoutMillis);
+                        connection.closeUnlessAlive();
                     }
                 })
                 .thenApply(PeerClient::requireServed);
--- a/src/main/java/org/gooseberryhill/peer/PeerConnection.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerConnection.java
@@ -76,44 +76,35 @@
     }
 
     /**
-     * Closes the connection if nothing has come on it for a time and a question that is answered at once is not answered
-     * either: one question that waits long must not fail the others.
+     * Asks a question that is answered at once, and closes the connection if the answer does not come: one question that
+     * waits long must not fail the others.
      *
      * <p>Failure: an open connection goes silent for good without a reset, and each later question waits in vain, while a
      * new connection would work.
      */
-    void closeUnlessAlive(long silentMillis) {
-        Optional<Channel> suspect = silentChannel(silentMillis);
-        if (suspect.isEmpty()) {
-            return;
-        }
+    void closeUnlessAlive() {
+        latestConnection()
+                .ifPresent(latest -> latest.addListener(done -> {
+                    if (done.isSuccess()) {
+                        probe(latest.channel());
+                    }
+                }));
+    }
+
+    void close() {
+        latestConnection().ifPresent(latest -> latest.channel().close());
+    }
+
+    private void probe(Channel channel) {
         CompletableFuture<PeerMessage> probe = new CompletableFuture<>();
-        send(suspect.get(), new PeerMessage.Ack(), probe);
+        send(channel, new PeerMessage.Ack(), probe);
         probe.orTimeout(PROBE_MILLIS, TimeUnit.MILLISECONDS).whenComplete((reply, failure) -> {
             if (failure instanceof TimeoutException) {
-                suspect.get().close();
+                channel.close();
             }
         });
     }
 
-    /** The present connection if nothing has come on it for a time. */
-    private synchronized Optional<Channel> silentChannel(long silentMillis) {
-        if (connecting == null || !connecting.isDone()) {
-            return Optional.empty();
-        }
-        Channel channel = connecting.channel();
-        ReplyHandler replies = channel.pipeline().get(ReplyHandler.class);
-        boolean silent = replies != null
-                && System.nanoTime() - replies.lastReadNanos >= TimeUnit.MILLISECONDS.toNanos(silentMillis);
-        return silent ? Optional.of(channel) : Optional.empty();
-    }
-
-    synchronized void close() {
-        if (connecting != null) {
-            connecting.channel().close();
-        }
-    }
-
     private void send(Channel channel, PeerMessage message, CompletableFuture<PeerMessage> future) {
         ReplyHandler replies = channel.pipeline().get(ReplyHandler.class);
         if (replies == null) {
@@ -131,6 +122,10 @@
                 });
     }
 
+    private synchronized Optional<ChannelFuture> latestConnection() {
+        return Optional.ofNullable(connecting);
+    }
+
     private synchronized ChannelFuture currentConnection() {
         boolean usable = connecting != null
                 && (!connecting.isDone() || connecting.channel().isActive());
@@ -143,11 +138,9 @@
     /** Pairs replies with questions. */
     private final class ReplyHandler extends SimpleChannelInboundHandler<PeerFrame> {
         private final Map<Long, CompletableFuture<PeerMessage>> waiting = new ConcurrentHashMap<>();
-        private volatile long lastReadNanos = System.nanoTime();
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
-            lastReadNanos = System.nanoTime();
             clock.observe(frame.at());
             CompletableFuture<PeerMessage> future = waiting.remove(frame.number());
             if (future != null) {
--- a/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
@@ -4,8 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.host.HostId;
@@ -28,12 +31,14 @@
     private volatile boolean silent;
     private final PeerServer server =
             new PeerServer(group, new HostId("server"), address, clock, new PeerTraffic(), this::answer);
-    private final PeerClient client = new PeerClient(group, new HostId("client"), clock);
+    private final EventLoopGroup clientGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final PeerClient client = new PeerClient(clientGroup, new HostId("client"), clock);
 
     @AfterEach
     void close() {
         client.close();
         server.close();
+        clientGroup.shutdownGracefully();
         group.shutdownGracefully();
     }
 
@@ -60,6 +65,20 @@
         assertThatThrownBy(patient::join).hasMessageContaining("lost the connection");
     }
 
+    /** Guards against a silent connection that stays in use since it was made after the question that was not answered. */
+    @Test
+    void aConnectionThatIsMadeAfterAQuestionHasTimedOutIsGivenUpIfItAnswersNothing() {
+        silent = true;
+        CountDownLatch timedOut = new CountDownLatch(1);
+        clientGroup.execute(() -> awaitUninterruptibly(timedOut));
+        CompletableFuture<PeerMessage> patient = ask("slow", LONG_MILLIS);
+
+        assertThatThrownBy(() -> ask("never", SHORT_MILLIS).join()).hasMessageContaining("Timeout");
+        timedOut.countDown();
+
+        assertThatThrownBy(patient::join).hasMessageContaining("lost the connection");
+    }
+
     private CompletableFuture<PeerMessage> ask(String batch, long timeoutMillis) {
         return client.ask(address, PeerLane.CONTROL, new GatewayMessage.BatchEndAsk(batch), timeoutMillis);
     }
@@ -74,4 +93,12 @@
         }
         return new CompletableFuture<>();
     }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
