Answer the probe of a peer connection on the traffic thread

A host asks another one a question over a connection that it suspects to be silent, and closes the connection if the answer is overdue. That question was answered by the other host's control thread. A control thread that lags for longer than the probe may take, as one on a small host does after a change of the configuration, so failed all questions of the connection: hand-overs, calls of the store made for other hosts, waiting reads. What had failed counts as unknown and is tried again, at a host that lags already.

Class: a time-out that judges one thing (the connection) by another (how far the other process is with its decisions).

Change: a message of its own, answered before it reaches the process's handler. The limit of the probe is passed in, so that its tests decide by order and no longer by time: the answer to a later question shows that the probe's has come. The silent host of the tests is a socket that nobody reads, in place of a handler that answers nothing, which is now the case that a connection has to outlive.

--- a/src/main/java/org/gooseberryhill/peer/CompactForms.java
+++ b/src/main/java/org/gooseberryhill/peer/CompactForms.java
@@ -84,7 +84,12 @@
                         23,
                         PeerMessage.Failed.class,
                         (failed, packer) -> packer.packString(failed.reason()),
-                        unpacker -> new PeerMessage.Failed(unpacker.unpackString())));
+                        unpacker -> new PeerMessage.Failed(unpacker.unpackString())),
+                new CompactForm<>(
+                        24,
+                        PeerMessage.ConnectionProbe.class,
+                        (probe, packer) -> {},
+                        unpacker -> new PeerMessage.ConnectionProbe()));
     }
 
     private static void writeReport(GatewayMessage.InFlightReport report, MessagePacker packer) throws IOException {
--- a/src/main/java/org/gooseberryhill/peer/PeerClient.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerClient.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.LongAdder;
@@ -23,17 +24,31 @@
 public final class PeerClient implements Closeable {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
+    /** How long the answer to a {@link PeerMessage.ConnectionProbe} may take. */
+    private static final long PROBE_MILLIS = 300;
+
     private final HostId self;
     private final HybridClock clock;
     private final Bootstrap bootstrap;
     private final Map<Target, PeerConnection> connections = new ConcurrentHashMap<>();
     private final PeerTraffic traffic = new PeerTraffic();
     private final LongAdder sentMessages = new LongAdder();
+    private final Executor probeLimit;
 
     /** A client on the process's traffic threads. */
     public PeerClient(EventLoopGroup group, HostId self, HybridClock clock) {
+        this(group, self, clock, CompletableFuture.delayedExecutor(PROBE_MILLIS, TimeUnit.MILLISECONDS, group));
+    }
+
+    /**
+     * A client on some traffic threads.
+     *
+     * @param probeLimit runs what it is given when the answer to a probe of a connection is overdue
+     */
+    PeerClient(EventLoopGroup group, HostId self, HybridClock clock, Executor probeLimit) {
         this.self = self;
         this.clock = clock;
+        this.probeLimit = probeLimit;
         this.bootstrap = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -91,7 +106,8 @@
     private PeerConnection connection(Address address, PeerLane lane) {
         sentMessages.increment();
         return connections.computeIfAbsent(
-                new Target(address, lane), target -> new PeerConnection(bootstrap, address, self, clock, traffic));
+                new Target(address, lane),
+                target -> new PeerConnection(bootstrap, address, self, clock, traffic, probeLimit));
     }
 
     private static byte[] encoded(PeerFrame frame) {
--- a/src/main/java/org/gooseberryhill/peer/PeerConnection.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerConnection.java
@@ -13,8 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
@@ -26,18 +25,27 @@
  * <p>Invariant: each question is answered, or failed when its connection ends; none waits on a lost connection.
  */
 final class PeerConnection {
-    /** How long a process may take for a question that it answers at once. */
-    private static final long PROBE_MILLIS = 300;
-
     private final Bootstrap bootstrap;
     private final Address address;
     private final HostId self;
     private final HybridClock clock;
     private final PeerTraffic traffic;
+    private final Executor probeLimit;
     private final AtomicLong numbers = new AtomicLong();
     private ChannelFuture connecting;
 
-    PeerConnection(Bootstrap bootstrap, Address address, HostId self, HybridClock clock, PeerTraffic traffic) {
+    /**
+     * A connection that is made when it is first used.
+     *
+     * @param probeLimit runs what it is given when an answer to a {@link PeerMessage.ConnectionProbe} is overdue
+     */
+    PeerConnection(
+            Bootstrap bootstrap,
+            Address address,
+            HostId self,
+            HybridClock clock,
+            PeerTraffic traffic,
+            Executor probeLimit) {
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -49,6 +57,7 @@
         this.self = self;
         this.clock = clock;
         this.traffic = traffic;
+        this.probeLimit = probeLimit;
     }
 
     CompletableFuture<PeerMessage> ask(PeerMessage message) {
@@ -76,8 +85,8 @@
     }
 
     /**
-     * Asks a question that is answered at once, and closes the connection if the answer does not come: one question that
-     * waits long must not fail the others.
+     * Probes the connection, and closes it if the answer does not come: one question that waits long must not fail the
+     * others.
      *
      * <p>Failure: an open connection goes silent for good without a reset, and each later question waits in vain, while a
      * new connection would work.
@@ -96,10 +105,10 @@
     }
 
     private void probe(Channel channel) {
-        CompletableFuture<PeerMessage> probe = new CompletableFuture<>();
-        send(channel, new PeerMessage.Ack(), probe);
-        probe.orTimeout(PROBE_MILLIS, TimeUnit.MILLISECONDS).whenComplete((reply, failure) -> {
-            if (failure instanceof TimeoutException) {
+        CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+        send(channel, new PeerMessage.ConnectionProbe(), reply);
+        probeLimit.execute(() -> {
+            if (!reply.isDone()) {
                 channel.close();
             }
         });
--- a/src/main/java/org/gooseberryhill/peer/PeerMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerMessage.java
@@ -25,6 +25,7 @@
 @JsonSubTypes({
     @JsonSubTypes.Type(value = PeerMessage.Ack.class, name = "ack"),
     @JsonSubTypes.Type(value = PeerMessage.Failed.class, name = "fail"),
+    @JsonSubTypes.Type(value = PeerMessage.ConnectionProbe.class, name = "probe"),
     @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
     @JsonSubTypes.Type(value = PeerMessage.ProbeThrough.class, name = "via"),
     @JsonSubTypes.Type(value = PeerMessage.ConfigurationPush.class, name = "cfg"),
@@ -73,6 +74,12 @@
     /** A request was taken in. */
     record Ack() implements PeerMessage {}
 
+    /**
+     * Asks whether the connection is alive. The other process's traffic thread answers it: what the process decides, and how
+     * long that takes, says nothing of the connection.
+     */
+    record ConnectionProbe() implements PeerMessage {}
+
     /**
      * A request could not be served.
      *
--- a/src/main/java/org/gooseberryhill/peer/PeerServer.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerServer.java
@@ -71,15 +71,22 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
             clock.observe(frame.at());
+            if (frame.message() instanceof PeerMessage.ConnectionProbe) {
+                reply(context, frame, new PeerMessage.Ack());
+                return;
+            }
             handler.handle(frame.from(), frame.message()).whenComplete((reply, failure) -> {
                 if (frame.number() == PeerFrame.NO_REPLY) {
                     return;
                 }
-                PeerMessage answer = failure == null ? reply : new PeerMessage.Failed(String.valueOf(failure));
-                context.writeAndFlush(new PeerFrame(frame.number(), true, clock.now(), self, answer));
+                reply(context, frame, failure == null ? reply : new PeerMessage.Failed(String.valueOf(failure)));
             });
         }
 
+        private void reply(ChannelHandlerContext context, PeerFrame question, PeerMessage answer) {
+            context.writeAndFlush(new PeerFrame(question.number(), true, clock.now(), self, answer));
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             LOG.get().debug("peer connection failed: {}", cause.toString());
--- a/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
@@ -6,10 +6,14 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
@@ -19,20 +23,17 @@
 
 class PeerClientTest {
     private static final long SHORT_MILLIS = 200;
-    private static final long LONG_MILLIS = 10_000;
-
-    /** Longer than a connection that does not answer is kept. */
-    private static final long LATER_MILLIS = 1000;
+    private static final long LONG_MILLIS = 30_000;
 
     private final EventLoopGroup group = Loopback.group();
+    private final EventLoopGroup clientGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Address address = Loopback.freeAddress();
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
     private final CompletableFuture<PeerMessage> slowAnswer = new CompletableFuture<>();
-    private volatile boolean silent;
     private final PeerServer server =
             new PeerServer(group, new HostId("server"), address, clock, new PeerTraffic(), this::answer);
-    private final EventLoopGroup clientGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final PeerClient client = new PeerClient(clientGroup, new HostId("client"), clock);
+    private final Queue<Runnable> overdueProbes = new ConcurrentLinkedQueue<>();
+    private final PeerClient client = new PeerClient(clientGroup, new HostId("client"), clock, overdueProbes::add);
 
     @AfterEach
     void close() {
@@ -45,53 +46,86 @@
     /** Guards against questions that fail since another one on their connection was not answered in its time. */
     @Test
     void aQuestionThatTimesOutDoesNotFailTheOthersOnItsConnection() {
-        CompletableFuture<PeerMessage> patient = ask("slow", LONG_MILLIS);
-        assertThatThrownBy(() -> ask("never", SHORT_MILLIS).join()).hasMessageContaining("Timeout");
+        CompletableFuture<PeerMessage> patient = ask(address, "slow", LONG_MILLIS);
 
-        group.schedule(
-                () -> slowAnswer.complete(new GatewayMessage.BatchEnded(true)), LATER_MILLIS, TimeUnit.MILLISECONDS);
+        assertTimesOut(ask(address, "never", SHORT_MILLIS));
+        // The answer to this one comes after the answer to the probe.
+        ask(address, "at once", LONG_MILLIS).join();
+        probeIsOverdue();
 
+        slowAnswer.complete(new GatewayMessage.BatchEnded(true));
         assertThat(patient.join()).isEqualTo(new GatewayMessage.BatchEnded(true));
     }
 
+    /** Guards against questions that fail since the other process decides nothing for a while. */
+    @Test
+    void aProbeIsAnsweredThoughTheProcessAnswersNothingElse() {
+        CompletableFuture<PeerMessage> patient = ask(address, "slow", LONG_MILLIS);
+
+        CompletableFuture<PeerMessage> probe =
+                client.ask(address, PeerLane.CONTROL, new PeerMessage.ConnectionProbe(), LONG_MILLIS);
+
+        assertThat(probe.join()).isEqualTo(new PeerMessage.Ack());
+        assertThat(patient).isNotDone();
+    }
+
     /** Guards against a connection that went silent without a reset and is used for ever. */
     @Test
-    void aConnectionThatAnswersNothingIsGivenUp() {
-        silent = true;
-        CompletableFuture<PeerMessage> patient = ask("slow", LONG_MILLIS);
+    void aConnectionThatAnswersNothingIsGivenUp() throws IOException {
+        try (ServerSocket silent = silentServer()) {
+            CompletableFuture<PeerMessage> patient = ask(addressOf(silent), "slow", LONG_MILLIS);
 
-        assertThatThrownBy(() -> ask("never", SHORT_MILLIS).join()).hasMessageContaining("Timeout");
+            assertTimesOut(ask(addressOf(silent), "never", SHORT_MILLIS));
+            probeIsOverdue();
 
-        assertThatThrownBy(patient::join).hasMessageContaining("lost the connection");
+            assertThatThrownBy(patient::join).hasMessageContaining("lost the connection");
+        }
     }
 
     /** Guards against a silent connection that stays in use since it was made after the question that was not answered. */
     @Test
-    void aConnectionThatIsMadeAfterAQuestionHasTimedOutIsGivenUpIfItAnswersNothing() {
-        silent = true;
-        CountDownLatch timedOut = new CountDownLatch(1);
-        clientGroup.execute(() -> awaitUninterruptibly(timedOut));
-        CompletableFuture<PeerMessage> patient = ask("slow", LONG_MILLIS);
+    void aConnectionThatIsMadeAfterAQuestionHasTimedOutIsGivenUpIfItAnswersNothing() throws IOException {
+        try (ServerSocket silent = silentServer()) {
+            CountDownLatch timedOut = new CountDownLatch(1);
+            clientGroup.execute(() -> awaitUninterruptibly(timedOut));
+            CompletableFuture<PeerMessage> patient = ask(addressOf(silent), "slow", LONG_MILLIS);
 
-        assertThatThrownBy(() -> ask("never", SHORT_MILLIS).join()).hasMessageContaining("Timeout");
-        timedOut.countDown();
+            assertTimesOut(ask(addressOf(silent), "never", SHORT_MILLIS));
+            timedOut.countDown();
+            probeIsOverdue();
 
-        assertThatThrownBy(patient::join).hasMessageContaining("lost the connection");
+            assertThatThrownBy(patient::join).hasMessageContaining("lost the connection");
+        }
     }
 
-    private CompletableFuture<PeerMessage> ask(String batch, long timeoutMillis) {
-        return client.ask(address, PeerLane.CONTROL, new GatewayMessage.BatchEndAsk(batch), timeoutMillis);
+    private CompletableFuture<PeerMessage> ask(Address target, String batch, long timeoutMillis) {
+        return client.ask(target, PeerLane.CONTROL, new GatewayMessage.BatchEndAsk(batch), timeoutMillis);
     }
 
     private CompletionStage<PeerMessage> answer(HostId from, PeerMessage message) {
-        if (message instanceof GatewayMessage.BatchEndAsk question
-                && question.batch().equals("slow")) {
-            return slowAnswer;
-        }
-        if (message instanceof PeerMessage.Ack && !silent) {
-            return CompletableFuture.completedFuture(new PeerMessage.Ack());
-        }
-        return new CompletableFuture<>();
+        return switch (((GatewayMessage.BatchEndAsk) message).batch()) {
+            case "slow" -> slowAnswer;
+            case "never" -> new CompletableFuture<>();
+            default -> CompletableFuture.completedFuture(new GatewayMessage.BatchEnded(false));
+        };
+    }
+
+    private void probeIsOverdue() {
+        Loopback.await("a probe", () -> !overdueProbes.isEmpty());
+        overdueProbes.remove().run();
+    }
+
+    private static void assertTimesOut(CompletableFuture<PeerMessage> question) {
+        assertThatThrownBy(question::join).hasMessageContaining("Timeout");
+    }
+
+    /** A server whose connections are made by the system and read by nobody. */
+    private static ServerSocket silentServer() throws IOException {
+        return new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+    }
+
+    private static Address addressOf(ServerSocket socket) {
+        return new Address(socket.getInetAddress().getHostAddress(), socket.getLocalPort());
     }
 
     private static void awaitUninterruptibly(CountDownLatch latch) {
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -37,6 +37,7 @@
         return Stream.of(
                 new PeerMessage.Ack(),
                 new PeerMessage.Failed("why"),
+                new PeerMessage.ConnectionProbe(),
                 new PeerMessage.Heartbeat(3, true, 9, List.of(new Rumor(HOST, HostState.SUSPECT, 4)), Map.of("s", 5L)),
                 new PeerMessage.ProbeThrough(HOST),
                 new PeerMessage.ConfigurationPush(7, "text\n"),
