Take over a batch that is offered to a host with an older copy of it

What callers saw, had it come: for a second or more nobody runs a batch whose owner is stopped, and what its items had generated since the last write is generated again.

Cause: a host answered an offered batch with "taken" when it had a copy of it. That is right where it took the batch and its first reply was late. It is wrong for a host that was suspended while another one took the batch from it: its copy is older than the offer. The owner drops the batch, and the older copy is dropped with its next write, which is refused.

Class: presence taken for a right.

Change: taken is only what this host has written the record of later than the offer. An older copy is dropped, as when a listing shows the later record, and the batch is taken with the progress that came with the offer. A host that is stopped says no unless it has taken the batch before.

--- a/src/main/java/org/gooseberryhill/gateway/BatchBoard.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchBoard.java
@@ -46,6 +46,11 @@
         return Optional.ofNullable(owned.get(id));
     }
 
+    /** Whether this host owns the batch by a write of its record that is later than a revision. */
+    boolean hasWritten(String id, long revision) {
+        return find(id).filter(batch -> batch.recordRevision() > revision).isPresent();
+    }
+
     Collection<OwnedBatch> batches() {
         return List.copyOf(owned.values());
     }
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -85,29 +85,35 @@
 
     /**
      * Takes a batch that its owner gives to this host; the action gets whether that worked. An owner that has not heard of it
-     * in time offers the batch again.
+     * in time offers the batch again. A copy from before the offer is no sign that it was taken: its host was suspended while
+     * another one took the batch from it.
      */
     void takeOver(GatewayMessage.BatchHandOver handOver, Consumer<Boolean> then) {
-        if (board.find(handOver.batch()).isPresent()) {
+        BatchStore.Stored offered = new BatchStore.Stored(handOver.batch(), handOver.record(), handOver.revision());
+        if (board.hasWritten(offered.id(), offered.revision())) {
             then.accept(true);
             return;
         }
-        if (context.stop().phase() != PlannedStop.Phase.SERVING || !taking.add(handOver.batch())) {
+        dropIfChangedElsewhere(offered);
+        boolean mayTake = context.stop().phase() == PlannedStop.Phase.SERVING
+                && board.find(offered.id()).isEmpty();
+        if (!mayTake || !taking.add(offered.id())) {
             then.accept(false);
             return;
         }
-        take(
-                new BatchStore.Stored(handOver.batch(), handOver.record(), handOver.revision()),
-                Optional.of(handOver.progress()),
-                then);
+        take(offered, Optional.of(handOver.progress()), then);
     }
 
-    private void consider(BatchStore.Stored found) {
-        BatchRecord record = found.record();
-        // One that is not recorded yet is still being written by this host, which learns what became of that by itself.
+    /** A copy that is not recorded yet is still being written by this host, which learns what became of that by itself. */
+    private void dropIfChangedElsewhere(BatchStore.Stored found) {
         board.find(found.id())
                 .filter(owned -> owned.isRecorded() && found.revision() > owned.recordRevision())
                 .ifPresent(owned -> onChangedElsewhere.accept(found));
+    }
+
+    private void consider(BatchStore.Stored found) {
+        BatchRecord record = found.record();
+        dropIfChangedElsewhere(found);
         if (record.isFinished() || board.find(found.id()).isPresent() || taking.contains(found.id())) {
             return;
         }
--- a/src/test/java/org/gooseberryhill/gateway/BatchBoardTest.java
+++ b/src/test/java/org/gooseberryhill/gateway/BatchBoardTest.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.Test;
 
 class BatchBoardTest {
+    private static final long REVISION = 5;
+
     private final BatchBoard board = new BatchBoard();
 
     /** Guards against results that stand twice since a batch comes again while its host is taking it over. */
@@ -40,9 +42,18 @@
         assertThat(board.owner("b")).isEmpty();
     }
 
+    @Test
+    void onlyALaterWriteThanARevisionCounts() {
+        board.add(batch());
+
+        assertThat(board.hasWritten("b", REVISION - 1)).isTrue();
+        assertThat(board.hasWritten("b", REVISION)).isFalse();
+        assertThat(board.hasWritten("other", 0)).isFalse();
+    }
+
     private static OwnedBatch batch() {
         BatchRecord record =
                 new BatchRecord("host", "/batch/new", "hash", "self", "start", 0, 1, 0, false, List.of(), 0);
-        return new OwnedBatch("b", record, 1, List.of(), List.of());
+        return new OwnedBatch("b", record, REVISION, List.of(), List.of());
     }
 }
