Look for silence only while an endpoint has the request

Callers saw nothing of it yet; found by comparing DispatchCore.mayGoElsewhere with attemptFailed. A stream whose caller has a part of the answer waits for an endpoint while all are full, 50 ms a time. The look for silence of its attempt that has ended still runs then, and attemptFailed takes the number of that attempt for the present one. If an endpoint is free again at the look, the request is sent as after a silence that nobody kept, and sent once more when the wait is over: two endpoints run it at one time, and the first of the two counts as busy for ever, since its end is never told.

Cause: mayGoElsewhere did not ask whether any endpoint has the request.

DispatchCoreTest.aRequestThatWaitsForAnEndpointHasNoneThatIsSilent failed before (true for a request that waits). The two sends were found by reading; they need an endpoint that becomes free between two looks 50 ms apart, and were not brought about over the wire.

--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -107,9 +107,12 @@
 
     /**
      * Whether a stream whose endpoint is silent may go on at another one: it may be resumed, a further attempt is allowed, and
-     * there is an endpoint for it.
+     * there is an endpoint for it. False while no endpoint has it.
      */
     public boolean mayGoElsewhere(RoutedRequest request, long nowNanos) {
+        if (request.endpoint().isEmpty()) {
+            return false;
+        }
         Route route = request.intake().route();
         boolean allowed = route.isRepeatable()
                 && request.runs() + 1 < route.maxAttempts()
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchCoreTest.java
@@ -337,4 +337,19 @@
                 .as("no other endpoint")
                 .isFalse();
     }
+
+    /** Guards against a request that is sent twice at one time: as a silent one while it waits to be sent again. */
+    @Test
+    void aRequestThatWaitsForAnEndpointHasNoneThatIsSilent() {
+        DispatchFixture pair = new DispatchFixture(2);
+        RoutedRequest request = pair.arrive(DispatchFixture.route(RouteKind.STREAM, true, 4));
+        pair.first(request);
+        request.answerBegun();
+        pair.failed(request, AttemptEnd.CUT);
+        DispatchDecision decision = pair.failed(request, AttemptEnd.BUSY);
+        assertThat(decision).isInstanceOf(DispatchDecision.Wait.class);
+        pair.pass(((DispatchDecision.Wait) decision).millis());
+
+        assertThat(pair.core.mayGoElsewhere(request, pair.nowNanos)).isFalse();
+    }
 }
