Ask whether a silent stream may go elsewhere as its refusal is decided

Callers of a resumable stream could have their answer cut though its endpoint was only silent for 0.7 s: the stream had begun, other hosts told of two crashes of equal requests meanwhile, mayGoElsewhere said yes, and attemptFailed, asked next, refused it as quarantined.

Cause: two lists of the same conditions, which had grown apart. Compared one by one, they differed in - quarantine, which only attemptFailed asked for; - an answer that has begun and can't be resumed, which only attemptFailed gives up (a safe request whose answer is large; no look for silence is made for these now); - sends: 6 in one, 20 in the other once the caller has a part of the answer, so that such a stream stayed though it could go on; - whether the answer has begun, which the look did not pass on to the core. Attempts, time left and the endpoints left out were alike. Where attemptFailed waits for an endpoint, mayGoElsewhere said no before, too.

Both ask one function now, over the progress that the request would have after the silence (RequestProgress).

Tests: DispatchCoreTest.aStreamInQuarantineStaysWithItsSilentEndpoint and anAnswerThatCannotBeResumedStaysWithItsSilentEndpointOnceItHasBegun failed before (true, false expected).

--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -94,31 +94,24 @@
     /** An attempt ended without the whole answer: another endpoint, or the final answer. */
     public DispatchDecision attemptFailed(RoutedRequest request, AttemptEnd end, long nowNanos) {
         attemptEnded(request, end, nowNanos);
-        Optional<Refusal> refusal = giveUp(request, end, nowNanos);
+        Optional<Refusal> refusal = giveUp(request, request.progress(), end, nowNanos);
         if (refusal.isPresent()) {
             return new DispatchDecision.Refuse(refusal.get());
         }
-        Optional<Refusal> quarantined = refuseQuarantined(request, nowNanos);
-        if (quarantined.isPresent()) {
-            return new DispatchDecision.Refuse(quarantined.get());
-        }
         return another(request, nowNanos);
     }
 
     /**
-     * Whether a stream whose endpoint is silent may go on at another one: it may be resumed, a further attempt is allowed, and
-     * there is an endpoint for it. False while no endpoint has it.
+     * Whether a request whose endpoint is silent may go on at another one: {@link #attemptFailed} with {@link
+     * AttemptEnd#SILENT} would send it at this moment. False while no endpoint has it.
      */
     public boolean mayGoElsewhere(RoutedRequest request, long nowNanos) {
         if (request.endpoint().isEmpty()) {
             return false;
         }
-        Route route = request.intake().route();
-        boolean allowed = route.isRepeatable()
-                && request.runs() + 1 < route.maxAttempts()
-                && request.sends() < MAX_SENDS
-                && request.leftMillis(nowNanos) >= MIN_LEFT_MILLIS;
-        return allowed && chooseOther(request, nowNanos).isPresent();
+        RequestProgress afterSilence = request.progress().after(AttemptEnd.SILENT);
+        return giveUp(request, afterSilence, AttemptEnd.SILENT, nowNanos).isEmpty()
+                && chooseOther(request, nowNanos).isPresent();
     }
 
     /** The time of a {@link DispatchDecision.Wait} is over. */
@@ -162,25 +155,26 @@
         });
     }
 
-    private Optional<Refusal> giveUp(RoutedRequest request, AttemptEnd end, long nowNanos) {
-        boolean mayHaveRun = request.outcome() == Outcome.MAY_HAVE_RUN;
-        if (mayHaveRun && !request.intake().route().isRepeatable()) {
+    /** Why there is no further attempt after one that ended; empty if there may be one. */
+    private Optional<Refusal> giveUp(RoutedRequest request, RequestProgress progress, AttemptEnd end, long nowNanos) {
+        Route route = request.intake().route();
+        if (progress.outcome() == Outcome.MAY_HAVE_RUN && !route.isRepeatable()) {
             return Optional.of(Refusal.mayHaveRun(
                     ErrorCode.ENDPOINT_FAILED, "the endpoint failed after the request was sent; it is not repeated"));
         }
-        if (request.isAnswerBegun() && !request.intake().route().resumable()) {
+        if (progress.answerBegun() && !route.resumable()) {
             return Optional.of(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the answer was cut"));
         }
         if (request.leftMillis(nowNanos) < MIN_LEFT_MILLIS) {
             return Optional.of(refusal(request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for another attempt"));
         }
-        if (request.runs() >= request.intake().route().maxAttempts()) {
+        if (progress.runs() >= route.maxAttempts()) {
             return Optional.of(refusal(request, ErrorCode.ENDPOINT_FAILED, "all attempts failed, the last: " + end));
         }
-        if (request.sends() >= (request.isAnswerBegun() ? MAX_SENDS_BEGUN : MAX_SENDS)) {
+        if (progress.sends() >= (progress.answerBegun() ? MAX_SENDS_BEGUN : MAX_SENDS)) {
             return Optional.of(refusal(request, ErrorCode.OVERLOADED, "the endpoints are full"));
         }
-        return Optional.empty();
+        return refuseQuarantined(request, nowNanos);
     }
 
     private OverloadCase overloadCase(RoutedRequest request, FleetEndpoint best, long nowNanos) {
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -20,10 +20,7 @@
     private final Set<EndpointKey> turnedAway = new HashSet<>();
     private final List<PastAttempt> pastAttempts = new ArrayList<>();
     private Optional<EndpointKey> endpoint = Optional.empty();
-    private Outcome outcome = Outcome.NOT_RUN;
-    private boolean answerBegun;
-    private int runs;
-    private int sends;
+    private RequestProgress progress = new RequestProgress(Outcome.NOT_RUN, 0, 0, false);
     private long sentNanos;
 
     RoutedRequest(RoutedIntake intake) {
@@ -42,17 +39,17 @@
 
     /** What is known of its effect so far. */
     public Outcome outcome() {
-        return outcome;
+        return progress.outcome();
     }
 
     /** How many endpoints may have run it. */
     public int runs() {
-        return runs;
+        return progress.runs();
     }
 
     /** How often it was sent. */
     public int sends() {
-        return sends;
+        return progress.sends();
     }
 
     /** The attempts that have ended, in their order. */
@@ -62,11 +59,12 @@
 
     /** The caller has a part of the answer. */
     public void answerBegun() {
-        answerBegun = true;
+        progress = progress.withAnswerBegun();
     }
 
-    boolean isAnswerBegun() {
-        return answerBegun;
+    /** How far it has come; an attempt in progress is a send, and no run yet. */
+    RequestProgress progress() {
+        return progress;
     }
 
     Set<EndpointKey> tried() {
@@ -75,7 +73,7 @@
 
     /** Whether endpoints that had no slot for the rest of the answer may have one by and by. */
     boolean mayBeTakenLater() {
-        return answerBegun && !turnedAway.isEmpty();
+        return progress.answerBegun() && !turnedAway.isEmpty();
     }
 
     long leftMillis(long nowNanos) {
@@ -89,13 +87,13 @@
 
     void sent(EndpointKey key, long nowNanos) {
         endpoint = Optional.of(key);
-        sends++;
+        progress = progress.withSend();
         sentNanos = nowNanos;
     }
 
     void attemptEnded(AttemptEnd end, long nowNanos) {
         endpoint.ifPresent(key -> {
-            if (end == AttemptEnd.BUSY && answerBegun) {
+            if (end == AttemptEnd.BUSY && progress.answerBegun()) {
                 turnedAway.add(key);
             } else {
                 tried.add(key);
@@ -103,9 +101,6 @@
             pastAttempts.add(new PastAttempt(key.id(), end, TimeUnit.NANOSECONDS.toMillis(runNanos(nowNanos))));
         });
         endpoint = Optional.empty();
-        if (end.mayHaveRun()) {
-            runs++;
-            outcome = Outcome.MAY_HAVE_RUN;
-        }
+        progress = progress.after(end);
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -170,7 +170,7 @@
         long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - attempt.heardNanos());
         if (silentMillis < SILENCE_MILLIS) {
             watch(attempt, number, SILENCE_MILLIS - silentMillis);
-        } else if (context.core().mayGoElsewhere(request, context.nowNanos())) {
+        } else if (mayGoElsewhere()) {
             exchange.ifPresent(Exchange::cancel);
             attemptFailed(number, AttemptEnd.SILENT, "no byte for " + silentMillis + " ms", Optional.empty());
         } else {
@@ -178,6 +178,17 @@
         }
     }
 
+    private boolean mayGoElsewhere() {
+        noteAnswerBegun();
+        return context.core().mayGoElsewhere(request, context.nowNanos());
+    }
+
+    private void noteAnswerBegun() {
+        if (relay.isBegun()) {
+            request.answerBegun();
+        }
+    }
+
     private ExchangeOptions options(long leftMillis) {
         boolean repeatable = request.intake().route().isRepeatable();
         String id = request.intake().id();
@@ -238,9 +249,8 @@
                     .with("detail", detail)
                     .write();
             attemptMetric(end);
-            if (relay.isBegun()) {
-                request.answerBegun();
-            } else {
+            noteAnswerBegun();
+            if (!relay.isBegun()) {
                 traffic.crashes().ended(request.intake().fingerprint(), endpoint, end);
             }
             DispatchDecision decision = context.core().attemptFailed(request, end, context.nowNanos());
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchCoreTest.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchCoreTest.java
@@ -338,6 +338,30 @@
                 .isFalse();
     }
 
+    /** Guards against a stream that leaves its silent endpoint and is refused then, since equal requests crashed others. */
+    @Test
+    void aStreamInQuarantineStaysWithItsSilentEndpoint() {
+        RoutedRequest request = fixture.arrive(RESUMABLE);
+        fixture.first(request);
+        request.answerBegun();
+        quarantine(request);
+        fixture.pass(700);
+
+        assertThat(fixture.core.mayGoElsewhere(request, fixture.nowNanos)).isFalse();
+    }
+
+    /** Guards against an answer that leaves its silent endpoint though no other one can go on in its middle. */
+    @Test
+    void anAnswerThatCannotBeResumedStaysWithItsSilentEndpointOnceItHasBegun() {
+        RoutedRequest request = fixture.arrive(SAFE);
+        fixture.first(request);
+        assertThat(fixture.core.mayGoElsewhere(request, fixture.nowNanos)).isTrue();
+
+        request.answerBegun();
+
+        assertThat(fixture.core.mayGoElsewhere(request, fixture.nowNanos)).isFalse();
+    }
+
     /** Guards against a request that is sent twice at one time: as a silent one while it waits to be sent again. */
     @Test
     void aRequestThatWaitsForAnEndpointHasNoneThatIsSilent() {
@@ -352,4 +376,9 @@
 
         assertThat(pair.core.mayGoElsewhere(request, pair.nowNanos)).isFalse();
     }
+
+    private void quarantine(RoutedRequest request) {
+        fixture.suspects.crashed("x0", List.of(request.intake().fingerprint()), fixture.nowNanos);
+        fixture.suspects.crashed("x1", List.of(request.intake().fingerprint()), fixture.nowNanos);
+    }
 }
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchProperties.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchProperties.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -12,6 +13,8 @@
 import org.gooseberryhill.route.RouteKind;
 
 class DispatchProperties {
+    private static final int MAX_ENDPOINTS = 5;
+    private static final int MAX_PAUSE_MILLIS = 300;
     private static final List<AttemptEnd> FAILURES = List.of(
             AttemptEnd.UNREACHABLE,
             AttemptEnd.BUSY,
@@ -47,4 +50,59 @@
         assertThat(runs).isLessThanOrEqualTo(max);
         assertThat(fixture.fleet.own()).isEmpty();
     }
+
+    /**
+     * Guards against an answer that ends since its endpoint is silent: a silent request is sent elsewhere exactly where that
+     * was said to be possible, whatever has happened to it, to its endpoints and to equal requests.
+     */
+    @Property
+    void aSilentRequestIsSentElsewhereExactlyWhereItMayGoThere(
+            @ForAll Random random,
+            @ForAll RouteKind kind,
+            @ForAll boolean resumable,
+            @ForAll @IntRange(min = 1, max = 5) int endpoints,
+            @ForAll @IntRange(min = 1, max = 10) int max) {
+        DispatchFixture fixture = new DispatchFixture(endpoints);
+        RoutedRequest request = fixture.arrive(DispatchFixture.route(kind, resumable, max));
+        DispatchDecision decision = fixture.first(request);
+        while (!(decision instanceof DispatchDecision.Refuse)) {
+            disturb(fixture, request, random);
+            boolean mayGo = fixture.core.mayGoElsewhere(request, fixture.nowNanos);
+            if (decision instanceof DispatchDecision.Wait wait) {
+                assertThat(mayGo).as("no endpoint has it").isFalse();
+                fixture.pass(wait.millis());
+                decision = fixture.core.again(request, fixture.nowNanos);
+                continue;
+            }
+            AttemptEnd end = random.nextBoolean() ? AttemptEnd.SILENT : FAILURES.get(random.nextInt(FAILURES.size()));
+            decision = fixture.failed(request, end);
+            if (end == AttemptEnd.SILENT) {
+                assertThat(decision instanceof DispatchDecision.Send)
+                        .as("sent elsewhere")
+                        .isEqualTo(mayGo);
+            }
+        }
+    }
+
+    /** What may happen while an endpoint has a request: time passes, events come, others crash, leave or refuse. */
+    private static void disturb(DispatchFixture fixture, RoutedRequest request, Random random) {
+        fixture.pass(random.nextInt(MAX_PAUSE_MILLIS));
+        String other = "e" + random.nextInt(MAX_ENDPOINTS);
+        switch (random.nextInt(8)) {
+            case 0 -> request.answerBegun();
+            case 1 -> fixture.suspects.crashed(other, List.of(request.intake().fingerprint()), fixture.nowNanos);
+            case 2 -> fixture.suspects.completed(request.intake().fingerprint());
+            case 3 ->
+                fixture.fleet.observed(
+                        DispatchFixture.key(other), FAILURES.get(random.nextInt(FAILURES.size())), fixture.nowNanos);
+            case 4 ->
+                fixture.fleet.directory(IntStream.range(0, MAX_ENDPOINTS)
+                        .filter(number -> random.nextBoolean())
+                        .mapToObj(number -> DispatchFixture.entry("e" + number, 1, random.nextInt(3) == 0))
+                        .toList());
+            default -> {
+                // Nothing but the time.
+            }
+        }
+    }
 }
