End an exchange as silent only after what has arrived was read

Callers' streams ran twice though their endpoint was sound: while a host's traffic thread stood still for 0.7 s, each resumable stream with another attempt and endpoint left was given up as silent and sent elsewhere, and its endpoint counted as failed.

Cause: the control thread judged the silence by when the traffic thread had last handed it bytes, and gave the exchange up at once. A standstill of the traffic thread counted as the endpoint's silence, and an event or the whole answer that came between the look and the cancel was thrown away. Class: a check on one thread, the act on another, and a measure that can't tell who stood still.

The control thread still decides whether the stream may go elsewhere, and names the moment by which it judged. The exchange ends on its connection's event loop, only if nothing was heard since that very moment, after a round of the loop that reads. The loop itself puts the look off: a delay that another thread asks for is over by the time a late loop comes to it, and the look would run before it reads (ScheduledFutureTask runs at once what is due). An answer that is whole, a request that is not sent yet and an answer that is held back are no silence. The report of the silence is the exchange's only end, so no end of the same attempt can follow it. When the endpoint was heard is kept once, in the exchange, and set before the request is written, as its endpoint may answer at once.

Not done: the control thread takes no note of its own standstill; after one it asks, and the event loop reads first. A suspended process was not tried. The exchange's own limit of silence (checkSilence) is judged without a reading round still.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -62,7 +62,6 @@
         private final long number;
         private final EventSplitter events = new EventSplitter();
         private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
-        private volatile long heardNanos = System.nanoTime();
         private int status;
         private HttpHeaders headers;
         private boolean streamed;
@@ -74,14 +73,8 @@
             this.number = number;
         }
 
-        /** When the endpoint was heard last, or the attempt began. From any thread. */
-        long heardNanos() {
-            return heardNanos;
-        }
-
         @Override
         public void onHead(int newStatus, HttpHeaders newHeaders) {
-            heardNanos = System.nanoTime();
             status = newStatus;
             headers = newHeaders;
             genuine = owner.isGenuine(status, headers);
@@ -90,7 +83,6 @@
 
         @Override
         public void onBytes(byte[] bytes) {
-            heardNanos = System.nanoTime();
             if (streamed) {
                 passOn(events.read(bytes));
             } else if (passedThrough) {
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -151,31 +151,35 @@
                                 Optional.empty()));
         ExchangeRequest exchangeRequest = new ExchangeRequest(
                 endpoint.address(), call.method(), call.target(), headers, body, options(leftMillis));
-        AnswerRelay.Attempt attempt = relay.attempt(this, attemptNumber);
-        exchange = Optional.of(context.http().start(exchangeRequest, attempt));
+        Exchange started = context.http().start(exchangeRequest, relay.attempt(this, attemptNumber));
+        exchange = Optional.of(started);
         if (request.intake().route().kind() == RouteKind.STREAM) {
-            watch(attempt, attemptNumber, SILENCE_MILLIS);
+            watch(started, attemptNumber, SILENCE_MILLIS);
         }
     }
 
-    private void watch(AnswerRelay.Attempt attempt, long number, long millis) {
-        context.loop().after(millis, () -> lookForSilence(attempt, number));
+    private void watch(Exchange watched, long number, long millis) {
+        context.loop().after(millis, () -> lookForSilence(watched, number));
     }
 
-    /** Silence alone ends no answer: the endpoint keeps the request unless another one may go on with it. */
-    private void lookForSilence(AnswerRelay.Attempt attempt, long number) {
+    /**
+     * Silence alone ends no answer: the endpoint keeps the request unless another one may go on with it. What has arrived and
+     * is not read yet is no silence, which the exchange looks after before it ends.
+     */
+    private void lookForSilence(Exchange watched, long number) {
         if (finished || number != attemptNumber) {
             return;
         }
-        long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - attempt.heardNanos());
+        long heardNanos = watched.heardNanos();
+        long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - heardNanos);
         if (silentMillis < SILENCE_MILLIS) {
-            watch(attempt, number, SILENCE_MILLIS - silentMillis);
-        } else if (mayGoElsewhere()) {
-            exchange.ifPresent(Exchange::cancel);
-            attemptFailed(number, AttemptEnd.SILENT, "no byte for " + silentMillis + " ms", Optional.empty());
-        } else {
-            watch(attempt, number, SILENCE_AGAIN_MILLIS);
+            watch(watched, number, SILENCE_MILLIS - silentMillis);
+            return;
+        }
+        if (mayGoElsewhere()) {
+            watched.failIfSilentSince(heardNanos);
         }
+        watch(watched, number, SILENCE_AGAIN_MILLIS);
     }
 
     private boolean mayGoElsewhere() {
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -22,6 +22,9 @@
  * its connection, which another exchange may use by then.
  */
 final class ClientExchange implements Exchange {
+    /** Any delay that the event loop itself asks for has it read what has arrived before. */
+    private static final long READ_FIRST_MILLIS = 1;
+
     private final HttpClient client;
     private final ExchangeRequest request;
     private final ExchangeListener listener;
@@ -31,7 +34,8 @@
     private Outcome outcome = Outcome.NOT_RUN;
     private boolean ended;
     private ScheduledFuture<?> silenceTimer;
-    private long lastHeardNanos;
+    private volatile long heardNanos = System.nanoTime();
+    private volatile boolean silenceAsked;
 
     ClientExchange(HttpClient client, ExchangeRequest request, ExchangeListener listener) {
         this.client = client;
@@ -53,6 +57,24 @@
         });
     }
 
+    @Override
+    public long heardNanos() {
+        return heardNanos;
+    }
+
+    /** One look at a time: an event loop that stands still gets no more work by it. */
+    @Override
+    public void failIfSilentSince(long sinceNanos) {
+        if (channel == null || silenceAsked) {
+            return;
+        }
+        silenceAsked = true;
+        // A delay from another thread may be over before the loop comes to it, and then brings no round that reads.
+        whileOwned(connection -> connection
+                .eventLoop()
+                .schedule(() -> endIfSilentSince(connection, sinceNanos), READ_FIRST_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     /** Sends the request on a connection. */
     void begin(Channel connection, boolean kept) {
         channel = connection;
@@ -132,6 +154,7 @@
         }
         connection.pipeline().get(ClientConnectionHandler.class).attach(this);
         outcome = Outcome.MAY_HAVE_RUN;
+        heardNanos = System.nanoTime();
         connection.writeAndFlush(httpRequest()).addListener(done -> {
             if (!done.isSuccess()) {
                 lost(
@@ -139,7 +162,6 @@
                         String.valueOf(done.cause().getMessage()));
             }
         });
-        lastHeardNanos = System.nanoTime();
         armSilenceTimer(TimeUnit.MILLISECONDS.toNanos(request.options().silenceMillis()));
     }
 
@@ -159,7 +181,7 @@
     }
 
     private void heard() {
-        lastHeardNanos = System.nanoTime();
+        heardNanos = System.nanoTime();
     }
 
     private void armSilenceTimer(long delayNanos) {
@@ -168,7 +190,7 @@
 
     private void checkSilence() {
         long limitNanos = TimeUnit.MILLISECONDS.toNanos(request.options().silenceMillis());
-        long leftNanos = limitNanos - (System.nanoTime() - lastHeardNanos);
+        long leftNanos = limitNanos - (System.nanoTime() - heardNanos);
         if (paused) {
             // The endpoint is not silent: this side has stopped listening for a while.
             armSilenceTimer(limitNanos);
@@ -179,6 +201,15 @@
         }
     }
 
+    private void endIfSilentSince(Channel connection, long sinceNanos) {
+        silenceAsked = false;
+        boolean sentHere = outcome == Outcome.MAY_HAVE_RUN && channel == connection;
+        if (sentHere && !paused && heardNanos == sinceNanos) {
+            long silentMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+            lost(ExchangeFailure.Kind.SILENT, "no byte for " + silentMillis + " ms");
+        }
+    }
+
     /** Runs an action on the connection's event loop, unless the exchange has ended by then. */
     private void whileOwned(Consumer<Channel> action) {
         Channel connection = channel;
--- a/src/main/java/org/gooseberryhill/http/Exchange.java
+++ b/src/main/java/org/gooseberryhill/http/Exchange.java
@@ -7,4 +7,13 @@
 
     /** Stops or continues reading the answer, to hold a fast endpoint back for a slow caller. */
     void readAnswer(boolean reading);
+
+    /** When the other side was heard last, or the request was sent, or the exchange began; by {@link System#nanoTime}. */
+    long heardNanos();
+
+    /**
+     * Ends the exchange as failed by silence if {@link #heardNanos} still has this value once what has arrived is read. Does
+     * nothing before the request is sent, while the answer is held back, and after the exchange's end.
+     */
+    void failIfSilentSince(long sinceNanos);
 }
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/SilentExchangeTest.java
@@ -0,0 +1,162 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gooseberryhill.http.RawEndpoint.ascii;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.link.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** An exchange that is to end by silence ends only if its endpoint was silent, whatever its own threads do. */
+class SilentExchangeTest {
+    private static final int PATIENCE_MILLIS = 60_000;
+    private static final int MAX_ANSWER_BYTES = 100;
+
+    /** Longer than the delay of what the event loop puts off until it has read. */
+    private static final long STANDSTILL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private final EventLoopGroup clientGroup = Loopback.group();
+    private final EventLoopGroup endpointGroup = Loopback.group();
+    private final HttpClient client = new HttpClient(clientGroup);
+    private final Address address = Loopback.freeAddress();
+    private final BlockingQueue<HttpCall> calls = new LinkedBlockingQueue<>();
+    private final HttpServer endpoint = HttpServer.start(endpointGroup, address, HttpLimits.DEFAULT, this::handle);
+    private final CountDownLatch standstill = new CountDownLatch(1);
+
+    @AfterEach
+    void close() {
+        standstill.countDown();
+        client.close();
+        endpoint.close();
+        clientGroup.shutdownGracefully();
+        endpointGroup.shutdownGracefully();
+    }
+
+    /** Guards against an answer that is cut because its host had not read what its endpoint had sent in time. */
+    @Test
+    void whatArrivesWhileTheTrafficThreadStandsStillIsHeardBeforeAnExchangeEndsAsSilent() throws InterruptedException {
+        Answer answer = new Answer();
+        Exchange exchange = client.start(request(), answer);
+        HttpCall call = calls.take();
+        call.beginStream(200, Map.of());
+        call.write(ascii("one "));
+        Loopback.await("the first part", () -> answer.text().equals("one "));
+        long heardNanos = exchange.heardNanos();
+        standStill();
+
+        exchange.failIfSilentSince(heardNanos);
+        call.write(ascii("two ")).join();
+        LockSupport.parkNanos(STANDSTILL_NANOS);
+        standstill.countDown();
+        call.write(ascii("three"));
+        call.endStream();
+
+        answer.ended.join();
+        assertThat(answer.text()).isEqualTo("one two three");
+    }
+
+    /** Guards against a request that ends by a silence which began before it was sent. */
+    @Test
+    void aRequestThatIsSentAfterAStandstillIsAnswered() throws InterruptedException {
+        Answer first = new Answer();
+        client.start(request(), first);
+        calls.take().reply(200, Map.of(), ascii("first"));
+        first.ended.join();
+        standStill();
+        Answer next = new Answer();
+        Exchange exchange = client.start(request(), next);
+
+        exchange.failIfSilentSince(exchange.heardNanos());
+        LockSupport.parkNanos(STANDSTILL_NANOS);
+        standstill.countDown();
+        calls.take().reply(200, Map.of(), ascii("next"));
+
+        next.ended.join();
+        assertThat(client.connects()).isEqualTo(1);
+    }
+
+    @Test
+    void anExchangeWhoseEndpointIsSilentEndsAsSilentAndMayHaveRun() throws InterruptedException {
+        Answer answer = new Answer();
+        Exchange exchange = client.start(request(), answer);
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        calls.take().onDisconnect(() -> left.complete(null));
+
+        exchange.failIfSilentSince(exchange.heardNanos());
+
+        ExchangeFailure failure = answer.failed.join();
+        assertThat(failure.kind()).isEqualTo(ExchangeFailure.Kind.SILENT);
+        assertThat(failure.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+        left.join();
+    }
+
+    /** Has the client's threads stand still; returns when they do. */
+    private void standStill() {
+        CountDownLatch standing = new CountDownLatch(2);
+        clientGroup.forEach(loop -> loop.execute(() -> {
+            standing.countDown();
+            awaitRelease(standstill);
+        }));
+        awaitRelease(standing);
+    }
+
+    private static void awaitRelease(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private HttpBody handle(HttpCall call) {
+        return new WholeBody(MAX_ANSWER_BYTES, body -> calls.add(call), () -> call.reply(413, Map.of(), new byte[0]));
+    }
+
+    private ExchangeRequest request() {
+        return new ExchangeRequest(address, "GET", "/", Map.of(), new byte[0], PATIENCE_MILLIS, false);
+    }
+
+    /** Collects an answer and how it ended. Thread-safe. */
+    private static final class Answer implements ExchangeListener {
+        private final CompletableFuture<Void> ended = new CompletableFuture<>();
+        private final CompletableFuture<ExchangeFailure> failed = new CompletableFuture<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        String text() {
+            return body.toString(StandardCharsets.US_ASCII);
+        }
+
+        @Override
+        public void onHead(int status, HttpHeaders headers) {}
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            ended.complete(null);
+            failed.completeExceptionally(new IllegalStateException("the answer is whole"));
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            failed.complete(failure);
+            ended.completeExceptionally(new ExchangeException(failure));
+        }
+    }
+}
