Let go of an exchange where its attempt ends

A request that waits between two attempts held the exchange of the one that had ended, and cancelled it when its caller left or its time was over. That is harmless since an exchange does nothing to its connection after its end; now the right ends with its use, too. The look for silence asks for the exchange instead of the attempt's number, so it ends with the attempt as well.

No test of its own: nothing that callers or endpoints see changes. EndedExchangeTest holds what an ended exchange may not do.

--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -55,7 +55,9 @@
     private final byte[] body;
     private final RoutedRequest request;
     private final AnswerRelay relay;
+    /** Present while an attempt is in progress. */
     private Optional<Exchange> exchange = Optional.empty();
+
     private boolean finished;
     private long attemptNumber;
 
@@ -154,32 +156,32 @@
         Exchange started = context.http().start(exchangeRequest, relay.attempt(this, attemptNumber));
         exchange = Optional.of(started);
         if (request.intake().route().kind() == RouteKind.STREAM) {
-            watch(started, attemptNumber, SILENCE_MILLIS);
+            watch(started, SILENCE_MILLIS);
         }
     }
 
-    private void watch(Exchange watched, long number, long millis) {
-        context.loop().after(millis, () -> lookForSilence(watched, number));
+    private void watch(Exchange watched, long millis) {
+        context.loop().after(millis, () -> lookForSilence(watched));
     }
 
     /**
      * Silence alone ends no answer: the endpoint keeps the request unless another one may go on with it. What has arrived and
      * is not read yet is no silence, which the exchange looks after before it ends.
      */
-    private void lookForSilence(Exchange watched, long number) {
-        if (finished || number != attemptNumber) {
+    private void lookForSilence(Exchange watched) {
+        if (finished || exchange.filter(watched::equals).isEmpty()) {
             return;
         }
         long heardNanos = watched.heardNanos();
         long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - heardNanos);
         if (silentMillis < SILENCE_MILLIS) {
-            watch(watched, number, SILENCE_MILLIS - silentMillis);
+            watch(watched, SILENCE_MILLIS - silentMillis);
             return;
         }
         if (mayGoElsewhere()) {
             watched.failIfSilentSince(heardNanos);
         }
-        watch(watched, number, SILENCE_AGAIN_MILLIS);
+        watch(watched, SILENCE_AGAIN_MILLIS);
     }
 
     private boolean mayGoElsewhere() {
@@ -214,6 +216,7 @@
             if (finished || attempt != attemptNumber) {
                 return;
             }
+            exchange = Optional.empty();
             attemptMetric(AttemptEnd.ANSWERED);
             traffic.crashes().completed(request.intake());
             context.core().attemptSucceeded(request, context.nowNanos());
@@ -243,6 +246,7 @@
             if (finished || attempt != attemptNumber) {
                 return;
             }
+            exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
             context.timeline()
                     .event(EventKind.ATTEMPT_FAILED)
@@ -335,6 +339,7 @@
 
     private void abandon() {
         exchange.ifPresent(Exchange::cancel);
+        exchange = Optional.empty();
         context.core().abandoned(request, context.nowNanos());
     }
 
