Let a request that has left a silent endpoint wait for another

An answer could still end because of a silence: between the control thread's yes to go elsewhere and the end of the exchange on its event loop the only other endpoint may refuse another request (it is left out for 40 ms then), leave, or fail. attemptFailed then refused the request at once, and a stream that had begun was cut, though its endpoint had only been silent. The same where the other endpoint turns the request away itself.

Cause: a decision that is carried out later than it is made. The end can't be taken back, so the request waits for an endpoint, as the rest of a stream does that was turned away, until its time or its sends are over. An endpoint that turned it away is asked again.

Ruled out: to have the event loop hold the exchange until the control thread has decided again. That throws away what arrives meanwhile, for as long as the control thread is late.

LeftEndpointTest failed before (Refuse[OVERLOADED] instead of a wait). DispatchProperties.noSequenceOfFailuresBreaksAPromise took every decision that is no send for a refusal; it goes on through the waits now and asks for the same at the end.

What remains: a quarantine that begins in that window still refuses the request.

--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
@@ -15,7 +15,8 @@
     record Send(EndpointEntry endpoint, PlacementFacts facts) implements DispatchDecision {}
 
     /**
-     * Ask again after a while: no endpoint can take it now, and its caller has a part of the answer.
+     * Ask again after a while: no endpoint can take it now, and its caller has a part of the answer, or it has left an
+     * endpoint that was only silent.
      *
      * @param millis how long to wait
      */
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -21,6 +21,7 @@
     private final List<PastAttempt> pastAttempts = new ArrayList<>();
     private Optional<EndpointKey> endpoint = Optional.empty();
     private RequestProgress progress = new RequestProgress(Outcome.NOT_RUN, 0, 0, false);
+    private boolean leftSilentEndpoint;
     private long sentNanos;
 
     RoutedRequest(RoutedIntake intake) {
@@ -71,9 +72,9 @@
         return tried;
     }
 
-    /** Whether endpoints that had no slot for the rest of the answer may have one by and by. */
+    /** Whether an endpoint may take it by and by where none can now. */
     boolean mayBeTakenLater() {
-        return progress.answerBegun() && !turnedAway.isEmpty();
+        return leftSilentEndpoint || (progress.answerBegun() && !turnedAway.isEmpty());
     }
 
     long leftMillis(long nowNanos) {
@@ -93,7 +94,7 @@
 
     void attemptEnded(AttemptEnd end, long nowNanos) {
         endpoint.ifPresent(key -> {
-            if (end == AttemptEnd.BUSY && progress.answerBegun()) {
+            if (end == AttemptEnd.BUSY && (progress.answerBegun() || leftSilentEndpoint)) {
                 turnedAway.add(key);
             } else {
                 tried.add(key);
@@ -101,6 +102,7 @@
             pastAttempts.add(new PastAttempt(key.id(), end, TimeUnit.NANOSECONDS.toMillis(runNanos(nowNanos))));
         });
         endpoint = Optional.empty();
+        leftSilentEndpoint |= end == AttemptEnd.SILENT;
         progress = progress.after(end);
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchProperties.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchProperties.java
@@ -37,7 +37,12 @@
         DispatchDecision decision = fixture.first(request);
         boolean mayHaveRun = false;
         int runs = 0;
-        while (decision instanceof DispatchDecision.Send) {
+        while (!(decision instanceof DispatchDecision.Refuse)) {
+            if (decision instanceof DispatchDecision.Wait wait) {
+                fixture.pass(wait.millis());
+                decision = fixture.core.again(request, fixture.nowNanos);
+                continue;
+            }
             assertThat(mayHaveRun && !route.isRepeatable()).as("sent again").isFalse();
             AttemptEnd end = FAILURES.get(random.nextInt(FAILURES.size()));
             fixture.pass(random.nextInt(200));
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/LeftEndpointTest.java
@@ -0,0 +1,42 @@
+package org.gooseberryhill.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.route.Route;
+import org.gooseberryhill.route.RouteKind;
+import org.junit.jupiter.api.Test;
+
+/** A request that has left an endpoint which was only silent. */
+class LeftEndpointTest {
+    private static final Route RESUMABLE = DispatchFixture.route(RouteKind.STREAM, true, 2);
+
+    /** Guards against an answer that ends since no endpoint is free any more when its silent one has been left. */
+    @Test
+    void aStreamThatHasLeftItsSilentEndpointWaitsWhereNoOtherIsFreeAnyMore() {
+        for (boolean begun : List.of(true, false)) {
+            DispatchFixture pair = new DispatchFixture(2);
+            RoutedRequest request = pair.arrive(RESUMABLE);
+            EndpointKey silent = sent(pair.first(request));
+            EndpointKey other = DispatchFixture.key(silent.id().equals("e0") ? "e1" : "e0");
+            if (begun) {
+                request.answerBegun();
+            }
+            assertThat(pair.core.mayGoElsewhere(request, pair.nowNanos)).isTrue();
+            pair.fleet.observed(other, AttemptEnd.BUSY, pair.nowNanos);
+
+            assertThat(pair.failed(request, AttemptEnd.SILENT)).isInstanceOf(DispatchDecision.Wait.class);
+            pair.pass(50);
+            assertThat(sent(pair.core.again(request, pair.nowNanos))).isEqualTo(other);
+            assertThat(pair.failed(request, AttemptEnd.BUSY)).isInstanceOf(DispatchDecision.Wait.class);
+            pair.pass(50);
+            assertThat(sent(pair.core.again(request, pair.nowNanos))).isEqualTo(other);
+        }
+    }
+
+    private static EndpointKey sent(DispatchDecision decision) {
+        assertThat(decision).isInstanceOf(DispatchDecision.Send.class);
+        return ((DispatchDecision.Send) decision).endpoint().key();
+    }
+}
