--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -55,7 +55,9 @@
     private final byte[] body;
     private final RoutedRequest request;
     private final AnswerRelay relay;
+    /** Present while an attempt is in progress. */
     private Optional<Exchange> exchange = Optional.empty();
+
     private boolean finished;
     private long attemptNumber;
 
@@ -151,30 +153,45 @@
                                 Optional.empty()));
         ExchangeRequest exchangeRequest = new ExchangeRequest(
                 endpoint.address(), call.method(), call.target(), headers, body, options(leftMillis));
-        AnswerRelay.Attempt attempt = relay.attempt(this, attemptNumber);
-        exchange = Optional.of(context.http().start(exchangeRequest, attempt));
+        Exchange started = context.http().start(exchangeRequest, relay.attempt(this, attemptNumber));
+        exchange = Optional.of(started);
         if (request.intake().route().kind() == RouteKind.STREAM) {
-            watch(attempt, attemptNumber, SILENCE_MILLIS);
+            watch(started, SILENCE_MILLIS);
         }
     }
 
-    private void watch(AnswerRelay.Attempt attempt, long number, long millis) {
-        context.loop().after(millis, () -> lookForSilence(attempt, number));
+    private void watch(Exchange watched, long millis) {
+        context.loop().after(millis, () -> lookForSilence(watched));
     }
 
-    /** Silence alone ends no answer: the endpoint keeps the request unless another one may go on with it. */
-    private void lookForSilence(AnswerRelay.Attempt attempt, long number) {
-        if (finished || number != attemptNumber) {
+    /**
+     * Silence alone ends no answer: the endpoint keeps the request unless another one may go on with it. What has arrived and
+     * is not read yet is no silence, which the exchange looks after before it ends.
+     */
+    private void lookForSilence(Exchange watched) {
+        if (finished || exchange.filter(watched::equals).isEmpty()) {
             return;
         }
-        long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - attempt.heardNanos());
+        long heardNanos = watched.heardNanos();
+        long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - heardNanos);
         if (silentMillis < SILENCE_MILLIS) {
-            watch(attempt, number, SILENCE_MILLIS - silentMillis);
-        } else if (context.core().mayGoElsewhere(request, context.nowNanos())) {
-            exchange.ifPresent(Exchange::cancel);
-            attemptFailed(number, AttemptEnd.SILENT, "no byte for " + silentMillis + " ms", Optional.empty());
-        } else {
-            watch(attempt, number, SILENCE_AGAIN_MILLIS);
+            watch(watched, SILENCE_MILLIS - silentMillis);
+            return;
+        }
+        if (mayGoElsewhere()) {
+            watched.failIfSilentSince(heardNanos);
+        }
+        watch(watched, SILENCE_AGAIN_MILLIS);
+    }
+
+    private boolean mayGoElsewhere() {
+        noteAnswerBegun();
+        return context.core().mayGoElsewhere(request, context.nowNanos());
+    }
+
+    private void noteAnswerBegun() {
+        if (relay.isBegun()) {
+            request.answerBegun();
         }
     }
 
@@ -199,6 +216,7 @@
             if (finished || attempt != attemptNumber) {
                 return;
             }
+            exchange = Optional.empty();
             attemptMetric(AttemptEnd.ANSWERED);
             traffic.crashes().completed(request.intake());
             context.core().attemptSucceeded(request, context.nowNanos());
@@ -228,6 +246,7 @@
             if (finished || attempt != attemptNumber) {
                 return;
             }
+            exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
             context.timeline()
                     .event(EventKind.ATTEMPT_FAILED)
@@ -238,9 +257,8 @@
                     .with("detail", detail)
                     .write();
             attemptMetric(end);
-            if (relay.isBegun()) {
-                request.answerBegun();
-            } else {
+            noteAnswerBegun();
+            if (!relay.isBegun()) {
                 traffic.crashes().ended(request.intake().fingerprint(), endpoint, end);
             }
             DispatchDecision decision = context.core().attemptFailed(request, end, context.nowNanos());
@@ -321,6 +339,7 @@
 
     private void abandon() {
         exchange.ifPresent(Exchange::cancel);
+        exchange = Optional.empty();
         context.core().abandoned(request, context.nowNanos());
     }
 
