Read what has arrived before a connection is closed as idle, however busy its thread is

Callers of a stopping host saw their connection end without an answer to a request which lay in the kernel's buffer when the host closed idle connections.

Cause: closeIdle scheduled the closing from another thread. Netty hands such a task to the event loop's task queue; when its delay has passed by the time it is polled, it runs at once, with no reading between. So a loop that was busy for more than 1 ms read nothing first, against what the comment said. The old test passed since it released the loop within 1 ms.

The closing is now scheduled on the event loop. What a loop schedules for itself goes into its queue of scheduled tasks, which is looked at once a round, after the reading; a loop that is late again between the decision and the closing has the closing only later. Ruled out: a longer delay, since a loop can be busier still.

The test (now in ClosingIdleConnectionsTest) replaces the one of the same name, which hung on real time. It holds the loop before the decision and again after it, each time until the delay has passed, and has the next reading wait until the request has arrived, so neither a slow nor a loaded machine changes its verdict. It failed on the code before: the caller read "" instead of the answer to /two.

--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -23,10 +23,10 @@
 
 /** An HTTP/1.1 server. Thread-safe. */
 public final class HttpServer implements Closeable {
-    private static final int LOW_WATER_BYTES = 64 * 1024;
+    /** How long a connection may read on before it is closed as idle. */
+    static final long READ_FIRST_MILLIS = 1;
 
-    /** Any delay has the event loop read what has arrived before it runs a task. */
-    private static final long READ_FIRST_MILLIS = 1;
+    private static final int LOW_WATER_BYTES = 64 * 1024;
 
     private final Channel listener;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -81,13 +81,18 @@
         for (Channel connection : connections) {
             ServerConnectionHandler handler = connection.pipeline().get(ServerConnectionHandler.class);
             if (handler != null) {
-                connection
-                        .eventLoop()
-                        .schedule(() -> handler.closeIfIdle(connection), READ_FIRST_MILLIS, TimeUnit.MILLISECONDS);
+                connection.eventLoop().execute(() -> readThenCloseIfIdle(connection, handler));
             }
         }
     }
 
+    /** Runs on the event loop: what it schedules for itself runs after a later reading of its connections, however late. */
+    private static void readThenCloseIfIdle(Channel connection, ServerConnectionHandler handler) {
+        connection
+                .eventLoop()
+                .schedule(() -> handler.closeIfIdle(connection), READ_FIRST_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** How many connections are open. */
     public int openConnections() {
         return connections.size();
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/ClosingIdleConnectionsTest.java
@@ -0,0 +1,127 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.DefaultSelectStrategyFactory;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SelectStrategy;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.IntSupplier;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.channels.spi.SelectorProvider;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.link.Address;
+import org.junit.jupiter.api.Test;
+
+/** Idle connections are closed by a server whose event loop is busy. */
+class ClosingIdleConnectionsTest {
+    private static final int BODY_BYTES = 100;
+    private static final int SMALL_ANSWER_BYTES = 1024;
+
+    /** For a test that would never end; less than the idle timeout that other servers have. */
+    private static final int OUTCOME_MILLIS = 10_000;
+
+    /** Guards against a request that a busy host has not read yet when its connection is closed as idle. */
+    @Test
+    void closingIdleConnectionsReadsWhatHasArrivedBefore() throws IOException {
+        AwaitedReading reading = new AwaitedReading();
+        EventLoopGroup loop = reading.eventLoop();
+        Address busyAddress = Loopback.freeAddress();
+        HttpServer busy = HttpServer.start(loop, busyAddress, HttpLimits.DEFAULT, ClosingIdleConnectionsTest::handle);
+        try (busy;
+                Socket caller = new Socket(busyAddress.ip(), busyAddress.port());
+                reading) {
+            caller.setSoTimeout(OUTCOME_MILLIS);
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /one HTTP/1.1\r\n\r\n"));
+            assertThat(caller.getInputStream().read(new byte[SMALL_ANSWER_BYTES]))
+                    .isPositive();
+            CountDownLatch decided = holdUp(loop);
+            reading.beginToAwait();
+
+            busy.closeIdle();
+            CountDownLatch read = new CountDownLatch(1);
+            loop.execute(() -> awaitRelease(read));
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /two HTTP/1.1\r\nconnection: close\r\n\r\n"));
+            passCloseDelay();
+            decided.countDown();
+            passCloseDelay();
+            read.countDown();
+
+            assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
+                    .contains("/two");
+        } finally {
+            loop.shutdownGracefully();
+        }
+    }
+
+    private static HttpBody handle(HttpCall call) {
+        return new WholeBody(BODY_BYTES, body -> call.reply(200, Map.of(), RawEndpoint.ascii(call.path())), () -> {});
+    }
+
+    /** Returns when the event loop runs a task that ends when the latch is released. */
+    private static CountDownLatch holdUp(EventLoopGroup loop) {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        loop.execute(() -> {
+            begun.countDown();
+            awaitRelease(release);
+        });
+        awaitRelease(begun);
+        return release;
+    }
+
+    /** Returns when what was scheduled before is due. */
+    private static void passCloseDelay() {
+        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HttpServer.READ_FIRST_MILLIS);
+        while (System.nanoTime() - dueNanos <= 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static void awaitRelease(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Has the next round of an event loop that reads wait until there is something to read. */
+    private static final class AwaitedReading implements SelectStrategy, Closeable {
+        private volatile boolean awaiting;
+
+        EventLoopGroup eventLoop() {
+            return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory(SelectorProvider.provider(), () -> this));
+        }
+
+        void beginToAwait() {
+            awaiting = true;
+        }
+
+        @Override
+        public void close() {
+            awaiting = false;
+        }
+
+        @Override
+        public int calculateStrategy(IntSupplier selectNow, boolean hasTasks) throws Exception {
+            if (!awaiting) {
+                return DefaultSelectStrategyFactory.INSTANCE.newSelectStrategy().calculateStrategy(selectNow, hasTasks);
+            }
+            int readable = selectNow.get();
+            while (readable == 0 && awaiting) {
+                Thread.onSpinWait();
+                readable = selectNow.get();
+            }
+            awaiting = false;
+            return readable;
+        }
+    }
+}
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.link.Address;
@@ -132,28 +131,6 @@
         }
     }
 
-    /** Guards against a request that a busy host has not read yet when its connection is closed as idle. */
-    @Test
-    void closingIdleConnectionsReadsWhatHasArrivedBefore() throws IOException {
-        Address patientAddress = Loopback.freeAddress();
-        HttpServer patient = HttpServer.start(group, patientAddress, HttpLimits.DEFAULT, this::handle);
-        try (patient;
-                Socket caller = new Socket(patientAddress.ip(), patientAddress.port())) {
-            caller.getOutputStream().write(RawEndpoint.ascii("GET /one HTTP/1.1\r\n\r\n"));
-            assertThat(caller.getInputStream().read(new byte[SMALL_ANSWER_BYTES]))
-                    .isPositive();
-            CountDownLatch busy = new CountDownLatch(1);
-            group.forEach(loop -> loop.execute(() -> awaitRelease(busy)));
-
-            caller.getOutputStream().write(RawEndpoint.ascii("GET /two HTTP/1.1\r\nconnection: close\r\n\r\n"));
-            patient.closeIdle();
-            busy.countDown();
-
-            assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
-                    .contains("/two");
-        }
-    }
-
     /** Guards against a caller whose connection is closed while its first request is on the way. */
     @Test
     void closingIdleConnectionsSparesOneThatHasJustBeenMade() throws IOException {
@@ -285,14 +262,6 @@
                 () -> call.reply(413, Map.of(), new byte[0]));
     }
 
-    private static void awaitRelease(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** A caller whose answer fills all buffers on its way. */
     private Socket slowReader() throws IOException {
         Socket socket = new Socket();
