Begin no pipelined request behind the last answer of a connection

A caller that pipelines sees its connection end without an answer to a request which the server has begun.

Cause: callEnded takes the waiting requests one after the other and did not look at whether the connection is about to close. With an answer in progress, two requests behind it and closeAfterAnswers, the first of them was answered at once within the loop, with "connection: close"; the loop went on and began the second, which was cut when the answers had gone out. Ruled out: the way over channelRead, which drops what comes after the last answer.

The loop ends at the last answer, and what waits is dropped there. The test has the caller take nothing until the loop is over, since otherwise the connection closes within it. It failed on the code before: ["/held", "/one", "/held"] were begun instead of ["/held", "/one"].

--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -99,8 +99,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         cancelIdleTimer();
-        waiting.forEach(ReferenceCountUtil::release);
-        waiting.clear();
+        dropWaiting();
         if (call != null) {
             if (body != null && !bodyDone) {
                 body.onAborted();
@@ -143,7 +142,7 @@
             return;
         }
         armIdleTimer(context);
-        while (!waiting.isEmpty() && (call == null || !bodyDone)) {
+        while (!lastAnswerGiven && !waiting.isEmpty() && (call == null || !bodyDone)) {
             process(context, waiting.poll());
         }
     }
@@ -155,6 +154,7 @@
         }
         lastAnswerGiven = true;
         cancelIdleTimer();
+        dropWaiting();
         connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         if (connection.isOpen()) {
             idleTimer = connection
@@ -231,6 +231,11 @@
         waiting.add(object);
     }
 
+    private void dropWaiting() {
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+    }
+
     private void armIdleTimer(ChannelHandlerContext context) {
         cancelIdleTimer();
         Channel connection = context.channel();
