Cut a reader only when it has taken nothing for a whole period

Cause: the timer of closeAfterFlush cut the connection one period after the last answer, and the idle timer began to close it one period after the answer was handed over, both without a look at what had gone out meanwhile.

Both now begin anew when bytes have gone out since they were set. Netty counts what a connection has yet to send and how much of the first message is sent; nothing is written while either timer runs, so a difference is progress. Netty's IdleStateHandler was ruled out: with observeOutput its first event comes in spite of progress, and bytes that come in put it off. A reader that stops is cut between one and two periods after the last byte it took.

The tests run in virtual time on a connection that takes as many bytes as the test says.

--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -77,7 +77,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         acceptedNanos = System.nanoTime();
-        armIdleTimer(context);
+        closeWhenIdle(context.channel());
         context.fireChannelActive();
     }
 
@@ -141,7 +141,7 @@
             closeAfterFlush(context.channel());
             return;
         }
-        armIdleTimer(context);
+        closeWhenIdle(context.channel());
         while (!lastAnswerGiven && !waiting.isEmpty() && (call == null || !bodyDone)) {
             process(context, waiting.poll());
         }
@@ -157,9 +157,7 @@
         dropWaiting();
         connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         if (connection.isOpen()) {
-            idleTimer = connection
-                    .eventLoop()
-                    .schedule(() -> connection.close(), limits.idleMillis(), TimeUnit.MILLISECONDS);
+            afterSilentPeriod(connection, connection::close);
         }
     }
 
@@ -236,11 +234,26 @@
         waiting.clear();
     }
 
-    private void armIdleTimer(ChannelHandlerContext context) {
+    private void closeWhenIdle(Channel connection) {
+        afterSilentPeriod(connection, () -> closeAfterFlush(connection));
+    }
+
+    /** Acts once when nothing has gone out for a whole period, unless the timer is cancelled before. */
+    private void afterSilentPeriod(Channel connection, Runnable action) {
         cancelIdleTimer();
-        Channel connection = context.channel();
-        idleTimer = context.executor()
-                .schedule(() -> closeAfterFlush(connection), limits.idleMillis(), TimeUnit.MILLISECONDS);
+        UnsentBytes before = UnsentBytes.of(connection);
+        idleTimer = connection
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            if (UnsentBytes.of(connection).equals(before)) {
+                                action.run();
+                                return;
+                            }
+                            afterSilentPeriod(connection, action);
+                        },
+                        limits.idleMillis(),
+                        TimeUnit.MILLISECONDS);
     }
 
     private void cancelIdleTimer() {
--- a/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
+++ b/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
@@ -8,10 +8,13 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -21,13 +24,18 @@
 class ServerConnectionHandlerTest {
     private static final HttpLimits LIMITS = HttpLimits.DEFAULT;
     private static final int BODY_BYTES = 100;
+    private static final int PIECE_BYTES = 1024;
+    private static final int LARGE_ANSWER_PIECES = 10;
+    private static final String LARGE_ANSWER = "x".repeat(LARGE_ANSWER_PIECES * PIECE_BYTES);
 
     private final AtomicBoolean closing = new AtomicBoolean();
     private final AtomicInteger unanswered = new AtomicInteger();
     private final List<String> begun = new ArrayList<>();
     private final List<HttpCall> held = new ArrayList<>();
-    private final CallerConnection connection =
-            new CallerConnection(new ServerConnectionHandler(this::handle, LIMITS, closing::get, unanswered));
+    private final MockTicker time = Ticker.newMockTicker();
+    private final ServerConnectionHandler handler =
+            new ServerConnectionHandler(this::handle, LIMITS, closing::get, unanswered);
+    private final CallerConnection connection = new CallerConnection(time, handler);
 
     @AfterEach
     void close() {
@@ -52,17 +60,99 @@
         assertThat(connection.isOpen()).isFalse();
     }
 
+    /** Guards against an answer that is cut while its reader takes it, only since that lasts long. */
+    @Test
+    void aReaderThatIsSlowGetsItsLastAnswerWhole() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\nconnection: close\r\n\r\n");
+
+        takeLargeAnswerSlowly();
+
+        assertThat(connection.taken()).endsWith(LARGE_ANSWER);
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a kept connection that counts as idle, and is cut, while its reader takes the answer. */
+    @Test
+    void aReaderThatIsSlowKeepsItsConnection() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\n\r\n");
+        takeLargeAnswerSlowly();
+        assertThat(connection.taken()).endsWith(LARGE_ANSWER);
+
+        connection.takeUpTo(Long.MAX_VALUE);
+        receive("GET /one HTTP/1.1\r\n\r\n");
+
+        assertThat(connection.taken()).endsWith("/one");
+    }
+
+    /** Guards against a connection that stays for ever since its reader stopped in the middle of its last answer. */
+    @Test
+    void aReaderThatTakesNothingForAWholePeriodIsCut() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\nconnection: close\r\n\r\n");
+        connection.takeUpTo(PIECE_BYTES);
+        passHalfAPeriod();
+        passHalfAPeriod();
+        passHalfAPeriod();
+        assertThat(connection.isOpen()).isTrue();
+
+        passHalfAPeriod();
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a kept connection that stays for ever since its reader stopped in the middle of an answer. */
+    @Test
+    void aKeptConnectionWhoseReaderTakesNothingIsCut() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\n\r\n");
+
+        passHalfAPeriod();
+        passHalfAPeriod();
+        passHalfAPeriod();
+        passHalfAPeriod();
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a period that begins anew although nothing is on its way. */
+    @Test
+    void aConnectionWithoutRequestsIsClosedAfterOnePeriod() {
+        receive("GET /one HTTP/1.1\r\n\r\n");
+
+        pass(LIMITS.idleMillis() - 1);
+        assertThat(connection.isOpen()).isTrue();
+        pass(1);
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
     private HttpBody handle(HttpCall call) {
         begun.add(call.path());
         if (call.path().equals("/held")) {
             held.add(call);
             return new WholeBody(BODY_BYTES, body -> {}, () -> {});
         }
-        return new WholeBody(BODY_BYTES, body -> answer(call), () -> {});
+        String answer = call.path().equals("/large") ? LARGE_ANSWER : call.path();
+        return new WholeBody(BODY_BYTES, body -> call.reply(200, Map.of(), RawEndpoint.ascii(answer)), () -> {});
+    }
+
+    /** Takes one piece in each half of a period. */
+    private void takeLargeAnswerSlowly() {
+        for (int pieces = 0; pieces <= LARGE_ANSWER_PIECES; pieces++) {
+            connection.takeUpTo(PIECE_BYTES);
+            passHalfAPeriod();
+        }
+    }
+
+    private void passHalfAPeriod() {
+        pass(LIMITS.idleMillis() / 2);
     }
 
-    private static void answer(HttpCall call) {
-        call.reply(200, Map.of(), RawEndpoint.ascii(call.path()));
+    private void pass(long millis) {
+        time.advance(millis, TimeUnit.MILLISECONDS);
+        connection.runScheduledPendingTasks();
     }
 
     private void receive(String bytes) {
@@ -74,8 +164,8 @@
         private final StringBuilder taken = new StringBuilder();
         private long takesBytes = Long.MAX_VALUE;
 
-        CallerConnection(ServerConnectionHandler handler) {
-            super(new HttpServerCodec(), handler);
+        CallerConnection(Ticker time, ServerConnectionHandler handler) {
+            super(builder().ticker(time).handlers(new HttpServerCodec(), handler));
             config().setWriteBufferWaterMark(new WriteBufferWaterMark(0, LIMITS.maxPendingWriteBytes()));
         }
 
