Stop reading while many pipelined messages wait, instead of cutting the answer in progress

A caller that pipelined more than 64 messages behind an answer in progress had that answer cut; each piece of a pipelined request's body counts as a message, so one large upload was enough.

Cause: the queue's bound closed the connection.

Reading now stops while 64 messages wait and goes on when fewer do. Below that it goes on as before, since only reading shows that the caller has gone; above it, a caller that has gone is noticed by a write that fails, or when reading goes on. Memory is bounded by the 64 messages and what one reading holds: Netty ends a round of reading when auto-read is off. The codec's own bound is taken out. One method of the handler decides whether to read; what a call asks for its body (readBody) is one of its inputs, so it can't start reading while many messages wait. The waiting requests are taken in a flat loop, since one reading may hold thousands that are answered at once.

Tests that failed on the code before: manyPipelinedRequestsWaitForTheAnswerInProgress (the connection was closed), aPipelinedRequestWithALargeBodyWaitsForTheAnswerInProgress (ClosedChannelException) and askingForTheBodyDoesNotReadOnWhileManyRequestsWait (auto-read was on). The others guard what must stay: reading goes on while few messages wait, after a body that was held back, and after the last answer; and over a socket, a large request is read to its end when the answer before it is complete.

--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -46,11 +46,8 @@
                         channel.config()
                                 .setWriteBufferWaterMark(
                                         new WriteBufferWaterMark(LOW_WATER_BYTES, now.maxPendingWriteBytes()));
-                        HttpDecoderConfig decoder = new HttpDecoderConfig()
-                                .setMaxInitialLineLength(now.maxRequestLineBytes())
-                                .setMaxHeaderSize(now.maxHeaderBytes());
                         channel.pipeline()
-                                .addLast(new HttpServerCodec(decoder))
+                                .addLast(codec(now))
                                 .addLast(new ServerConnectionHandler(
                                         handler, now, () -> closingConnections, unanswered));
                     }
@@ -60,6 +57,15 @@
                 .channel();
     }
 
+    /** How a connection reads requests. */
+    static HttpServerCodec codec(HttpLimits limits) {
+        HttpDecoderConfig decoder = new HttpDecoderConfig()
+                .setMaxInitialLineLength(limits.maxRequestLineBytes())
+                .setMaxHeaderSize(limits.maxHeaderBytes());
+        // No bound of its own, which would cut the answer in progress: the connection's handler stops reading.
+        return new HttpServerCodec(decoder, Integer.MAX_VALUE);
+    }
+
     /** Starts listening; throws the bind's failure if the address is taken. */
     public static HttpServer start(EventLoopGroup group, Address address, HttpLimits limits, HttpHandler handler) {
         return new HttpServer(group, ListeningSocket.open(address), () -> limits, handler);
--- a/src/main/java/org/gooseberryhill/http/ServerCall.java
+++ b/src/main/java/org/gooseberryhill/http/ServerCall.java
@@ -154,7 +154,7 @@
     public void readBody(boolean reading) {
         onLoop(() -> {
             if (!ended) {
-                context.channel().config().setAutoRead(reading);
+                connection.holdBodyBack(context.channel(), !reading);
             }
         });
     }
@@ -194,7 +194,6 @@
 
     private void end(boolean keepConnection) {
         ended = true;
-        context.channel().config().setAutoRead(true);
         connection.callEnded(context, keepConnection);
     }
 
--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -38,7 +38,7 @@
     /** How long a new connection is not idle yet: its first request is on the way. */
     static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Messages of pipelined requests that may wait; more closes the connection. */
+    /** Nothing is read while as many messages of pipelined requests wait; what was read before may come on top. */
     private static final int MAX_WAITING_MESSAGES = 64;
 
     private static final Lazy<Logger> LOG = Logs.of(ServerConnectionHandler.class);
@@ -49,6 +49,8 @@
     private ServerCall call;
     private HttpBody body;
     private boolean bodyDone;
+    private boolean bodyHeldBack;
+    private boolean takingWaiting;
     private boolean firstRequestCame;
     private boolean lastAnswerGiven;
     private long acceptedNanos;
@@ -90,7 +92,8 @@
         }
         boolean belongsToNext = call != null && bodyDone;
         if (belongsToNext || !waiting.isEmpty()) {
-            enqueue(context, object);
+            waiting.add(object);
+            readAsFitting(context.channel());
             return;
         }
         process(context, object);
@@ -132,21 +135,47 @@
         }
     }
 
+    /** Stops or continues reading the body of the present request. */
+    void holdBodyBack(Channel connection, boolean holdBack) {
+        bodyHeldBack = holdBack;
+        readAsFitting(connection);
+    }
+
     /** The present answer is complete: looks at the next request, or closes. */
     void callEnded(ChannelHandlerContext context, boolean keepAlive) {
         boolean unreadBody = !bodyDone;
         call = null;
+        bodyHeldBack = false;
         unanswered.decrementAndGet();
         if (!keepAlive || unreadBody) {
             closeAfterFlush(context.channel());
             return;
         }
         closeWhenIdle(context.channel());
-        while (!lastAnswerGiven && !waiting.isEmpty() && (call == null || !bodyDone)) {
-            process(context, waiting.poll());
+        takeWaiting(context);
+    }
+
+    /** An answer that is given within the loop does not begin another one, so the stack stays flat. */
+    private void takeWaiting(ChannelHandlerContext context) {
+        if (takingWaiting) {
+            return;
+        }
+        takingWaiting = true;
+        try {
+            while (!lastAnswerGiven && !waiting.isEmpty() && (call == null || !bodyDone)) {
+                process(context, waiting.poll());
+            }
+        } finally {
+            takingWaiting = false;
+            readAsFitting(context.channel());
         }
     }
 
+    /** Reads on as long as memory allows, since only reading shows that the caller has gone. */
+    private void readAsFitting(Channel connection) {
+        connection.config().setAutoRead(!bodyHeldBack && waiting.size() < MAX_WAITING_MESSAGES);
+    }
+
     /** Takes nothing in any more, and closes when what was written has gone out or a reader takes nothing for too long. */
     private void closeAfterFlush(Channel connection) {
         if (lastAnswerGiven) {
@@ -155,6 +184,7 @@
         lastAnswerGiven = true;
         cancelIdleTimer();
         dropWaiting();
+        readAsFitting(connection);
         connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         if (connection.isOpen()) {
             afterSilentPeriod(connection, connection::close);
@@ -220,15 +250,6 @@
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
-    private void enqueue(ChannelHandlerContext context, HttpObject object) {
-        if (waiting.size() >= MAX_WAITING_MESSAGES) {
-            ReferenceCountUtil.release(object);
-            context.close();
-            return;
-        }
-        waiting.add(object);
-    }
-
     private void dropWaiting() {
         waiting.forEach(ReferenceCountUtil::release);
         waiting.clear();
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -4,11 +4,14 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhill.Loopback;
@@ -27,6 +30,7 @@
     private static final int OUTCOME_MILLIS = 10_000;
 
     private static final int LARGE_ANSWER_BYTES = 8 * 1024 * 1024;
+    private static final int UPLOAD_BYTES = 8 * 1024 * 1024;
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
     private final EventLoopGroup group = Loopback.group();
@@ -63,6 +67,24 @@
         assertThat(send("GET /" + "y".repeat(1000) + " HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 400");
     }
 
+    /** Guards against a connection that is never read again after a large request waited behind an answer. */
+    @Test
+    void aLargeRequestBehindAnAnswerInProgressIsReadOnAfterIt() throws Exception {
+        try (Socket caller = new Socket(address.ip(), address.port())) {
+            caller.setSoTimeout(OUTCOME_MILLIS);
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /held HTTP/1.1\r\n\r\n"));
+            Loopback.await("the request", () -> !held.isEmpty());
+            CompletableFuture<Void> sent = CompletableFuture.runAsync(() -> upload(caller));
+
+            held.remove().reply(200, Map.of(), RawEndpoint.ascii("first"));
+
+            assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
+                    .contains("first")
+                    .endsWith("received " + UPLOAD_BYTES);
+            sent.get();
+        }
+    }
+
     /** Two requests come in one piece; their answers must come in their order, each whole. */
     @Test
     void pipelinedRequestsAreAnsweredInOrder() throws IOException {
@@ -246,6 +268,12 @@
             answered.incrementAndGet();
             return new WholeBody(100, body -> {}, () -> {});
         }
+        if (call.path().equals("/upload")) {
+            return new WholeBody(
+                    UPLOAD_BYTES,
+                    body -> call.reply(200, Map.of(), RawEndpoint.ascii("received " + body.length)),
+                    () -> {});
+        }
         if (call.path().equals("/held")) {
             return new WholeBody(100, body -> held.add(call), () -> {});
         }
@@ -260,6 +288,17 @@
                 () -> call.reply(413, Map.of(), new byte[0]));
     }
 
+    private static void upload(Socket caller) {
+        try {
+            OutputStream sending = caller.getOutputStream();
+            sending.write(RawEndpoint.ascii(
+                    "POST /upload HTTP/1.1\r\nconnection: close\r\ncontent-length: " + UPLOAD_BYTES + "\r\n\r\n"));
+            sending.write(new byte[UPLOAD_BYTES]);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** A caller whose answer fills all buffers on its way. */
     private Socket slowReader() throws IOException {
         Socket socket = new Socket();
--- a/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
+++ b/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
 import java.nio.charset.StandardCharsets;
@@ -26,6 +25,8 @@
     private static final long FIRST_REQUEST_MILLIS =
             TimeUnit.NANOSECONDS.toMillis(ServerConnectionHandler.FIRST_REQUEST_NANOS);
     private static final int BODY_BYTES = 100;
+    private static final int MANY_REQUESTS = 5_000;
+    private static final int MANY_PIECES = BODY_BYTES;
     private static final int PIECE_BYTES = 1024;
     private static final int LARGE_ANSWER_PIECES = 10;
     private static final String LARGE_ANSWER = "x".repeat(LARGE_ANSWER_PIECES * PIECE_BYTES);
@@ -152,6 +153,80 @@
         assertThat(connection.isOpen()).isFalse();
     }
 
+    /** Guards against an answer that is cut since many requests are pipelined behind it. */
+    @Test
+    void manyPipelinedRequestsWaitForTheAnswerInProgress() {
+        receive("GET /held HTTP/1.1\r\n\r\n");
+
+        receive("GET /one HTTP/1.1\r\n\r\n".repeat(MANY_REQUESTS));
+        assertThat(connection.isOpen()).isTrue();
+        assertThat(connection.config().isAutoRead()).isFalse();
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+
+        assertThat(begun).hasSize(1 + MANY_REQUESTS);
+        assertThat(connection.taken().split("/one", -1)).hasSize(1 + MANY_REQUESTS);
+        assertThat(connection.taken()).endsWith("/one");
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
+    /** Guards against an answer that is cut since a request with a large body is pipelined behind it. */
+    @Test
+    void aPipelinedRequestWithALargeBodyWaitsForTheAnswerInProgress() {
+        receive("GET /held HTTP/1.1\r\n\r\nPOST /one HTTP/1.1\r\ncontent-length: " + MANY_PIECES + "\r\n\r\n");
+        receiveBodyPieces(MANY_PIECES - 1);
+        assertThat(connection.isOpen()).isTrue();
+        assertThat(connection.config().isAutoRead()).isFalse();
+
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+        assertThat(connection.config().isAutoRead()).isTrue();
+        receiveBodyPieces(1);
+
+        assertThat(connection.taken()).contains("/held").endsWith("/one");
+    }
+
+    /** Guards against a caller that goes away and is not noticed since a few requests wait. */
+    @Test
+    void readingGoesOnWhileFewRequestsWait() {
+        receive("GET /held HTTP/1.1\r\n\r\nGET /one HTTP/1.1\r\n\r\n");
+
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
+    /** Guards against memory that fills since the owner of the answer in progress asks for reading to go on. */
+    @Test
+    void askingForTheBodyDoesNotReadOnWhileManyRequestsWait() {
+        receive("GET /held HTTP/1.1\r\n\r\n" + "GET /one HTTP/1.1\r\n\r\n".repeat(MANY_REQUESTS));
+
+        held.get(0).readBody(false);
+        held.get(0).readBody(true);
+
+        assertThat(connection.config().isAutoRead()).isFalse();
+    }
+
+    /** Guards against a connection that is never read again since the body of an answered request was held back. */
+    @Test
+    void aBodyThatIsHeldBackIsReadOnAfterTheAnswer() {
+        receive("GET /held HTTP/1.1\r\n\r\n");
+        held.get(0).readBody(false);
+        assertThat(connection.config().isAutoRead()).isFalse();
+
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
+    /** Guards against a connection that stays until its bound since nobody reads that its caller has gone. */
+    @Test
+    void theLastAnswerHasReadingGoOn() {
+        receive("GET /held HTTP/1.1\r\n\r\n" + "GET /one HTTP/1.1\r\n\r\n".repeat(MANY_REQUESTS));
+        closing.set(true);
+        connection.takeUpTo(0);
+
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
     private HttpBody handle(HttpCall call) {
         begun.add(call.path());
         if (call.path().equals("/held")) {
@@ -179,6 +254,12 @@
         connection.runScheduledPendingTasks();
     }
 
+    private void receiveBodyPieces(int pieces) {
+        for (int i = 0; i < pieces; i++) {
+            receive("x");
+        }
+    }
+
     private void receive(String bytes) {
         connection.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
     }
@@ -189,7 +270,7 @@
         private long takesBytes = Long.MAX_VALUE;
 
         CallerConnection(Ticker time, ServerConnectionHandler handler) {
-            super(builder().ticker(time).handlers(new HttpServerCodec(), handler));
+            super(builder().ticker(time).handlers(HttpServer.codec(LIMITS), handler));
             config().setWriteBufferWaterMark(new WriteBufferWaterMark(0, LIMITS.maxPendingWriteBytes()));
         }
 
