Let the caller close a connection whose last answer may be on its way with bytes unread

A caller that still sends while it gets its last answer may get a part of it and "connection reset".

Cause: when a connection is closed with bytes unread, the system resets it and drops what it has not sent yet. The last answer was handed to the system and the connection closed in one go; what had come in while reading was stopped, as for a body that is held back or since many messages wait, was certainly unread then.

In that case the server now ends its own direction only, reads on and drops what comes. The caller closes the connection when it sees the end; else it is closed after the period in which nothing goes out. Elsewhere the connection closes as before.

The test has the body held back, lets the answer go to the system whole, and has the caller read only then. On the code before it ended with "Connection reset".

--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -184,13 +185,23 @@
         lastAnswerGiven = true;
         cancelIdleTimer();
         dropWaiting();
+        boolean hasUnread = !connection.config().isAutoRead();
         readAsFitting(connection);
-        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        if (hasUnread && connection instanceof DuplexChannel caller) {
+            endOutputAfterFlush(caller);
+        } else {
+            connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
         if (connection.isOpen()) {
             afterSilentPeriod(connection, connection::close);
         }
     }
 
+    /** The system drops what is on its way when a connection is closed with bytes unread; so the caller closes it. */
+    private static void endOutputAfterFlush(DuplexChannel connection) {
+        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> connection.shutdownOutput());
+    }
+
     private void process(ChannelHandlerContext context, HttpObject object) {
         try {
             if (object.decoderResult().isFailure()) {
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -30,6 +30,8 @@
     private static final int OUTCOME_MILLIS = 10_000;
 
     private static final int LARGE_ANSWER_BYTES = 8 * 1024 * 1024;
+    private static final int UNREAD_BYTES = 16 * 1024;
+    private static final int UNREAD_ANSWER_BYTES = 256 * 1024;
     private static final int UPLOAD_BYTES = 8 * 1024 * 1024;
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
@@ -185,6 +187,27 @@
         }
     }
 
+    /** Guards against a last answer that is cut on its way since the host closes while bytes of the caller are unread. */
+    @Test
+    void theLastAnswerArrivesWholeAlthoughBytesBehindItAreUnread() throws IOException {
+        try (Socket caller = slowReader()) {
+            caller.setSoTimeout(OUTCOME_MILLIS);
+            caller.getOutputStream().write(RawEndpoint.ascii("GET /held HTTP/1.1\r\nconnection: close\r\n\r\n"));
+            Loopback.await("the request", () -> !held.isEmpty());
+            HttpCall call = held.remove();
+            call.beginStream(200, Map.of());
+            call.readBody(false);
+            call.write(new byte[1]).join();
+            caller.getOutputStream().write(new byte[UNREAD_BYTES]);
+
+            call.write(new byte[UNREAD_ANSWER_BYTES]);
+            call.endStream();
+            Loopback.await("the end of the answer", () -> server.unanswered() == 0);
+
+            assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(UNREAD_ANSWER_BYTES);
+        }
+    }
+
     /** Guards against a request that is taken in after the last answer of its connection, and cut as that closes. */
     @Test
     void nothingIsTakenInAfterTheLastAnswerOfAConnection() throws IOException {
