Do not close a connection as idle while a request's head is half received

A caller whose request's head comes in two parts lost it when the host closed idle connections between them.

Cause: a request counts as begun when its head is whole, so the connection looked idle until then.

Netty tells the end of each reading through its codec. A reading that made no message is the beginning of one, and the next message takes that back. So it can be told with the codec in place, without a handler before it. Not told is the beginning of a head that came in the same reading as the end of the request before it. A caller that never sends the rest keeps its connection until the idle period ends or the stop's bound is reached.

The test splits a request at each byte and has the connection closed as idle between; on the code before it ended with ClosedChannelException at the first split. A second one guards that the answered request leaves the connection idle.

--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -53,6 +53,8 @@
     private boolean bodyHeldBack;
     private boolean takingWaiting;
     private boolean firstRequestCame;
+    private boolean messageCame;
+    private boolean headBegun;
     private boolean lastAnswerGiven;
     private long acceptedNanos;
     private final BooleanSupplier closing;
@@ -87,6 +89,8 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         HttpObject object = (HttpObject) message;
+        messageCame = true;
+        headBegun = false;
         if (lastAnswerGiven) {
             ReferenceCountUtil.release(object);
             return;
@@ -100,6 +104,14 @@
         process(context, object);
     }
 
+    /** What was read without a message is the beginning of one. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        headBegun = headBegun || !messageCame;
+        messageCame = false;
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         cancelIdleTimer();
@@ -131,7 +143,7 @@
     /** Closes the connection unless a request is in progress on it; an answer that is still on its way goes out before. */
     void closeIfIdle(Channel connection) {
         boolean isNew = !firstRequestCame && nanoTime(connection) - acceptedNanos < FIRST_REQUEST_NANOS;
-        if (call == null && !isNew) {
+        if (call == null && !isNew && !headBegun) {
             closeAfterFlush(connection);
         }
     }
--- a/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
+++ b/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
@@ -25,6 +25,7 @@
     private static final long FIRST_REQUEST_MILLIS =
             TimeUnit.NANOSECONDS.toMillis(ServerConnectionHandler.FIRST_REQUEST_NANOS);
     private static final int BODY_BYTES = 100;
+    private static final String SMALL_REQUEST = "GET /one HTTP/1.1\r\nhost: h\r\n\r\n";
     private static final int MANY_REQUESTS = 5_000;
     private static final int MANY_PIECES = BODY_BYTES;
     private static final int PIECE_BYTES = 1024;
@@ -227,6 +228,33 @@
         assertThat(connection.config().isAutoRead()).isTrue();
     }
 
+    /** Guards against a request that is lost since its connection counts as idle while its head is half received. */
+    @Test
+    void aConnectionOnWhichAHeadHasBegunToComeIsNotClosedAsIdle() {
+        for (int received = 1; received < SMALL_REQUEST.length(); received++) {
+            receive(SMALL_REQUEST.substring(0, received));
+            pass(FIRST_REQUEST_MILLIS);
+
+            handler.closeIfIdle(connection);
+            receive(SMALL_REQUEST.substring(received));
+
+            assertThat(begun).hasSize(received);
+        }
+        assertThat(connection.taken()).endsWith("/one");
+    }
+
+    /** Guards against a stop that waits for a connection since its last request came in two parts. */
+    @Test
+    void aConnectionWhoseRequestCameInPartsIsClosedAsIdleAfterItsAnswer() {
+        receive("GET /one HT");
+        receive("TP/1.1\r\n\r\n");
+
+        handler.closeIfIdle(connection);
+
+        assertThat(connection.isOpen()).isFalse();
+        assertThat(connection.taken()).endsWith("/one");
+    }
+
     private HttpBody handle(HttpCall call) {
         begun.add(call.path());
         if (call.path().equals("/held")) {
