--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -35,11 +36,11 @@
  * to another request of the same connection.
  */
 final class ServerConnectionHandler extends ChannelDuplexHandler {
-    /** Messages of pipelined requests that may wait; more closes the connection. */
-    private static final int MAX_WAITING_MESSAGES = 64;
-
     /** How long a new connection is not idle yet: its first request is on the way. */
-    private static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Nothing is read while as many messages of pipelined requests wait; what was read before may come on top. */
+    private static final int MAX_WAITING_MESSAGES = 64;
 
     private static final Lazy<Logger> LOG = Logs.of(ServerConnectionHandler.class);
 
@@ -49,7 +50,11 @@
     private ServerCall call;
     private HttpBody body;
     private boolean bodyDone;
+    private boolean bodyHeldBack;
+    private boolean takingWaiting;
     private boolean firstRequestCame;
+    private boolean messageCame;
+    private boolean headBegun;
     private boolean lastAnswerGiven;
     private long acceptedNanos;
     private final BooleanSupplier closing;
@@ -76,31 +81,41 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        acceptedNanos = System.nanoTime();
-        armIdleTimer(context);
+        acceptedNanos = nanoTime(context.channel());
+        closeWhenIdle(context.channel());
         context.fireChannelActive();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         HttpObject object = (HttpObject) message;
+        messageCame = true;
+        headBegun = false;
         if (lastAnswerGiven) {
             ReferenceCountUtil.release(object);
             return;
         }
         boolean belongsToNext = call != null && bodyDone;
         if (belongsToNext || !waiting.isEmpty()) {
-            enqueue(context, object);
+            waiting.add(object);
+            readAsFitting(context.channel());
             return;
         }
         process(context, object);
     }
 
+    /** What was read without a message is the beginning of one. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        headBegun = headBegun || !messageCame;
+        messageCame = false;
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         cancelIdleTimer();
-        waiting.forEach(ReferenceCountUtil::release);
-        waiting.clear();
+        dropWaiting();
         if (call != null) {
             if (body != null && !bodyDone) {
                 body.onAborted();
@@ -127,25 +142,51 @@
 
     /** Closes the connection unless a request is in progress on it; an answer that is still on its way goes out before. */
     void closeIfIdle(Channel connection) {
-        boolean isNew = !firstRequestCame && System.nanoTime() - acceptedNanos < FIRST_REQUEST_NANOS;
-        if (call == null && !isNew) {
+        boolean isNew = !firstRequestCame && nanoTime(connection) - acceptedNanos < FIRST_REQUEST_NANOS;
+        if (call == null && !isNew && !headBegun) {
             closeAfterFlush(connection);
         }
     }
 
+    /** Stops or continues reading the body of the present request. */
+    void holdBodyBack(Channel connection, boolean holdBack) {
+        bodyHeldBack = holdBack;
+        readAsFitting(connection);
+    }
+
     /** The present answer is complete: looks at the next request, or closes. */
     void callEnded(ChannelHandlerContext context, boolean keepAlive) {
         boolean unreadBody = !bodyDone;
         call = null;
+        bodyHeldBack = false;
         unanswered.decrementAndGet();
         if (!keepAlive || unreadBody) {
             closeAfterFlush(context.channel());
             return;
         }
-        armIdleTimer(context);
-        while (!waiting.isEmpty() && (call == null || !bodyDone)) {
-            process(context, waiting.poll());
+        closeWhenIdle(context.channel());
+        takeWaiting(context);
+    }
+
+    /** An answer that is given within the loop does not begin another one, so the stack stays flat. */
+    private void takeWaiting(ChannelHandlerContext context) {
+        if (takingWaiting) {
+            return;
         }
+        takingWaiting = true;
+        try {
+            while (!lastAnswerGiven && !waiting.isEmpty() && (call == null || !bodyDone)) {
+                process(context, waiting.poll());
+            }
+        } finally {
+            takingWaiting = false;
+            readAsFitting(context.channel());
+        }
+    }
+
+    /** Reads on as long as memory allows, since only reading shows that the caller has gone. */
+    private void readAsFitting(Channel connection) {
+        connection.config().setAutoRead(!bodyHeldBack && waiting.size() < MAX_WAITING_MESSAGES);
     }
 
     /** Takes nothing in any more, and closes when what was written has gone out or a reader takes nothing for too long. */
@@ -155,14 +196,24 @@
         }
         lastAnswerGiven = true;
         cancelIdleTimer();
-        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        dropWaiting();
+        boolean hasUnread = !connection.config().isAutoRead();
+        readAsFitting(connection);
+        if (hasUnread && connection instanceof DuplexChannel caller) {
+            endOutputAfterFlush(caller);
+        } else {
+            connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
         if (connection.isOpen()) {
-            idleTimer = connection
-                    .eventLoop()
-                    .schedule(() -> connection.close(), limits.idleMillis(), TimeUnit.MILLISECONDS);
+            afterSilentPeriod(connection, connection::close);
         }
     }
 
+    /** The system drops what is on its way when a connection is closed with bytes unread; so the caller closes it. */
+    private static void endOutputAfterFlush(DuplexChannel connection) {
+        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> connection.shutdownOutput());
+    }
+
     private void process(ChannelHandlerContext context, HttpObject object) {
         try {
             if (object.decoderResult().isFailure()) {
@@ -222,20 +273,35 @@
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
     }
 
-    private void enqueue(ChannelHandlerContext context, HttpObject object) {
-        if (waiting.size() >= MAX_WAITING_MESSAGES) {
-            ReferenceCountUtil.release(object);
-            context.close();
-            return;
-        }
-        waiting.add(object);
+    private void dropWaiting() {
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
     }
 
-    private void armIdleTimer(ChannelHandlerContext context) {
+    private void closeWhenIdle(Channel connection) {
+        afterSilentPeriod(connection, () -> closeAfterFlush(connection));
+    }
+
+    /** Acts once when nothing has gone out for a whole period, unless the timer is cancelled before. */
+    private void afterSilentPeriod(Channel connection, Runnable action) {
         cancelIdleTimer();
-        Channel connection = context.channel();
-        idleTimer = context.executor()
-                .schedule(() -> closeAfterFlush(connection), limits.idleMillis(), TimeUnit.MILLISECONDS);
+        UnsentBytes before = UnsentBytes.of(connection);
+        idleTimer = connection
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            if (UnsentBytes.of(connection).equals(before)) {
+                                action.run();
+                                return;
+                            }
+                            afterSilentPeriod(connection, action);
+                        },
+                        limits.idleMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private static long nanoTime(Channel connection) {
+        return connection.eventLoop().ticker().nanoTime();
     }
 
     private void cancelIdleTimer() {
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
@@ -0,0 +1,327 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** One connection without a socket, in virtual time. */
+class ServerConnectionHandlerTest {
+    private static final HttpLimits LIMITS = HttpLimits.DEFAULT;
+    private static final long FIRST_REQUEST_MILLIS =
+            TimeUnit.NANOSECONDS.toMillis(ServerConnectionHandler.FIRST_REQUEST_NANOS);
+    private static final int BODY_BYTES = 100;
+    private static final String SMALL_REQUEST = "GET /one HTTP/1.1\r\nhost: h\r\n\r\n";
+    private static final int MANY_REQUESTS = 5_000;
+    private static final int MANY_PIECES = BODY_BYTES;
+    private static final int PIECE_BYTES = 1024;
+    private static final int LARGE_ANSWER_PIECES = 10;
+    private static final String LARGE_ANSWER = "x".repeat(LARGE_ANSWER_PIECES * PIECE_BYTES);
+
+    private final AtomicBoolean closing = new AtomicBoolean();
+    private final AtomicInteger unanswered = new AtomicInteger();
+    private final List<String> begun = new ArrayList<>();
+    private final List<HttpCall> held = new ArrayList<>();
+    private final MockTicker time = Ticker.newMockTicker();
+    private final ServerConnectionHandler handler =
+            new ServerConnectionHandler(this::handle, LIMITS, closing::get, unanswered);
+    private final CallerConnection connection = new CallerConnection(time, handler);
+
+    @AfterEach
+    void close() {
+        connection.finishAndReleaseAll();
+    }
+
+    /** Guards against a request that is begun behind the last answer of its connection, and cut as that closes. */
+    @Test
+    void aPipelinedRequestBehindTheLastAnswerIsNotBegun() {
+        receive("GET /held HTTP/1.1\r\n\r\nGET /one HTTP/1.1\r\n\r\nGET /held HTTP/1.1\r\n\r\n");
+        HttpCall first = held.remove(0);
+        first.beginStream(200, Map.of());
+        closing.set(true);
+        connection.takeUpTo(0);
+
+        first.endStream();
+        connection.takeUpTo(Long.MAX_VALUE);
+
+        assertThat(begun).containsExactly("/held", "/one");
+        assertThat(connection.taken()).contains("connection: close").endsWith("/one");
+        assertThat(unanswered).hasValue(0);
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against an answer that is cut while its reader takes it, only since that lasts long. */
+    @Test
+    void aReaderThatIsSlowGetsItsLastAnswerWhole() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\nconnection: close\r\n\r\n");
+
+        takeLargeAnswerSlowly();
+
+        assertThat(connection.taken()).endsWith(LARGE_ANSWER);
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a kept connection that counts as idle, and is cut, while its reader takes the answer. */
+    @Test
+    void aReaderThatIsSlowKeepsItsConnection() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\n\r\n");
+        takeLargeAnswerSlowly();
+        assertThat(connection.taken()).endsWith(LARGE_ANSWER);
+
+        connection.takeUpTo(Long.MAX_VALUE);
+        receive("GET /one HTTP/1.1\r\n\r\n");
+
+        assertThat(connection.taken()).endsWith("/one");
+    }
+
+    /** Guards against a connection that stays for ever since its reader stopped in the middle of its last answer. */
+    @Test
+    void aReaderThatTakesNothingForAWholePeriodIsCut() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\nconnection: close\r\n\r\n");
+        connection.takeUpTo(PIECE_BYTES);
+        passHalfAPeriod();
+        passHalfAPeriod();
+        passHalfAPeriod();
+        assertThat(connection.isOpen()).isTrue();
+
+        passHalfAPeriod();
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a kept connection that stays for ever since its reader stopped in the middle of an answer. */
+    @Test
+    void aKeptConnectionWhoseReaderTakesNothingIsCut() {
+        connection.takeUpTo(0);
+        receive("GET /large HTTP/1.1\r\n\r\n");
+
+        passHalfAPeriod();
+        passHalfAPeriod();
+        passHalfAPeriod();
+        passHalfAPeriod();
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a period that begins anew although nothing is on its way. */
+    @Test
+    void aConnectionWithoutRequestsIsClosedAfterOnePeriod() {
+        receive("GET /one HTTP/1.1\r\n\r\n");
+
+        pass(LIMITS.idleMillis() - 1);
+        assertThat(connection.isOpen()).isTrue();
+        pass(1);
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a caller whose connection is closed while its first request is on the way. */
+    @Test
+    void aConnectionThatHasJustBeenMadeIsNotClosedAsIdle() {
+        handler.closeIfIdle(connection);
+        pass(FIRST_REQUEST_MILLIS - 1);
+        handler.closeIfIdle(connection);
+
+        receive("GET /one HTTP/1.1\r\n\r\n");
+
+        assertThat(connection.taken()).endsWith("/one");
+    }
+
+    /** Guards against a stop that waits for connections on which no request has ever come. */
+    @Test
+    void aConnectionOnWhichNoRequestComesIsClosedAsIdle() {
+        pass(FIRST_REQUEST_MILLIS);
+
+        handler.closeIfIdle(connection);
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against an answer that is cut since many requests are pipelined behind it. */
+    @Test
+    void manyPipelinedRequestsWaitForTheAnswerInProgress() {
+        receive("GET /held HTTP/1.1\r\n\r\n");
+
+        receive("GET /one HTTP/1.1\r\n\r\n".repeat(MANY_REQUESTS));
+        assertThat(connection.isOpen()).isTrue();
+        assertThat(connection.config().isAutoRead()).isFalse();
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+
+        assertThat(begun).hasSize(1 + MANY_REQUESTS);
+        assertThat(connection.taken().split("/one", -1)).hasSize(1 + MANY_REQUESTS);
+        assertThat(connection.taken()).endsWith("/one");
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
+    /** Guards against an answer that is cut since a request with a large body is pipelined behind it. */
+    @Test
+    void aPipelinedRequestWithALargeBodyWaitsForTheAnswerInProgress() {
+        receive("GET /held HTTP/1.1\r\n\r\nPOST /one HTTP/1.1\r\ncontent-length: " + MANY_PIECES + "\r\n\r\n");
+        receiveBodyPieces(MANY_PIECES - 1);
+        assertThat(connection.isOpen()).isTrue();
+        assertThat(connection.config().isAutoRead()).isFalse();
+
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+        assertThat(connection.config().isAutoRead()).isTrue();
+        receiveBodyPieces(1);
+
+        assertThat(connection.taken()).contains("/held").endsWith("/one");
+    }
+
+    /** Guards against a caller that goes away and is not noticed since a few requests wait. */
+    @Test
+    void readingGoesOnWhileFewRequestsWait() {
+        receive("GET /held HTTP/1.1\r\n\r\nGET /one HTTP/1.1\r\n\r\n");
+
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
+    /** Guards against memory that fills since the owner of the answer in progress asks for reading to go on. */
+    @Test
+    void askingForTheBodyDoesNotReadOnWhileManyRequestsWait() {
+        receive("GET /held HTTP/1.1\r\n\r\n" + "GET /one HTTP/1.1\r\n\r\n".repeat(MANY_REQUESTS));
+
+        held.get(0).readBody(false);
+        held.get(0).readBody(true);
+
+        assertThat(connection.config().isAutoRead()).isFalse();
+    }
+
+    /** Guards against a connection that is never read again since the body of an answered request was held back. */
+    @Test
+    void aBodyThatIsHeldBackIsReadOnAfterTheAnswer() {
+        receive("GET /held HTTP/1.1\r\n\r\n");
+        held.get(0).readBody(false);
+        assertThat(connection.config().isAutoRead()).isFalse();
+
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
+    /** Guards against a connection that stays until its bound since nobody reads that its caller has gone. */
+    @Test
+    void theLastAnswerHasReadingGoOn() {
+        receive("GET /held HTTP/1.1\r\n\r\n" + "GET /one HTTP/1.1\r\n\r\n".repeat(MANY_REQUESTS));
+        closing.set(true);
+        connection.takeUpTo(0);
+
+        held.remove(0).reply(200, Map.of(), RawEndpoint.ascii("/held"));
+
+        assertThat(connection.config().isAutoRead()).isTrue();
+    }
+
+    /** Guards against a request that is lost since its connection counts as idle while its head is half received. */
+    @Test
+    void aConnectionOnWhichAHeadHasBegunToComeIsNotClosedAsIdle() {
+        for (int received = 1; received < SMALL_REQUEST.length(); received++) {
+            receive(SMALL_REQUEST.substring(0, received));
+            pass(FIRST_REQUEST_MILLIS);
+
+            handler.closeIfIdle(connection);
+            receive(SMALL_REQUEST.substring(received));
+
+            assertThat(begun).hasSize(received);
+        }
+        assertThat(connection.taken()).endsWith("/one");
+    }
+
+    /** Guards against a stop that waits for a connection since its last request came in two parts. */
+    @Test
+    void aConnectionWhoseRequestCameInPartsIsClosedAsIdleAfterItsAnswer() {
+        receive("GET /one HT");
+        receive("TP/1.1\r\n\r\n");
+
+        handler.closeIfIdle(connection);
+
+        assertThat(connection.isOpen()).isFalse();
+        assertThat(connection.taken()).endsWith("/one");
+    }
+
+    private HttpBody handle(HttpCall call) {
+        begun.add(call.path());
+        if (call.path().equals("/held")) {
+            held.add(call);
+            return new WholeBody(BODY_BYTES, body -> {}, () -> {});
+        }
+        String answer = call.path().equals("/large") ? LARGE_ANSWER : call.path();
+        return new WholeBody(BODY_BYTES, body -> call.reply(200, Map.of(), RawEndpoint.ascii(answer)), () -> {});
+    }
+
+    /** Takes one piece in each half of a period. */
+    private void takeLargeAnswerSlowly() {
+        for (int pieces = 0; pieces <= LARGE_ANSWER_PIECES; pieces++) {
+            connection.takeUpTo(PIECE_BYTES);
+            passHalfAPeriod();
+        }
+    }
+
+    private void passHalfAPeriod() {
+        pass(LIMITS.idleMillis() / 2);
+    }
+
+    private void pass(long millis) {
+        time.advance(millis, TimeUnit.MILLISECONDS);
+        connection.runScheduledPendingTasks();
+    }
+
+    private void receiveBodyPieces(int pieces) {
+        for (int i = 0; i < pieces; i++) {
+            receive("x");
+        }
+    }
+
+    private void receive(String bytes) {
+        connection.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+    }
+
+    /** A connection whose caller takes as many bytes as a test lets it. */
+    private static final class CallerConnection extends EmbeddedChannel {
+        private final StringBuilder taken = new StringBuilder();
+        private long takesBytes = Long.MAX_VALUE;
+
+        CallerConnection(Ticker time, ServerConnectionHandler handler) {
+            super(builder().ticker(time).handlers(HttpServer.codec(LIMITS), handler));
+            config().setWriteBufferWaterMark(new WriteBufferWaterMark(0, LIMITS.maxPendingWriteBytes()));
+        }
+
+        /** Takes up to a number of bytes of what has been and will be written. */
+        void takeUpTo(long bytes) {
+            takesBytes = bytes;
+            flush();
+        }
+
+        String taken() {
+            return taken.toString();
+        }
+
+        @Override
+        protected void doWrite(ChannelOutboundBuffer written) {
+            ByteBuf next = (ByteBuf) written.current();
+            while (next != null && (takesBytes > 0 || !next.isReadable())) {
+                int bytes = (int) Math.min(takesBytes, next.readableBytes());
+                taken.append(next.toString(next.readerIndex(), bytes, StandardCharsets.ISO_8859_1));
+                takesBytes -= bytes;
+                written.removeBytes(bytes);
+                next = (ByteBuf) written.current();
+            }
+        }
+    }
+}
