Contract and client tests: only what tests a timeout has a short one

Change: a patient client, and an impatient one where a timeout is what is tested, against an answer that does not come in the time of a test. Stricter than before: HttpClientTest told a cut answer from a silent endpoint by nothing but the outcome, which both share; now the kind must not be silence.

--- a/src/test/java/org/gooseberryhill/external/HostListContractTest.java
+++ b/src/test/java/org/gooseberryhill/external/HostListContractTest.java
@@ -16,13 +16,16 @@
 
 /** What the system relies on from the platform's host list; the stand-in passes it too. */
 class HostListContractTest {
-    private static final long LONG_LAG_MILLIS = 60_000;
+    /** Far longer than a call takes: only a test that would never end waits so long. */
+    private static final int PATIENT_MILLIS = 60_000;
+
+    private static final long LONG_LAG_MILLIS = 600_000;
 
     private final EventLoopGroup group = Loopback.group();
     private final Address address = Loopback.freeAddress();
     private final HostListStandin standin = new HostListStandin(group, address, 0);
     private final HttpClient http = new HttpClient(group);
-    private final HostList hostList = new HttpHostList(http, address, 500);
+    private final HostList hostList = new HttpHostList(http, address, PATIENT_MILLIS);
     private final List<Host> hosts = new SampleFleet(20_000, 1).hosts(1, 1, 1);
 
     @AfterEach
--- a/src/test/java/org/gooseberryhill/external/KeyValueStoreContractTest.java
+++ b/src/test/java/org/gooseberryhill/external/KeyValueStoreContractTest.java
@@ -25,11 +25,20 @@
 
 /** What the system relies on from the key-value service; the stand-in passes it too. */
 class KeyValueStoreContractTest {
+    /** Far longer than a call takes: only a test that would never end waits so long. */
+    private static final int PATIENT_MILLIS = 60_000;
+
+    private static final int IMPATIENT_MILLIS = 300;
+
+    /** Longer than any call here waits. */
+    private static final long NEVER_MILLIS = 600_000;
+
     private final EventLoopGroup group = Loopback.group();
     private final Address address = Loopback.freeAddress();
     private final KeyValueStandin standin = new KeyValueStandin(group, address);
     private final HttpClient http = new HttpClient(group);
-    private final StreamingKeyValueStore store = new EtcdKeyValueStore(http, address, 500);
+    private final StreamingKeyValueStore store = new EtcdKeyValueStore(http, address, PATIENT_MILLIS);
+    private final StreamingKeyValueStore impatient = new EtcdKeyValueStore(http, address, IMPATIENT_MILLIS);
 
     @AfterEach
     void close() {
@@ -177,9 +186,9 @@
 
     @Test
     void aServiceThatIsTooSlowCountsAsUnanswered() {
-        standin.faults(new KeyValueFaults(false, 2000, 0, 0, false));
+        standin.faults(new KeyValueFaults(false, NEVER_MILLIS, 0, 0, false));
 
-        assertThatThrownBy(() -> store.read("k").join()).hasCauseInstanceOf(ExternalServiceException.class);
+        assertThatThrownBy(() -> impatient.read("k").join()).hasCauseInstanceOf(ExternalServiceException.class);
     }
 
     @Test
--- a/src/test/java/org/gooseberryhill/http/EndedExchangeTest.java
+++ b/src/test/java/org/gooseberryhill/http/EndedExchangeTest.java
@@ -16,7 +16,9 @@
 
 /** An exchange that has ended has given its connection back: what its owner still does must not meet the next exchange. */
 class EndedExchangeTest {
-    private static final int SILENCE_MILLIS = 5000;
+    /** Far longer than an answer takes: only a test that would never end waits so long. */
+    private static final int SILENCE_MILLIS = 60_000;
+
     private static final int MAX_ANSWER_BYTES = 100;
 
     private final EventLoopGroup group = Loopback.group();
--- a/src/test/java/org/gooseberryhill/http/HttpClientTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpClientTest.java
@@ -18,6 +18,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpClientTest {
+    /** Far longer than any answer takes: only a test that would never end waits so long. */
+    private static final int PATIENT_MILLIS = 60_000;
+
+    private static final int IMPATIENT_MILLIS = 300;
     private static final String LENGTH_ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
     private static final String CHUNKED_ANSWER =
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
@@ -41,8 +45,11 @@
         for (int length = 0; length < answer.length(); length++) {
             byte[] part = Arrays.copyOf(ascii(answer), length);
             try (RawEndpoint endpoint = new RawEndpoint(part, length % 2 == 0)) {
-                ExchangeFailure failure = failure(endpoint.address());
+                ExchangeFailure failure = failure(endpoint.address(), PATIENT_MILLIS);
                 assertThat(failure.outcome()).as("cut after %d bytes", length).isEqualTo(Outcome.MAY_HAVE_RUN);
+                assertThat(failure.kind())
+                        .as("cut after %d bytes", length)
+                        .isNotIn(ExchangeFailure.Kind.SILENT, ExchangeFailure.Kind.CONNECT_FAILED);
             }
         }
     }
@@ -51,7 +58,7 @@
     @ValueSource(strings = {LENGTH_ANSWER, CHUNKED_ANSWER})
     void aWholeAnswerComesWhole(String answer) throws IOException {
         try (RawEndpoint endpoint = new RawEndpoint(ascii(answer), false)) {
-            assertThat(client.call(request(endpoint.address(), 1000), 100)
+            assertThat(client.call(request(endpoint.address(), PATIENT_MILLIS), 100)
                             .join()
                             .body())
                     .isEqualTo(ascii("hello"));
@@ -60,7 +67,7 @@
 
     @Test
     void anEndpointThatCannotBeReachedDidNotRunTheRequest() {
-        ExchangeFailure failure = failure(Loopback.freeAddress());
+        ExchangeFailure failure = failure(Loopback.freeAddress(), PATIENT_MILLIS);
 
         assertThat(failure.kind()).isEqualTo(ExchangeFailure.Kind.CONNECT_FAILED);
         assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
@@ -70,14 +77,14 @@
     @Test
     void anAnswerWithoutLengthOrEndMarkIsAFailure() throws IOException {
         try (RawEndpoint endpoint = new RawEndpoint(ascii("HTTP/1.1 200 OK\r\n\r\nhello"), false)) {
-            assertThat(failure(endpoint.address()).kind()).isEqualTo(ExchangeFailure.Kind.MALFORMED);
+            assertThat(failure(endpoint.address(), PATIENT_MILLIS).kind()).isEqualTo(ExchangeFailure.Kind.MALFORMED);
         }
     }
 
     @Test
     void anAnswerThatIsNotHttpIsAFailure() throws IOException {
         try (RawEndpoint endpoint = new RawEndpoint(ascii("no such thing\r\n\r\n"), false)) {
-            assertThat(failure(endpoint.address()).kind()).isEqualTo(ExchangeFailure.Kind.MALFORMED);
+            assertThat(failure(endpoint.address(), PATIENT_MILLIS).kind()).isEqualTo(ExchangeFailure.Kind.MALFORMED);
         }
     }
 
@@ -85,8 +92,8 @@
     @Test
     void aDuplicatedAnswerIsNotTakenByTheNextExchange() throws IOException {
         try (RawEndpoint endpoint = new RawEndpoint(ascii(LENGTH_ANSWER + LENGTH_ANSWER), false)) {
-            client.call(request(endpoint.address(), 1000), 100).join();
-            client.call(request(endpoint.address(), 1000), 100).join();
+            client.call(request(endpoint.address(), PATIENT_MILLIS), 100).join();
+            client.call(request(endpoint.address(), PATIENT_MILLIS), 100).join();
 
             assertThat(endpoint.requests()).isEqualTo(2);
         }
@@ -96,8 +103,8 @@
     void anInterimAnswerIsPassedOver() throws IOException {
         String interim = "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + LENGTH_ANSWER;
         try (RawEndpoint endpoint = new RawEndpoint(ascii(interim), false)) {
-            HttpResult result =
-                    client.call(request(endpoint.address(), 1000), 100).join();
+            HttpResult result = client.call(request(endpoint.address(), PATIENT_MILLIS), 100)
+                    .join();
             assertThat(result.status()).isEqualTo(200);
             assertThat(result.body()).isEqualTo(ascii("hello"));
         }
@@ -106,15 +113,15 @@
     @Test
     void aSilentEndpointFailsTheExchange() throws IOException {
         try (ServerSocket silent = new ServerSocket(0)) {
-            ExchangeFailure failure = failure(new Address("127.0.0.1", silent.getLocalPort()));
+            ExchangeFailure failure = failure(new Address("127.0.0.1", silent.getLocalPort()), IMPATIENT_MILLIS);
             assertThat(failure.kind()).isEqualTo(ExchangeFailure.Kind.SILENT);
             assertThat(failure.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
         }
     }
 
-    private ExchangeFailure failure(Address address) {
+    private ExchangeFailure failure(Address address, int silenceMillis) {
         try {
-            client.call(request(address, 300), 100).join();
+            client.call(request(address, silenceMillis), 100).join();
         } catch (CompletionException e) {
             return ((ExchangeException) e.getCause()).failure();
         }
--- a/src/test/java/org/gooseberryhill/standin/EngineStandinTest.java
+++ b/src/test/java/org/gooseberryhill/standin/EngineStandinTest.java
@@ -17,6 +17,9 @@
 class EngineStandinTest {
     private static final int TOKENS = 6;
 
+    /** Far longer than a stream is silent: only a test that would never end waits so long. */
+    private static final int PATIENT_MILLIS = 60_000;
+
     private final EventLoopGroup group = Loopback.group();
     private final EngineStandin engine = new EngineStandin(group, Loopback.freeAddress(), new EngineSpeed(4, 1, 16, 4));
     private final HttpClient http = new HttpClient(group);
@@ -39,7 +42,7 @@
                 "/v1/completions",
                 Map.of("x-resume-from", Integer.toString(resumeFrom)),
                 body,
-                2000,
+                PATIENT_MILLIS,
                 false);
 
         HttpResult result = http.call(request, 100_000).join();
