Tests: no two processes on a machine are given the same ports

Cause: ports were given out from a place that depends on the process id, 397 ports apart, while one run of the suite takes more than that; the blocks of the system tests began at the same port in each process. Two suites on one machine, or a suite and a soak, met at a port: one found it taken, or was called by the other's gateways. Seen once: GatewayTrafficTest.aRunnerThatIsLeavingGetsNothingNew counted a run at its new runner although the log of its gateway shows no request sent there; other suites ran on the machine at that time. That it was a neighbour's call follows from that log only: no line of the other process was kept.

Ruled out: a random place to begin; it makes the meeting rare instead of impossible.

--- /dev/null
+++ b/src/test/java/org/gooseberryhill/standin/FreePortsTest.java
@@ -0,0 +1,77 @@
+package org.gooseberryhill.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.gooseberryhill.Loopback;
+import org.junit.jupiter.api.Test;
+
+class FreePortsTest {
+    /** Guards against a test that listens at a port which another process on the machine was given as well. */
+    @Test
+    void aBlockOfAnotherProcessIsNotGivenOutWhileThatRuns() throws IOException {
+        Process neighbour = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Neighbour.class.getName())
+                .start();
+        try (BufferedReader output =
+                new BufferedReader(new InputStreamReader(neighbour.getInputStream(), StandardCharsets.UTF_8))) {
+            int theirs = Integer.parseInt(output.readLine());
+
+            assertThat(FreePorts.claim(theirs)).isEmpty();
+
+            neighbour.destroyForcibly().onExit().join();
+            Loopback.await("the end of its claim", () -> {
+                Optional<ServerSocket> claim = FreePorts.claim(theirs);
+                claim.ifPresent(FreePortsTest::close);
+                return claim.isPresent();
+            });
+        } finally {
+            neighbour.destroyForcibly();
+        }
+    }
+
+    @Test
+    void aBlockIsNotGivenOutTwice() {
+        assertThat(FreePorts.claim(FreePorts.block())).isEmpty();
+    }
+
+    @Test
+    void noAddressIsGivenTwice() {
+        Set<Integer> ports = new HashSet<>();
+        for (int i = 0; i < 2 * FreePorts.BLOCK_PORTS; i++) {
+            ports.add(FreePorts.next().port());
+        }
+
+        assertThat(ports).hasSize(2 * FreePorts.BLOCK_PORTS);
+    }
+
+    private static void close(ServerSocket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Takes a block and keeps it until it is ended. */
+    static final class Neighbour {
+        private Neighbour() {}
+
+        public static void main(String... arguments) throws IOException {
+            System.out.println(FreePorts.block());
+            System.in.read();
+        }
+    }
+}
