Accept who has connected before a stop ends listening

Callers whose connections a host had not accepted yet when it stopped listening were reset, with their requests on the way.

Cause: the listening socket was closed by a task of its event loop. A loop that is late has its tasks before it reads: what the operating system had connected meanwhile was never accepted. Of the same class as the close of idle connections that comes before their read.

Change: the loop closes the listening socket after a round in which it has accepted nobody, at least one round after it was told to. Ruled out: a fixed wait; a loop that is late is late by more than any.

--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -17,6 +17,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.Closeable;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.gooseberryhill.link.Address;
@@ -31,8 +32,12 @@
     private final Channel listener;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger unanswered = new AtomicInteger();
+    private final AtomicBoolean listeningEnds = new AtomicBoolean();
     private volatile boolean closingConnections;
 
+    /** How many connections were accepted; on the listening socket's event loop only. */
+    private long accepted;
+
     private HttpServer(EventLoopGroup group, ListeningSocket socket, Supplier<HttpLimits> limits, HttpHandler handler) {
         listener = new ServerBootstrap()
                 .group(group)
@@ -109,9 +114,11 @@
         return unanswered.get();
     }
 
-    /** Begins to close the listening socket; connections go on. */
+    /** Begins to close the listening socket; those who have connected before are accepted, and connections go on. */
     public void stopListening() {
-        listener.close();
+        if (listeningEnds.compareAndSet(false, true)) {
+            listener.eventLoop().execute(this::closeWhenNobodyWaits);
+        }
     }
 
     /** Whether nothing can come in any more and nothing is unanswered: the socket and all connections are closed. */
@@ -126,12 +133,29 @@
         connections.close().awaitUninterruptibly();
     }
 
+    /** Closes the listening socket after a round of its event loop that has accepted nobody. */
+    private void closeWhenNobodyWaits() {
+        long acceptedBefore = accepted;
+        listener.eventLoop()
+                .schedule(
+                        () -> {
+                            if (accepted == acceptedBefore) {
+                                listener.close();
+                            } else {
+                                closeWhenNobodyWaits();
+                            }
+                        },
+                        READ_FIRST_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     /** Knows each connection from its acceptance on: before the listening socket can be seen as closed. */
     private final class AcceptedConnections extends ChannelInboundHandlerAdapter {
         @Override
-        public void channelRead(ChannelHandlerContext context, Object accepted) {
-            connections.add((Channel) accepted);
-            context.fireChannelRead(accepted);
+        public void channelRead(ChannelHandlerContext context, Object connection) {
+            accepted++;
+            connections.add((Channel) connection);
+            context.fireChannelRead(connection);
         }
     }
 }
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/LateServerTest.java
@@ -0,0 +1,173 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.link.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A server whose one traffic thread is late while it closes what is idle. Times are lower bounds, so no load undoes them. */
+class LateServerTest {
+    private static final HttpLimits LIMITS = new HttpLimits(512, 256, 600_000, 1024 * 1024, 600_000);
+    private static final int MAX_BODY_BYTES = 100;
+    private static final int SMALL_ANSWER_BYTES = 1024;
+
+    /** For a test that would never end; less than a connection may be silent. */
+    private static final int OUTCOME_MILLIS = 60_000;
+
+    /** A traffic thread that is busy for so long has its timers due when it is free. */
+    private static final long LATE_MILLIS = 20;
+
+    /** What a traffic thread has read is old after so long. */
+    private static final long VERY_LATE_MILLIS = 200;
+
+    /** More than a traffic thread accepts in one round. */
+    private static final int WAITING_CALLERS = 40;
+
+    private final EventLoopGroup one = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Address address = Loopback.freeAddress();
+    private final CountDownLatch begun = new CountDownLatch(1);
+    private final CountDownLatch busy = new CountDownLatch(1);
+    private final HttpServer server = HttpServer.start(one, address, LIMITS, this::handle);
+
+    @AfterEach
+    void close() {
+        busy.countDown();
+        server.close();
+        one.shutdownGracefully();
+    }
+
+    /** Guards against a request that a busy host has not read yet when its connection is closed as idle. */
+    @Test
+    void closingIdleConnectionsReadsWhatHasArrivedBefore() throws IOException, InterruptedException {
+        try (Socket caller = answeredCaller()) {
+            one.execute(this::beBusy);
+            begun.await();
+
+            send(caller, "GET /two HTTP/1.1\r\nconnection: close\r\n\r\n");
+            server.closeIdle();
+            pass(LATE_MILLIS);
+            busy.countDown();
+
+            assertThat(readToEnd(caller)).contains("/two");
+        }
+    }
+
+    /** Guards against a request that comes after a late traffic thread has read, and before it closes idle connections. */
+    @Test
+    void closingIdleConnectionsReadsAgainWhenItsThreadIsLateAfterReading() throws IOException, InterruptedException {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch sent = new CountDownLatch(1);
+        try (Socket caller = answeredCaller();
+                Socket other = answeredCaller()) {
+            one.execute(() -> {
+                server.closeIdle();
+                one.execute(() -> {
+                    asked.countDown();
+                    awaitRelease(sent);
+                });
+            });
+            asked.await();
+            send(other, "GET /busy HTTP/1.1\r\n\r\n");
+            pass(LATE_MILLIS);
+            sent.countDown();
+            begun.await();
+
+            send(caller, "GET /two HTTP/1.1\r\nconnection: close\r\n\r\n");
+            pass(VERY_LATE_MILLIS);
+            busy.countDown();
+
+            assertThat(readToEnd(caller)).contains("/two");
+        }
+    }
+
+    /** Guards against callers whose connections a busy host has not accepted yet when it stops listening. */
+    @Test
+    void stoppingToListenAcceptsWhoHasConnectedBefore() throws IOException, InterruptedException {
+        one.execute(this::beBusy);
+        begun.await();
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < WAITING_CALLERS; i++) {
+            Socket caller = connect();
+            callers.add(caller);
+            send(caller, "GET /one HTTP/1.1\r\nconnection: close\r\n\r\n");
+        }
+
+        server.stopListening();
+        pass(LATE_MILLIS);
+        busy.countDown();
+
+        for (Socket caller : callers) {
+            try (caller) {
+                assertThat(readToEnd(caller)).contains("/one");
+            }
+        }
+        Loopback.await("the end of the last connection", server::isDrained);
+    }
+
+    private HttpBody handle(HttpCall call) {
+        if (call.path().equals("/busy")) {
+            beBusy();
+        }
+        return new WholeBody(
+                MAX_BODY_BYTES,
+                body -> call.reply(200, Map.of(), RawEndpoint.ascii(call.path())),
+                () -> call.reply(413, Map.of(), new byte[0]));
+    }
+
+    private void beBusy() {
+        begun.countDown();
+        awaitRelease(busy);
+    }
+
+    private static void awaitRelease(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Lets at least so much time pass. */
+    private static void pass(long millis) {
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() - untilNanos < 0) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(address.ip(), address.port());
+        socket.setSoTimeout(OUTCOME_MILLIS);
+        return socket;
+    }
+
+    /** A caller whose connection is idle. */
+    private Socket answeredCaller() throws IOException {
+        Socket caller = connect();
+        send(caller, "GET /one HTTP/1.1\r\n\r\n");
+        assertThat(caller.getInputStream().read(new byte[SMALL_ANSWER_BYTES])).isPositive();
+        return caller;
+    }
+
+    private static void send(Socket caller, String request) throws IOException {
+        caller.getOutputStream().write(RawEndpoint.ascii(request));
+    }
+
+    private static String readToEnd(Socket caller) throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+}
