Close idle connections and the listening socket only a short time after a read

A caller's request that a late host had not read was still lost by a stop, 976 ms after it was sent.

Cause: a round of an event loop reads and then runs its tasks. A thread that loses its processor in between closes connections as idle on what it read a second ago.

Change: what closes an idle connection or the listening socket runs only if its round has begun 50 ms before at the most; otherwise it waits for the next round. What arrives within these 50 ms has crossed with the end of its connection. The wait stands in one place, RecentRead.

--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -22,9 +22,6 @@
  * its connection, which another exchange may use by then.
  */
 final class ClientExchange implements Exchange {
-    /** Any delay that the event loop itself asks for has it read what has arrived before. */
-    private static final long READ_FIRST_MILLIS = 1;
-
     private final HttpClient client;
     private final ExchangeRequest request;
     private final ExchangeListener listener;
@@ -69,10 +66,8 @@
             return;
         }
         silenceAsked = true;
-        // A delay from another thread may be over before the loop comes to it, and then brings no round that reads.
-        whileOwned(connection -> connection
-                .eventLoop()
-                .schedule(() -> endIfSilentSince(connection, sinceNanos), READ_FIRST_MILLIS, TimeUnit.MILLISECONDS));
+        whileOwned(connection ->
+                RecentRead.thenRun(connection.eventLoop(), () -> endIfSilentSince(connection, sinceNanos)));
     }
 
     /** Sends the request on a connection. */
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.Closeable;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -24,9 +23,6 @@
 
 /** An HTTP/1.1 server. Thread-safe. */
 public final class HttpServer implements Closeable {
-    /** How long a connection may read on before it is closed as idle. */
-    static final long READ_FIRST_MILLIS = 1;
-
     private static final int LOW_WATER_BYTES = 64 * 1024;
 
     private final Channel listener;
@@ -92,18 +88,11 @@
         for (Channel connection : connections) {
             ServerConnectionHandler handler = connection.pipeline().get(ServerConnectionHandler.class);
             if (handler != null) {
-                connection.eventLoop().execute(() -> readThenCloseIfIdle(connection, handler));
+                RecentRead.thenRun(connection.eventLoop(), () -> handler.closeIfIdle(connection));
             }
         }
     }
 
-    /** Runs on the event loop: what it schedules for itself runs after a later reading of its connections, however late. */
-    private static void readThenCloseIfIdle(Channel connection, ServerConnectionHandler handler) {
-        connection
-                .eventLoop()
-                .schedule(() -> handler.closeIfIdle(connection), READ_FIRST_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     /** How many connections are open. */
     public int openConnections() {
         return connections.size();
@@ -136,17 +125,13 @@
     /** Closes the listening socket after a round of its event loop that has accepted nobody. */
     private void closeWhenNobodyWaits() {
         long acceptedBefore = accepted;
-        listener.eventLoop()
-                .schedule(
-                        () -> {
-                            if (accepted == acceptedBefore) {
-                                listener.close();
-                            } else {
-                                closeWhenNobodyWaits();
-                            }
-                        },
-                        READ_FIRST_MILLIS,
-                        TimeUnit.MILLISECONDS);
+        RecentRead.thenRun(listener.eventLoop(), () -> {
+            if (accepted == acceptedBefore) {
+                listener.close();
+            } else {
+                closeWhenNobodyWaits();
+            }
+        });
     }
 
     /** Knows each connection from its acceptance on: before the listening socket can be seen as closed. */
--- a/src/test/java/org/gooseberryhill/http/ClosingIdleConnectionsTest.java
+++ b/src/test/java/org/gooseberryhill/http/ClosingIdleConnectionsTest.java
@@ -79,7 +79,7 @@
 
     /** Returns when what was scheduled before is due. */
     private static void passCloseDelay() {
-        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HttpServer.READ_FIRST_MILLIS);
+        long dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RecentRead.NEXT_ROUND_MILLIS);
         while (System.nanoTime() - dueNanos <= 0) {
             Thread.onSpinWait();
         }
