Let nothing new come in shortly before the bound of a stop

A host whose stop came to its bound with something in progress listened until its end: requests that came in these last moments were accepted by the operating system and cut as the process halted.

Cause: a stop stopped listening only when nothing was in progress, or at its bound, when there is no time left to turn anybody away. Change: half a second before its bound (a tenth of a short bound) a stop closes as it does when nothing is in progress: the listening socket ends, idle connections close, and what is still on its way is turned away. What is in progress has its time until the bound as before, and the bound stays.

--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -9,7 +9,8 @@
  * passed. That nothing is in progress is not enough while callers are connected: their next request would be taken in
  * and lost. Asking again changes nothing, so a second signal can't cut what the first waits for. A grace period comes
  * first in which new requests are still served, since the balancer and the peers need time to learn of the stop; it takes
- * half of the bound at the most. After it only that is taken in which is certainly over before the bound.
+ * half of the bound at the most. After it only that is taken in which is certainly over before the bound. Shortly before
+ * the bound nothing comes in any more, so that nobody is connected whose request has no answer when the process ends.
  */
 public final class PlannedStop {
     /** How far the stop is. */
@@ -20,12 +21,18 @@
         ANNOUNCED,
         /** What is in progress ends; connections that wait for a request are closed. */
         DRAINING,
-        /** Nothing was in progress: the process stops listening and closes what is still connected. */
+        /** Nothing was in progress, or the bound is near: the process stops listening and closes what is still connected. */
         CLOSING,
         /** The process ends now. */
         ENDED
     }
 
+    /** How long before the bound nothing new comes in any more: what is on its way is turned away in that time. */
+    private static final long CLOSING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Of a short bound it is this part. */
+    private static final long CLOSING_PART = 10;
+
     private final long graceNanos;
     private long boundNanos;
     private volatile Phase phase = Phase.SERVING;
@@ -68,7 +75,8 @@
         if (phase == Phase.ANNOUNCED && elapsedNanos >= Math.min(graceNanos, boundNanos / 2)) {
             phase = Phase.DRAINING;
         }
-        if (phase == Phase.DRAINING && inProgress == 0) {
+        boolean boundIsNear = elapsedNanos >= boundNanos - Math.min(CLOSING_NANOS, boundNanos / CLOSING_PART);
+        if (phase == Phase.DRAINING && (inProgress == 0 || boundIsNear)) {
             phase = Phase.CLOSING;
         }
         boolean graceOver = phase == Phase.DRAINING || phase == Phase.CLOSING;
--- a/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
+++ b/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
@@ -70,6 +70,29 @@
         assertThat(stop.advance(0, true, 10_000 * MILLI)).isEqualTo(Phase.ENDED);
     }
 
+    /** Guards against a request that is taken in right before the bound and cut as the process ends. */
+    @Test
+    void beforeItsBoundAStopLetsNothingNewComeInWhileSomethingIsInProgress() {
+        stop.ask(0);
+        stop.advance(1, true, 600 * MILLI);
+
+        assertThat(stop.advance(1, true, 9_499 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(stop.advance(1, true, 9_500 * MILLI)).isEqualTo(Phase.CLOSING);
+        assertThat(stop.advance(1, true, 9_999 * MILLI)).isEqualTo(Phase.CLOSING);
+        assertThat(stop.advance(1, true, 10_000 * MILLI)).isEqualTo(Phase.ENDED);
+    }
+
+    /** Guards against a stop with a short bound that turns everybody away when its grace is over. */
+    @Test
+    void aShortBoundLeavesTimeBetweenTheGraceAndTheClosing() {
+        PlannedStop shortStop = new PlannedStop(2600, 1000);
+        shortStop.ask(0);
+
+        assertThat(shortStop.advance(1, true, 500 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(shortStop.advance(1, true, 899 * MILLI)).isEqualTo(Phase.DRAINING);
+        assertThat(shortStop.advance(1, true, 900 * MILLI)).isEqualTo(Phase.CLOSING);
+    }
+
     /** The operator loses patience and asks again: what is in progress still ends whole. */
     @Test
     void aSecondStopCutsNothing() {
