Count the time of a stop from when it is asked for

Callers saw answers cut at the end of a planned stop, by SIGKILL: the process still ran 8 s after SIGTERM, and had taken requests in that could not end in time.

Cause: the time of a stop began when the control thread got to it. Grace and bound were counted from there, so the bound lay behind the SIGKILL.

Class: a time that is counted from when an event is handled instead of from when it came. The moment is taken where the stop is asked for, in any thread, here and in the processes without the platform (HostProcess). Requests had this already (arrivedNanos). process.stopping says how late it was.

Not mended: a signal that comes before a start is over counts from the end of that start.

--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -56,11 +56,11 @@
         }
     }
 
-    /** Asks for the stop; a second time changes nothing. */
-    public void ask(long nowNanos) {
+    /** Begins the stop that was asked for at a moment, from which its times count; a second time changes nothing. */
+    public void ask(long askedNanos) {
         if (phase == Phase.SERVING) {
             phase = Phase.ANNOUNCED;
-            sinceNanos = nowNanos;
+            sinceNanos = askedNanos;
         }
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -225,9 +225,10 @@
                 .write();
     }
 
-    /** Asks for the planned stop; from any thread, any number of times. */
+    /** Asks for the planned stop, whose time begins now; from any thread, any number of times. */
     public void askStop() {
-        context.loop().execute(stop::ask);
+        long askedNanos = context.nowNanos();
+        context.loop().execute(() -> stop.ask(askedNanos));
     }
 
     /** Completes when the planned stop is over. */
--- a/src/main/java/org/gooseberryhill/gateway/StopSequence.java
+++ b/src/main/java/org/gooseberryhill/gateway/StopSequence.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.gateway;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.http.HttpServer;
@@ -47,8 +48,8 @@
         this.onAsked = onAsked;
     }
 
-    /** Asks for the stop; a second time changes nothing. */
-    void ask() {
+    /** Begins the stop that was asked for at a moment; a second time changes nothing. */
+    void ask(long askedNanos) {
         if (context.stop().phase() != PlannedStop.Phase.SERVING) {
             return;
         }
@@ -57,8 +58,9 @@
                 .with("inProgress", traffic.inProgress())
                 .with("items", runner.running())
                 .with("batches", handOver.left())
+                .with("sinceAskedMillis", TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - askedNanos))
                 .write();
-        context.stop().ask(context.nowNanos());
+        context.stop().ask(askedNanos);
         onAsked.run();
         runner.pause();
         runner.stopAll();
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -149,11 +149,12 @@
         membershipDriver.onWork(others);
     }
 
-    /** Asks for the planned stop; from any thread, any number of times. */
+    /** Asks for the planned stop, whose time begins now; from any thread, any number of times. */
     public void askStop() {
+        long askedNanos = loop.nowNanos();
         loop.execute(() -> {
             if (stop.phase() == PlannedStop.Phase.SERVING) {
-                stop.ask(loop.nowNanos());
+                stop.ask(askedNanos);
                 timeline.event(EventKind.PROCESS_STOPPING).write();
                 membershipDriver.announceLeaving();
             }
