End listening only after several rounds that accept nobody

A connection counts as made for its caller a little before the listening socket can accept it, so one round shows too little on a busy machine.

The rounds are bounded, since callers may come all the while; those that waited at the beginning are accepted within the bound.

--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -25,6 +25,12 @@
 public final class HttpServer implements Closeable {
     private static final int LOW_WATER_BYTES = 64 * 1024;
 
+    /** Rounds that accept nobody before listening ends: a connection is made for its caller a little before it can be accepted. */
+    private static final int QUIET_ROUNDS = 20;
+
+    /** Callers may come all the while: after so many rounds all have been accepted that waited at the beginning. */
+    private static final int MAX_ROUNDS = QUIET_ROUNDS + ListeningSocket.BACKLOG;
+
     private final Channel listener;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger unanswered = new AtomicInteger();
@@ -106,7 +112,7 @@
     /** Begins to close the listening socket; those who have connected before are accepted, and connections go on. */
     public void stopListening() {
         if (listeningEnds.compareAndSet(false, true)) {
-            listener.eventLoop().execute(this::closeWhenNobodyWaits);
+            listener.eventLoop().execute(() -> closeWhenNobodyWaits(0, MAX_ROUNDS));
         }
     }
 
@@ -122,16 +128,16 @@
         connections.close().awaitUninterruptibly();
     }
 
-    /** Closes the listening socket after a round of its event loop that has accepted nobody. */
-    private void closeWhenNobodyWaits() {
+    /** Closes the listening socket after enough rounds of its event loop in a row that have accepted nobody. */
+    private void closeWhenNobodyWaits(int quietRounds, int roundsLeft) {
+        if (quietRounds >= QUIET_ROUNDS || roundsLeft == 0) {
+            listener.close();
+            return;
+        }
         long acceptedBefore = accepted;
-        RecentRead.thenRun(listener.eventLoop(), () -> {
-            if (accepted == acceptedBefore) {
-                listener.close();
-            } else {
-                closeWhenNobodyWaits();
-            }
-        });
+        RecentRead.thenRun(
+                listener.eventLoop(),
+                () -> closeWhenNobodyWaits(accepted == acceptedBefore ? quietRounds + 1 : 0, roundsLeft - 1));
     }
 
     /** Knows each connection from its acceptance on: before the listening socket can be seen as closed. */
