Drop nothing that comes before an idle connection is closed

A request was read from an idle connection and dropped, and its connection closed 233 ms after the request was sent; another after 227 ms. Requests beside them were answered in the same milliseconds.

Cause: since a connection reads what is left before it closes after its last answer, so did one that is closed as idle. From the decision to the next round of a late thread it took nothing in any more: what came in that time was lost, though it had not crossed with the close.

Change: only a connection whose caller was told that it closes reads before its close. An idle one closes at once, after its recent read. The same holds for the end of the idle period: it has the event loop read first, and the connection stays if a request has begun.

That this was the cause follows from the times and the code; no log line of the host tells it.

The test of a kept connection whose reader takes nothing passes a round more, which the end of the period now takes.

--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -51,7 +51,7 @@
     private boolean bodyDone;
     private boolean bodyHeldBack;
     private boolean takingWaiting;
-    private boolean firstRequestCame;
+    private long requests;
     private boolean messageCame;
     private boolean headBegun;
     private boolean lastAnswerGiven;
@@ -141,9 +141,9 @@
 
     /** Closes the connection unless a request is in progress on it; an answer that is still on its way goes out before. */
     void closeIfIdle(Channel connection) {
-        boolean isNew = !firstRequestCame && nanoTime(connection) - acceptedNanos < FIRST_REQUEST_NANOS;
+        boolean isNew = requests == 0 && nanoTime(connection) - acceptedNanos < FIRST_REQUEST_NANOS;
         if (call == null && !isNew && !headBegun) {
-            closeAfterFlush(connection);
+            closeUnannounced(connection);
         }
     }
 
@@ -160,7 +160,7 @@
         bodyHeldBack = false;
         unanswered.decrementAndGet();
         if (!keepAlive || unreadBody) {
-            closeAfterFlush(context.channel());
+            closeAnnounced(context.channel());
             return;
         }
         closeWhenIdle(context.channel());
@@ -188,36 +188,47 @@
         connection.config().setAutoRead(!bodyHeldBack && waiting.size() < MAX_WAITING_MESSAGES);
     }
 
+    /** Closes a connection whose caller does not expect it: at once, or what comes meanwhile would be read and dropped. */
+    private void closeUnannounced(Channel connection) {
+        if (lastAnswerGiven) {
+            return;
+        }
+        takeNothingMore(connection);
+        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> connection.close());
+        closeAfterSilentPeriod(connection);
+    }
+
     /**
-     * Takes nothing in any more, and closes when what was written has gone out or a reader takes nothing for too long. A
-     * connection that closes over something unread is reset, and its reader loses what is still on the way: it is read.
+     * Closes a connection whose caller was told so. One that closes over something unread is reset, and its reader loses
+     * what is still on the way: it is read before, or left to the caller to close.
      */
-    private void closeAfterFlush(Channel connection) {
+    private void closeAnnounced(Channel connection) {
         if (lastAnswerGiven) {
             return;
         }
+        boolean hasUnread = !connection.config().isAutoRead();
+        takeNothingMore(connection);
+        Runnable close = hasUnread && connection instanceof DuplexChannel caller
+                ? caller::shutdownOutput
+                : () -> RecentRead.thenRun(connection.eventLoop(), connection::close);
+        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> close.run());
+        closeAfterSilentPeriod(connection);
+    }
+
+    private void takeNothingMore(Channel connection) {
         lastAnswerGiven = true;
         cancelIdleTimer();
         dropWaiting();
-        boolean hasUnread = !connection.config().isAutoRead();
         readAsFitting(connection);
-        if (hasUnread && connection instanceof DuplexChannel caller) {
-            endOutputAfterFlush(caller);
-        } else {
-            connection
-                    .writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(done -> RecentRead.thenRun(connection.eventLoop(), connection::close));
-        }
+    }
+
+    /** Closes the connection of a reader that takes nothing for too long. */
+    private void closeAfterSilentPeriod(Channel connection) {
         if (connection.isOpen()) {
             afterSilentPeriod(connection, connection::close);
         }
     }
 
-    /** The system drops what is on its way when a connection is closed with bytes unread; so the caller closes it. */
-    private static void endOutputAfterFlush(DuplexChannel connection) {
-        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> connection.shutdownOutput());
-    }
-
     private void process(ChannelHandlerContext context, HttpObject object) {
         try {
             if (object.decoderResult().isFailure()) {
@@ -237,7 +248,7 @@
 
     private void begin(ChannelHandlerContext context, HttpRequest request) {
         cancelIdleTimer();
-        firstRequestCame = true;
+        requests++;
         unanswered.incrementAndGet();
         bodyDone = false;
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -275,7 +286,7 @@
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
         context.write(response);
-        closeAfterFlush(context.channel());
+        closeAnnounced(context.channel());
     }
 
     private void dropWaiting() {
@@ -284,7 +295,16 @@
     }
 
     private void closeWhenIdle(Channel connection) {
-        afterSilentPeriod(connection, () -> closeAfterFlush(connection));
+        afterSilentPeriod(connection, () -> closeUnlessRequestComes(connection, requests));
+    }
+
+    /** A thread that was late may not have read yet what came before the end of the idle period. */
+    private void closeUnlessRequestComes(Channel connection, long requestsBefore) {
+        RecentRead.thenRun(connection.eventLoop(), () -> {
+            if (requests == requestsBefore) {
+                closeUnannounced(connection);
+            }
+        });
     }
 
     /** Acts once when nothing has gone out for a whole period, unless the timer is cancelled before. */
--- a/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
+++ b/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
@@ -117,6 +117,7 @@
 
         passHalfAPeriod();
         passHalfAPeriod();
+        passRound();
         passHalfAPeriod();
         passHalfAPeriod();
 
@@ -261,6 +262,28 @@
         assertThat(connection.taken()).endsWith("/one");
     }
 
+    /** Guards against a request that is taken from its connection and dropped since that was to be closed as idle before. */
+    @Test
+    void anIdleConnectionClosesAtOnceSoThatNothingIsTakenFromItAndDropped() {
+        receive("GET /one HTTP/1.1\r\n\r\n");
+
+        handler.closeIfIdle(connection);
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
+    /** Guards against a request that a late thread reads only after the end of the idle period, and drops. */
+    @Test
+    void aRequestThatIsReadRightAfterTheIdlePeriodIsAnswered() {
+        pass(LIMITS.idleMillis());
+
+        receive("GET /one HTTP/1.1\r\n\r\n");
+        passRound();
+
+        assertThat(connection.taken()).endsWith("/one");
+        assertThat(connection.isOpen()).isTrue();
+    }
+
     /** Guards against an answer that is reset since more has come from its caller that was not read before the close. */
     @Test
     void whatComesWhileTheLastAnswerGoesOutIsReadAndDroppedBeforeTheClose() {
