Limit the time in which a request arrives, and the number of connections

Seen (by reading): HttpLimits.headerTimeoutMillis was read nowhere. A client that sends a head a byte at a time held its connection until the idle timeout, one that stopped in the middle of a body for ever, and nothing bounded how many of them there were.

Change: the head of a request, from its first byte on, and the next part of a body have to arrive within the limit; then the request is answered with 408 and its connection closes. A server has limits of its open connections, in all and by client address, as settings; more are closed at once. Both are counted, and the gateway logs them once a second.

Ruled out: Netty's ReadTimeoutHandler, which a client that sends a byte now and then resets, and which does not know a body that this side does not read at the moment.

Tests, without the change not compilable: SlowRequestTest (virtual time), SlowConnectionsTest (1,000 slow connections from one address, all 50 ordinary requests from another one answered), PlatformSettingsTest.

--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -109,10 +109,11 @@
     private final ProcessDelayDetector processDelayDetector = new ProcessDelayDetector(TICK_PERIOD_MILLIS);
     private final TrafficDelayDetector trafficDelayDetector =
             new TrafficDelayDetector(group, System::nanoTime, this::trafficDelayed);
+    private final RejectedConnectionsLog rejectedConnectionsLog;
     private final Readiness readiness;
     private final StopSequence stop;
     private final AtomicBoolean closed = new AtomicBoolean();
-    private Optional<HttpServer> callersServer = Optional.empty();
+    private volatile Optional<HttpServer> callersServer = Optional.empty();
     private Optional<HttpServer> readinessServer = Optional.empty();
     private Optional<PeerServer> peerServer = Optional.empty();
     private Optional<MetricsServer> metricsServer = Optional.empty();
@@ -171,6 +172,7 @@
         this.views = new GatewayViews(context, links, this::configure, this::endpointsChanged);
         StartGate gate = new StartGate(context.nowNanos());
         this.readiness = new Readiness(context, gate);
+        this.rejectedConnectionsLog = new RejectedConnectionsLog(context);
         this.stop = new StopSequence(
                 context, traffic, runner, handOver, registration, this::callersServer, this::stopRequested);
         this.messageHandler = new GatewayMessageHandler(
@@ -271,6 +273,7 @@
         metrics.gauge("gooseberry_store_calls", "Calls of the key-value store", () -> store.callCount());
         metrics.gauge(
                 "gooseberry_connects", "Connections made", () -> context.http().connectionAttempts());
+        rejectedConnectionsLog.addGauges(this::callersServer);
         metrics.gauge("gooseberry_lines_dropped", "Log lines dropped by a full ring", log::droppedLines);
         metrics.gauge(
                 "gooseberry_configuration_version",
@@ -286,6 +289,7 @@
         context.loop().every(SLOW_TICK_PERIOD_MILLIS, this::slowTick);
         context.loop().every(HEARTBEAT_PERIOD_MILLIS, loadExchange::sendHeartbeat);
         context.loop().every(HEARTBEAT_PERIOD_MILLIS, trafficDelayDetector::measure);
+        context.loop().every(HEARTBEAT_PERIOD_MILLIS, () -> callersServer.ifPresent(rejectedConnectionsLog::write));
         context.loop().every(LOG_FLUSH_PERIOD_MILLIS, log::flush);
         context.loop().every(RECORD_SCAN_PERIOD_MILLIS, () -> takeover.scanRecords(true));
         // Batches that an earlier process of this host owned can be taken over without waiting for other hosts.
@@ -385,6 +389,7 @@
                 MAX_REQUEST_LINE_BYTES,
                 limits.idleTimeoutMillis(),
                 MAX_PENDING_WRITE_BYTES,
-                limits.headerTimeoutMillis());
+                limits.headerTimeoutMillis(),
+                settings.connectionLimits());
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.gooseberryhill.host.Host;
+import org.gooseberryhill.http.ConnectionLimits;
 import org.gooseberryhill.link.Address;
 
 /**
@@ -16,6 +17,7 @@
  * @param stopBoundMillis time after which a planned stop ends even with requests in progress
  * @param storeTimeoutMillis timeout of a call to the key-value store
  * @param resultRetentionMillis time for which a finished batch is kept
+ * @param connectionLimits limits of the connections from callers
  * @param submissionCopies number of hosts that must store a submission on disk for it to survive all tolerated losses
  */
 public record GatewaySettings(
@@ -27,6 +29,7 @@
         long stopBoundMillis,
         int storeTimeoutMillis,
         long resultRetentionMillis,
+        ConnectionLimits connectionLimits,
         int submissionCopies) {
     /** Returns these settings, with the values that may change while the process runs taken from newer ones. */
     GatewaySettings reloaded(GatewaySettings newer) {
@@ -39,6 +42,7 @@
                 newer.stopBoundMillis,
                 newer.storeTimeoutMillis,
                 resultRetentionMillis,
+                connectionLimits,
                 newer.submissionCopies);
     }
 }
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/RejectedConnectionsLog.java
@@ -0,0 +1,50 @@
+package org.gooseberryhill.gateway;
+
+import java.util.function.Supplier;
+import org.gooseberryhill.http.HttpServer;
+import org.gooseberryhill.timeline.EventKind;
+
+/**
+ * Reports the callers' connections and requests that the HTTP server rejected by itself. Confined to the control
+ * thread, except for the gauges.
+ */
+final class RejectedConnectionsLog {
+    private final GatewayContext context;
+    private long loggedRefused;
+    private long loggedTimedOut;
+
+    RejectedConnectionsLog(GatewayContext context) {
+        this.context = context;
+    }
+
+    /** Registers the counts of a server as metrics. */
+    void addGauges(Supplier<HttpServer> server) {
+        context.metrics()
+                .gauge(
+                        "gooseberry_connections_refused",
+                        "Callers' connections refused because of a limit",
+                        () -> server.get().refusedConnections());
+        context.metrics()
+                .gauge(
+                        "gooseberry_requests_timed_out",
+                        "Callers' requests that did not arrive completely in time",
+                        () -> server.get().timedOutRequests());
+    }
+
+    /** Logs how many were rejected since the last call, if any. */
+    void write(HttpServer server) {
+        long refused = server.refusedConnections();
+        long timedOut = server.timedOutRequests();
+        if (refused == loggedRefused && timedOut == loggedTimedOut) {
+            return;
+        }
+        context.timeline()
+                .event(EventKind.CONNECTIONS_REJECTED)
+                .with("overLimit", refused - loggedRefused)
+                .with("slowRequests", timedOut - loggedTimedOut)
+                .with("open", server.openConnections())
+                .write();
+        loggedRefused = refused;
+        loggedTimedOut = timedOut;
+    }
+}
--- a/src/main/java/org/gooseberryhill/http/HttpLimits.java
+++ b/src/main/java/org/gooseberryhill/http/HttpLimits.java
@@ -8,13 +8,16 @@
  * @param idleTimeoutMillis how long a connection may be idle while no request is in progress
  * @param maxPendingWriteBytes unsent bytes at which the connection of a slow reader is closed
  * @param headerTimeoutMillis maximum time for the head of a request from its first byte on, and between two parts of a body
+ * @param connections limits of the number of connections
  */
 public record HttpLimits(
         int maxHeaderBytes,
         int maxRequestLineBytes,
         int idleTimeoutMillis,
         int maxPendingWriteBytes,
-        int headerTimeoutMillis) {
+        int headerTimeoutMillis,
+        ConnectionLimits connections) {
     /** The defaults, as documented in docs/OPERATIONS.md. */
-    public static final HttpLimits DEFAULT = new HttpLimits(16_384, 8_192, 60_000, 8 * 1024 * 1024, 10_000);
+    public static final HttpLimits DEFAULT =
+            new HttpLimits(16_384, 8_192, 60_000, 8 * 1024 * 1024, 10_000, ConnectionLimits.DEFAULT);
 }
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -16,8 +16,11 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.Closeable;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import org.gooseberryhill.link.Address;
 
@@ -39,7 +42,9 @@
 
     private final Channel serverChannel;
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final ConnectionLimiter limiter = new ConnectionLimiter();
     private final AtomicInteger requestsInProgress = new AtomicInteger();
+    private final LongAdder timedOutRequests = new LongAdder();
     private final AtomicBoolean stopListeningRequested = new AtomicBoolean();
     private volatile boolean announceClose;
 
@@ -50,7 +55,7 @@
         serverChannel = new ServerBootstrap()
                 .group(group)
                 .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
-                .handler(new ConnectionRegistrar())
+                .handler(new ConnectionRegistrar(limits))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -62,7 +67,11 @@
                         channel.pipeline()
                                 .addLast(newCodec(currentLimits))
                                 .addLast(new ServerConnectionHandler(
-                                        handler, currentLimits, () -> announceClose, requestsInProgress));
+                                        handler,
+                                        currentLimits,
+                                        () -> announceClose,
+                                        requestsInProgress,
+                                        timedOutRequests));
                     }
                 })
                 .register()
@@ -123,6 +132,16 @@
         return requestsInProgress.get();
     }
 
+    /** Returns the number of connections closed at once because of {@link ConnectionLimits}. */
+    public long refusedConnections() {
+        return limiter.refusedCount();
+    }
+
+    /** Returns the number of requests whose head, or next part of the body, did not arrive in time. */
+    public long timedOutRequests() {
+        return timedOutRequests.sum();
+    }
+
     /** Starts closing the listening socket; pending connections are still accepted, and open ones stay open. */
     public void stopListening() {
         if (stopListeningRequested.compareAndSet(false, true)) {
@@ -157,13 +176,32 @@
 
     /**
      * Registers each connection as soon as it is accepted, so that {@link #isDrained} can't see the listening socket as closed
-     * and miss a connection that was accepted before.
+     * and miss a connection that was accepted before. Closes those beyond the limits.
      */
     private final class ConnectionRegistrar extends ChannelInboundHandlerAdapter {
+        private final Supplier<HttpLimits> limits;
+
+        ConnectionRegistrar(Supplier<HttpLimits> limits) {
+            this.limits = limits;
+        }
+
         @Override
-        public void channelRead(ChannelHandlerContext context, Object connection) {
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            SocketChannel connection = (SocketChannel) message;
             acceptedCount++;
-            connections.add((Channel) connection);
+            InetSocketAddress remoteAddress = connection.remoteAddress();
+            if (remoteAddress == null) {
+                // The client has closed the connection before it was accepted.
+                connection.unsafe().closeForcibly();
+                return;
+            }
+            InetAddress client = remoteAddress.getAddress();
+            if (!limiter.tryAcquire(client, limits.get().connections())) {
+                connection.unsafe().closeForcibly();
+                return;
+            }
+            connection.closeFuture().addListener(closed -> limiter.release(client));
+            connections.add(connection);
             context.fireChannelRead(connection);
         }
     }
--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -19,11 +17,11 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.Lazy;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.logging.LazyLoggers;
@@ -60,6 +58,8 @@
     private long acceptedNanos;
     private final BooleanSupplier closesAfterResponse;
     private final AtomicInteger requestsInProgress;
+    private final LongAdder timedOutRequests;
+    private RequestArrivalTimer arrivalTimer;
     private ScheduledFuture<?> idleTimer;
 
     /**
@@ -67,16 +67,19 @@
      *
      * @param closesAfterResponse whether responses announce that their connection closes
      * @param requestsInProgress counts the requests of all connections whose response is not complete
+     * @param timedOutRequests counts the requests of all connections that did not arrive completely in time
      */
     ServerConnectionHandler(
             HttpHandler handler,
             HttpLimits limits,
             BooleanSupplier closesAfterResponse,
-            AtomicInteger requestsInProgress) {
+            AtomicInteger requestsInProgress,
+            LongAdder timedOutRequests) {
         this.handler = handler;
         this.limits = limits;
         this.closesAfterResponse = closesAfterResponse;
         this.requestsInProgress = requestsInProgress;
+        this.timedOutRequests = timedOutRequests;
     }
 
     /** Returns whether responses announce that their connection closes. */
@@ -87,6 +90,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         acceptedNanos = nanoTime(context.channel());
+        arrivalTimer = new RequestArrivalTimer(limits.headerTimeoutMillis(), () -> rejectSlow(context));
         startIdleTimeout(context.channel());
         context.fireChannelActive();
     }
@@ -113,13 +117,18 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         partialMessageReceived = partialMessageReceived || !messageDecoded;
+        if (messageDecoded || isAwaitingBody()) {
+            arrivalTimer.stop();
+        }
         messageDecoded = false;
+        startArrivalTimeoutIfAwaiting(context.channel());
         context.fireChannelReadComplete();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         cancelIdleTimer();
+        arrivalTimer.stop();
         releaseQueued();
         if (call != null) {
             if (bodyHandler != null && !bodyComplete) {
@@ -156,6 +165,8 @@
     /** Pauses or resumes reading the body of the current request. */
     void setBodyReadingPaused(Channel connection, boolean paused) {
         bodyReadingPaused = paused;
+        arrivalTimer.stop();
+        startArrivalTimeoutIfAwaiting(connection);
         updateAutoRead(connection);
     }
 
@@ -170,6 +181,7 @@
             return;
         }
         startIdleTimeout(context.channel());
+        startArrivalTimeoutIfAwaiting(context.channel());
         processQueued(context);
     }
 
@@ -228,6 +240,7 @@
     private void discardFurtherInput(Channel connection) {
         discardingInput = true;
         cancelIdleTimer();
+        arrivalTimer.stop();
         releaseQueued();
         updateAutoRead(connection);
     }
@@ -242,7 +255,9 @@
     private void processMessage(ChannelHandlerContext context, HttpObject object) {
         try {
             if (object.decoderResult().isFailure()) {
-                rejectMalformed(context, object.decoderResult().cause());
+                rejectUnread(
+                        context,
+                        RejectionResponse.malformed(object.decoderResult().cause()));
                 return;
             }
             if (object instanceof HttpRequest request) {
@@ -285,17 +300,34 @@
         }
     }
 
-    private void rejectMalformed(ChannelHandlerContext context, Throwable cause) {
-        String detail = cause == null ? "malformed" : String.valueOf(cause.getMessage());
-        byte[] text = ("{\"error\":{\"code\":\"invalid-request\",\"outcome\":\"not-run\",\"message\":\"malformed HTTP: "
-                        + detail.replaceAll("[^ -~]|[\"\\\\]", "?") + "\"}}")
-                .getBytes(StandardCharsets.UTF_8);
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.wrappedBuffer(text));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
-        response.headers().set(HttpHeaderNames.CONNECTION, "close");
-        context.write(response);
+    private boolean isAwaitingBody() {
+        return call != null && !bodyComplete && !bodyReadingPaused;
+    }
+
+    private void startArrivalTimeoutIfAwaiting(Channel connection) {
+        boolean awaitsHead = call == null && partialMessageReceived;
+        if (!discardingInput && (awaitsHead || isAwaitingBody())) {
+            arrivalTimer.startIfStopped(connection.eventLoop());
+        }
+    }
+
+    /** Rejects a request whose next part has not arrived in time; none of it has been passed on. */
+    private void rejectSlow(ChannelHandlerContext context) {
+        timedOutRequests.increment();
+        if (call == null) {
+            rejectUnread(context, RejectionResponse.timedOut());
+            return;
+        }
+        RequestBodyHandler aborted = bodyHandler;
+        bodyHandler = null;
+        RejectionResponse.timedOut().sendTo(call);
+        if (aborted != null) {
+            aborted.onAborted();
+        }
+    }
+
+    private void rejectUnread(ChannelHandlerContext context, RejectionResponse rejection) {
+        context.write(rejection.toHttp());
         closeAfterFinalResponse(context.channel());
     }
 
--- a/src/main/java/org/gooseberryhill/program/EntryMain.java
+++ b/src/main/java/org/gooseberryhill/program/EntryMain.java
@@ -6,6 +6,7 @@
 import org.gooseberryhill.entry.EntryProcess;
 import org.gooseberryhill.entry.EntrySettings;
 import org.gooseberryhill.host.Role;
+import org.gooseberryhill.http.ConnectionLimits;
 import org.gooseberryhill.http.HttpLimits;
 import org.gooseberryhill.process.HostSettings;
 import picocli.CommandLine.Command;
@@ -20,6 +21,7 @@
         description = "Takes callers' requests. Each flag has an environment variable GOOSEBERRY_...")
 public final class EntryMain implements Callable<Integer> {
     private static final int MAX_BODY_BYTES = 256 * 1024 * 1024;
+    private static final int MAX_CONNECTIONS = 1_000_000;
     private static final int MAX_ITEMS = 10_000_000;
     private static final int MAX_ITEM_BYTES = 64 * 1024;
     private static final long MAX_MILLIS = 3_600_000;
@@ -63,6 +65,24 @@
             description = "How long an endpoint may be silent during an exchange (default 15000)")
     private String endpointSilenceMillis;
 
+    @Option(
+            names = "--max-connections",
+            defaultValue = "${env:GOOSEBERRY_MAX_CONNECTIONS:-2000}",
+            description = "Maximum number of open connections from callers (default 2000)")
+    private String maxConnections;
+
+    @Option(
+            names = "--max-connections-per-address",
+            defaultValue = "${env:GOOSEBERRY_MAX_CONNECTIONS_PER_ADDRESS:-2000}",
+            description = "Maximum number of open connections from one IP address (default 2000)")
+    private String maxConnectionsPerAddress;
+
+    @Option(
+            names = "--header-timeout-millis",
+            defaultValue = "${env:GOOSEBERRY_HEADER_TIMEOUT_MILLIS:-10000}",
+            description = "Maximum time for the head of a request, and between two parts of its body (default 10000)")
+    private String headerTimeoutMillis;
+
     @Option(
             names = "--policies",
             defaultValue = "${env:GOOSEBERRY_POLICIES:-product}",
@@ -81,7 +101,7 @@
         long seed = hostSettings.self().id().hashCode();
         EntrySettings settings = new EntrySettings(
                 reader.address("--http-address", httpAddress),
-                HttpLimits.DEFAULT,
+                readHttpLimits(reader),
                 (int) reader.number("--max-body-bytes", maxBodyBytes, 1024, MAX_BODY_BYTES),
                 (int) reader.number("--max-items", maxItems, 1, MAX_ITEMS),
                 (int) reader.number("--max-item-bytes", maxItemBytes, 1, MAX_ITEM_BYTES),
@@ -95,6 +115,19 @@
         return Commands.OK;
     }
 
+    private HttpLimits readHttpLimits(SettingsReader reader) {
+        ConnectionLimits connections =
+                new ConnectionLimits((int) reader.number("--max-connections", maxConnections, 1, MAX_CONNECTIONS), (int)
+                        reader.number("--max-connections-per-address", maxConnectionsPerAddress, 1, MAX_CONNECTIONS));
+        return new HttpLimits(
+                HttpLimits.DEFAULT.maxHeaderBytes(),
+                HttpLimits.DEFAULT.maxRequestLineBytes(),
+                HttpLimits.DEFAULT.idleTimeoutMillis(),
+                HttpLimits.DEFAULT.maxPendingWriteBytes(),
+                (int) reader.number("--header-timeout-millis", headerTimeoutMillis, 1, MAX_MILLIS),
+                connections);
+    }
+
     private OnlinePolicies readPolicies(SettingsReader reader) {
         boolean baseline =
                 reader.choice("--policies", policies, "product", "baseline").equals("baseline");
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -16,6 +16,8 @@
     READINESS_CHANGED("readiness.changed", Importance.STATE),
     /** A thread was delayed: it got no CPU time, the process was suspended, or one task ran for too long. */
     PROCESS_DELAYED("process.delayed", Importance.STATE),
+    /** Connections beyond the limits, or requests that arrived too slowly, were rejected. */
+    CONNECTIONS_REJECTED("connections.rejected", Importance.STATE),
     /** Events were dropped by the rate limit. */
     LINES_DROPPED("lines.dropped", Importance.STATE),
 
--- a/src/test/java/org/gooseberryhill/http/BlockedEventLoopTest.java
+++ b/src/test/java/org/gooseberryhill/http/BlockedEventLoopTest.java
@@ -24,7 +24,8 @@
  * are lower bounds, so load on the machine can't invalidate a test.
  */
 class BlockedEventLoopTest {
-    private static final HttpLimits LIMITS = new HttpLimits(512, 256, 600_000, 1024 * 1024, 600_000);
+    private static final HttpLimits LIMITS =
+            new HttpLimits(512, 256, 600_000, 1024 * 1024, 600_000, ConnectionLimits.DEFAULT);
     private static final int MAX_BODY_BYTES = 100;
     private static final int SMALL_ANSWER_BYTES = 1024;
 
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -277,7 +277,7 @@
     }
 
     private static HttpLimits limits(int idleMillis) {
-        return new HttpLimits(512, 256, idleMillis, 16 * 1024 * 1024, 1000);
+        return new HttpLimits(512, 256, idleMillis, 16 * 1024 * 1024, 1000, ConnectionLimits.DEFAULT);
     }
 
     private RequestBodyHandler handle(HttpCall call) {
--- a/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
+++ b/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
@@ -2,11 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
 import java.nio.charset.StandardCharsets;
@@ -16,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -37,9 +34,9 @@
     private final List<String> startedPaths = new ArrayList<>();
     private final List<HttpCall> heldCalls = new ArrayList<>();
     private final MockTicker ticker = Ticker.newMockTicker();
-    private final ServerConnectionHandler handler =
-            new ServerConnectionHandler(this::handle, LIMITS, closesAfterResponse::get, requestsInProgress);
-    private final CallerConnection connection = new CallerConnection(ticker, handler);
+    private final ServerConnectionHandler handler = new ServerConnectionHandler(
+            this::handle, LIMITS, closesAfterResponse::get, requestsInProgress, new LongAdder());
+    private final CallerConnection connection = new CallerConnection(ticker, LIMITS, handler);
 
     @AfterEach
     void close() {
@@ -354,37 +351,4 @@
     private void receive(String bytes) {
         connection.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
     }
-
-    /** A connection whose caller reads as many bytes as a test allows. */
-    private static final class CallerConnection extends EmbeddedChannel {
-        private final StringBuilder readText = new StringBuilder();
-        private long readLimitBytes = Long.MAX_VALUE;
-
-        CallerConnection(Ticker ticker, ServerConnectionHandler handler) {
-            super(builder().ticker(ticker).handlers(HttpServer.newCodec(LIMITS), handler));
-            config().setWriteBufferWaterMark(new WriteBufferWaterMark(0, LIMITS.maxPendingWriteBytes()));
-        }
-
-        /** Lets the caller read up to the given number of bytes, of data already written or written later. */
-        void readUpTo(long bytes) {
-            readLimitBytes = bytes;
-            flush();
-        }
-
-        String readText() {
-            return readText.toString();
-        }
-
-        @Override
-        protected void doWrite(ChannelOutboundBuffer outboundBuffer) {
-            ByteBuf next = (ByteBuf) outboundBuffer.current();
-            while (next != null && (readLimitBytes > 0 || !next.isReadable())) {
-                int bytes = (int) Math.min(readLimitBytes, next.readableBytes());
-                readText.append(next.toString(next.readerIndex(), bytes, StandardCharsets.ISO_8859_1));
-                readLimitBytes -= bytes;
-                outboundBuffer.removeBytes(bytes);
-                next = (ByteBuf) outboundBuffer.current();
-            }
-        }
-    }
 }
