Log an invalid registration once for each value

The comment said so; the code logged it at each write, which endpoints repeat about once a second. RegisteredEndpointsTest failed before (2 events instead of 1).

--- a/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
+++ b/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
@@ -1,6 +1,8 @@
 package org.gooseberryhill.gateway;
 
+import java.util.Arrays;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,12 +17,13 @@
  * Endpoints that are registered in the key-value store. Confined to the control thread.
  *
  * <p>Endpoints write their registration about once a second just to show that they are alive: each write is parsed once,
- * and most of them change nothing. An invalid registration names no endpoint, and is logged once.
+ * and most of them change nothing. An invalid registration names no endpoint, and is logged once for each value.
  */
 final class RegisteredEndpoints {
     private final DirectoryDialect dialect;
     private final Timeline timeline;
     private final Map<String, EndpointEntry> byKey = new TreeMap<>();
+    private final Map<String, byte[]> loggedInvalidValues = new HashMap<>();
 
     RegisteredEndpoints(DirectoryDialect dialect, Timeline timeline) {
         this.dialect = dialect;
@@ -42,20 +45,34 @@
     }
 
     private boolean apply(KeyChange registration) {
-        Optional<EndpointEntry> entry = registration.value().isEmpty() ? Optional.empty() : parse(registration);
+        if (registration.value().isEmpty()) {
+            loggedInvalidValues.remove(registration.key());
+            return byKey.remove(registration.key()) != null;
+        }
+        Optional<EndpointEntry> entry = parse(registration);
         if (entry.isEmpty()) {
             return byKey.remove(registration.key()) != null;
         }
+        loggedInvalidValues.remove(registration.key());
         EndpointEntry before = byKey.put(registration.key(), entry.get());
         return !entry.get().equals(before);
     }
 
     private Optional<EndpointEntry> parse(KeyChange registration) {
         return dialect.parseRegistration(registration)
-                .peekLeft(finding -> timeline.event(EventKind.REGISTRATION_INVALID)
-                        .with("key", registration.key())
-                        .with("finding", finding)
-                        .write())
+                .peekLeft(finding -> logInvalid(registration, finding))
                 .toJavaOptional();
     }
+
+    private void logInvalid(KeyChange registration, String finding) {
+        byte[] value = registration.value().orElseThrow();
+        byte[] loggedValue = loggedInvalidValues.put(registration.key(), value);
+        if (Arrays.equals(value, loggedValue)) {
+            return;
+        }
+        timeline.event(EventKind.REGISTRATION_INVALID)
+                .with("key", registration.key())
+                .with("finding", finding)
+                .write();
+    }
 }
