Do not report endpoints without a valid address as sharing one

The placeholder of an invalid address counted as an address, so the second such endpoint got a finding that sends the reader after an address which nobody wrote. The new test of ConfigurationReaderTest failed before.

--- a/src/main/java/org/gooseberryhill/configuration/PropertyReader.java
+++ b/src/main/java/org/gooseberryhill/configuration/PropertyReader.java
@@ -16,11 +16,13 @@
  * <p>A getter always returns a usable value, so that reading continues and all errors are found in one pass.
  */
 final class PropertyReader {
+    /** Stands for an address that is missing or invalid, which is reported where it is read. */
+    static final Address PLACEHOLDER_ADDRESS = new Address("0.0.0.0", 1);
+
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_.-]{0,63}");
     /** The value of an address that is missing or invalid, which is reported as a finding. */
-    private static final Address PLACEHOLDER_ADDRESS = new Address("0.0.0.0", 1);
-
     private final YamlNode.Mapping mapping;
+
     private final String path;
     private final Findings findings;
 
--- a/src/main/java/org/gooseberryhill/configuration/UniqueAddressRule.java
+++ b/src/main/java/org/gooseberryhill/configuration/UniqueAddressRule.java
@@ -10,6 +10,9 @@
     public void check(Configuration configuration, YamlNode.Mapping root, Findings findings) {
         Map<Address, String> owners = new HashMap<>();
         for (EndpointSettings endpoint : configuration.endpoints().values()) {
+            if (endpoint.address().equals(PropertyReader.PLACEHOLDER_ADDRESS)) {
+                continue;
+            }
             String owner = owners.putIfAbsent(endpoint.address(), endpoint.name());
             if (owner != null) {
                 TextPosition position =
--- a/src/test/java/org/gooseberryhill/configuration/ConfigurationReaderTest.java
+++ b/src/test/java/org/gooseberryhill/configuration/ConfigurationReaderTest.java
@@ -52,6 +52,24 @@
         assertThat(findings).hasSize(20).allMatch(finding -> !finding.remedy().isBlank());
     }
 
+    /** Guards against a second finding that sends the reader after an address which nobody wrote. */
+    @Test
+    void endpointsWithoutAValidAddressAreNotReportedAsSharingOne() {
+        String text = """
+                models: {m: {version: "1"}}
+                services: {s: {model: m}}
+                endpoints:
+                  e0: {service: s, address: "nowhere", zone: a, slots: 4}
+                  e1: {service: s, zone: a, slots: 4}
+                """;
+
+        List<Finding> findings = ConfigurationReader.read("f", text).getLeft();
+
+        assertThat(findings)
+                .extracting(Finding::key)
+                .containsExactlyInAnyOrder("endpoints.e0.address", "endpoints.e1.address");
+    }
+
     @Test
     void aTextThatIsNotYamlIsReportedWithItsPosition() {
         Finding finding =
