Fail the slope of a job's writes when the job is not done in time

A time-out ended the wait as if the job were done, and the writes so far became a point of the slope.

--- a/src/main/java/org/gooseberryhill/load/slope/JobWritesProbe.java
+++ b/src/main/java/org/gooseberryhill/load/slope/JobWritesProbe.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.gooseberryhill.http.HttpResult;
 import org.gooseberryhill.link.Json;
 import org.gooseberryhill.program.EntryClient;
@@ -24,6 +26,7 @@
     private static final int CHUNK_ITEMS = 256;
     private static final int ENGINE_COUNT = 6;
     private static final long STARTUP_MILLIS = 1500;
+    private static final long POLL_MILLIS = 100;
     private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private final int basePort;
@@ -76,17 +79,25 @@
         if (!accepted.isSuccess()) {
             throw new IllegalStateException("the job was not accepted: " + accepted.status());
         }
-        long deadlineNanos = System.nanoTime() + TIMEOUT_NANOS;
-        String state = "";
-        while (!state.equals("done") && System.nanoTime() < deadlineNanos) {
-            sleep(100);
-            HttpResult status = client.call("GET", "/v1/jobs/slope", new byte[0]);
-            state = Json.tree(status.body())
-                    .map(json -> json.path("state").asText())
-                    .getOrElse("");
+        awaitDone(() -> jobState(client), System::nanoTime);
+    }
+
+    /** Waits until a job is done; throws {@link IllegalStateException} if it is not in time, since nothing is measured then. */
+    static void awaitDone(Supplier<String> state, LongSupplier nanoTime) {
+        long deadlineNanos = nanoTime.getAsLong() + TIMEOUT_NANOS;
+        while (!state.get().equals("done")) {
+            if (nanoTime.getAsLong() - deadlineNanos >= 0) {
+                throw new IllegalStateException("the job was not done within " + TIMEOUT_NANOS + " ns");
+            }
+            sleep(POLL_MILLIS);
         }
     }
 
+    private static String jobState(EntryClient client) {
+        HttpResult status = client.call("GET", "/v1/jobs/slope", new byte[0]);
+        return Json.tree(status.body()).map(json -> json.path("state").asText()).getOrElse("");
+    }
+
     private static long writes(SampleSystem system) {
         return system.platform().keyValue().callCounts().getOrDefault("/v3/kv/txn", 0L);
     }
