--- a/src/main/java/org/gooseberryhill/contract/Prompt.java
+++ b/src/main/java/org/gooseberryhill/contract/Prompt.java
@@ -10,11 +10,4 @@
  * @param maxOutputTokens the maximum number of tokens to generate
  * @param parts the parts of the prompt in order; the last is specific to the request or its session
  */
-public record Prompt(String model, int promptTokens, int maxOutputTokens, List<PromptPart> parts) {
-    private static final int OUTPUT_TOKEN_WEIGHT = 10;
-
-    /** Returns the work in prompt tokens; generating a token costs about ten times as much as reading one. */
-    public long workTokens() {
-        return promptTokens + (long) OUTPUT_TOKEN_WEIGHT * maxOutputTokens;
-    }
-}
+public record Prompt(String model, int promptTokens, int maxOutputTokens, List<PromptPart> parts) {}
--- a/src/main/java/org/gooseberryhill/route/Route.java
+++ b/src/main/java/org/gooseberryhill/route/Route.java
@@ -40,9 +40,4 @@
     public boolean isRepeatable() {
         return kind == RouteKind.SAFE || kind == RouteKind.BATCH || (kind == RouteKind.STREAM && resumable);
     }
-
-    /** Returns whether a service is among the targets. */
-    public boolean hasTarget(String service) {
-        return targets.stream().anyMatch(target -> target.service().equals(service));
-    }
 }
--- a/src/main/java/org/gooseberryhill/standin/HostListStandin.java
+++ b/src/main/java/org/gooseberryhill/standin/HostListStandin.java
@@ -30,7 +30,6 @@
         return thread;
     });
     private final HttpServer server;
-    private final CallCounter callCounter = new CallCounter();
     private volatile long lagMillis;
     private volatile HostList.Listing visibleListing = new HostList.Listing(List.of(), Set.of());
     private HostList.Listing latestListing = visibleListing;
@@ -80,7 +79,6 @@
 
     private RequestBodyHandler handle(HttpCall call) {
         return StandinHttp.collectBody(call, body -> {
-            callCounter.count(call.method());
             if (call.method().equals("GET")) {
                 StandinHttp.replyJson(call, 200, visibleListing);
                 return;
--- a/src/main/java/org/gooseberryhill/standin/WeightStoreStandin.java
+++ b/src/main/java/org/gooseberryhill/standin/WeightStoreStandin.java
@@ -13,7 +13,6 @@
 /** Simulates the weight store: {@code GET /weights/{model}/{version}}, rate-limited. Thread-safe. */
 public final class WeightStoreStandin implements Closeable {
     private final HttpServer server;
-    private final CallCounter callCounter = new CallCounter();
     private final int maxPerMinute;
     private final ArrayDeque<Long> recentReadNanos = new ArrayDeque<>();
 
@@ -24,11 +23,6 @@
                 group, address, HttpLimits.DEFAULT, call -> StandinHttp.collectBody(call, body -> serve(call)));
     }
 
-    /** Returns the number of served and refused reads so far. */
-    public Map<String, Long> callCounts() {
-        return callCounter.snapshot();
-    }
-
     @Override
     public void close() {
         server.close();
@@ -41,12 +35,10 @@
             recentReadNanos.pollFirst();
         }
         if (recentReadNanos.size() >= maxPerMinute) {
-            callCounter.count("refused");
             call.reply(429, Map.of("retry-after", "5"), new byte[0]);
             return;
         }
         recentReadNanos.addLast(nowNanos);
-        callCounter.count("served");
         StandinHttp.replyJson(call, 200, Map.of("weights", call.path()));
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/job/JobModel.java
+++ b/src/test/java/org/gooseberryhill/decision/job/JobModel.java
@@ -28,7 +28,6 @@
 
     final FakeKeyValue<Object> store;
     final List<ModelHost> hosts = List.of(new ModelHost("a"), new ModelHost("b"));
-    final Map<Integer, Integer> chunkWrites = new HashMap<>();
     boolean cancelled;
     private final Random random;
     private final JobRecord record =
