Let a body pause for as long as a connection may be idle

The limit of the head's time also applied between two parts of a body. StoppedHostTest#aPartlyReceivedRequestIsAnswered- WhenTheHostCloses, whose caller sends the body after more than that time, got 408 in place of its answer: a slow upload is not an attack.

--- a/src/main/java/org/gooseberryhill/http/HttpLimits.java
+++ b/src/main/java/org/gooseberryhill/http/HttpLimits.java
@@ -5,9 +5,10 @@
  *
  * @param maxHeaderBytes maximum total size of the headers of one request
  * @param maxRequestLineBytes maximum size of method, target and version
- * @param idleTimeoutMillis how long a connection may be idle while no request is in progress
+ * @param idleTimeoutMillis how long a connection may be idle while no request is in progress, and between two parts of a
+ *     body
  * @param maxPendingWriteBytes unsent bytes at which the connection of a slow reader is closed
- * @param headerTimeoutMillis maximum time for the head of a request from its first byte on, and between two parts of a body
+ * @param headerTimeoutMillis maximum time for the head of a request from its first byte on
  * @param connections limits of the number of connections
  */
 public record HttpLimits(
--- a/src/main/java/org/gooseberryhill/http/RequestArrivalTimer.java
+++ b/src/main/java/org/gooseberryhill/http/RequestArrivalTimer.java
@@ -11,26 +11,19 @@
  * for as long as they like.
  */
 final class RequestArrivalTimer {
-    private final int timeoutMillis;
     private final Runnable onTimeout;
     private ScheduledFuture<?> timer;
     private long startCount;
 
-    RequestArrivalTimer(int timeoutMillis, Runnable onTimeout) {
-        this.timeoutMillis = timeoutMillis;
+    RequestArrivalTimer(Runnable onTimeout) {
         this.onTimeout = onTimeout;
     }
 
     /** Starts the timeout unless it is running. */
-    void startIfStopped(EventLoop loop) {
-        if (timer == null) {
-            restart(loop);
+    void startIfStopped(EventLoop loop, int timeoutMillis) {
+        if (timer != null) {
+            return;
         }
-    }
-
-    /** Starts the timeout anew. */
-    void restart(EventLoop loop) {
-        stop();
         long started = ++startCount;
         timer = loop.schedule(() -> runAfterRead(loop, started), timeoutMillis, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -90,7 +90,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         acceptedNanos = nanoTime(context.channel());
-        arrivalTimer = new RequestArrivalTimer(limits.headerTimeoutMillis(), () -> rejectSlow(context));
+        arrivalTimer = new RequestArrivalTimer(() -> rejectSlow(context));
         startIdleTimeout(context.channel());
         context.fireChannelActive();
     }
@@ -305,9 +305,13 @@
     }
 
     private void startArrivalTimeoutIfAwaiting(Channel connection) {
-        boolean awaitsHead = call == null && partialMessageReceived;
-        if (!discardingInput && (awaitsHead || isAwaitingBody())) {
-            arrivalTimer.startIfStopped(connection.eventLoop());
+        if (discardingInput) {
+            return;
+        }
+        if (isAwaitingBody()) {
+            arrivalTimer.startIfStopped(connection.eventLoop(), limits.idleTimeoutMillis());
+        } else if (call == null && partialMessageReceived) {
+            arrivalTimer.startIfStopped(connection.eventLoop(), limits.headerTimeoutMillis());
         }
     }
 
--- a/src/main/java/org/gooseberryhill/program/EntryMain.java
+++ b/src/main/java/org/gooseberryhill/program/EntryMain.java
@@ -80,7 +80,7 @@
     @Option(
             names = "--header-timeout-millis",
             defaultValue = "${env:GOOSEBERRY_HEADER_TIMEOUT_MILLIS:-10000}",
-            description = "Maximum time for the head of a request, and between two parts of its body (default 10000)")
+            description = "Maximum time for the head of a request (default 10000)")
     private String headerTimeoutMillis;
 
     @Option(
