--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -1,17 +1,17 @@
 package org.gooseberryhill.decision.dispatch;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.quarantine.CrashSuspects.Verdict;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.route.Route;
 import org.gooseberryhill.zone.AvailabilityZone;
@@ -55,17 +55,30 @@
     private static final long BUSY_RETRY_AFTER_MILLIS = 200;
 
     private final AvailabilityZone zone;
-    private final DispatchPolicies policies;
+    private final RequestPlacer placer;
     private final Fleet fleet;
+    private final GroupSelector groups;
+    private final Predicate<EndpointEntry> connections;
     private final CrashSuspects suspects;
-    private final Map<String, ServiceRunTime> runTimes = new HashMap<>();
-    private final PromptPrefixTracker prefixes = new PromptPrefixTracker();
 
-    /** Creates a core for the endpoints that its host knows. */
-    public DispatchCore(AvailabilityZone zone, DispatchPolicies policies, Fleet fleet, CrashSuspects suspects) {
+    /**
+     * Creates a core for the endpoints that its host knows.
+     *
+     * @param groups selects the coordinators that are asked for endpoints
+     * @param connections tells whether the host keeps an idle connection to an endpoint
+     */
+    public DispatchCore(
+            AvailabilityZone zone,
+            DispatchPolicies policies,
+            Fleet fleet,
+            GroupSelector groups,
+            Predicate<EndpointEntry> connections,
+            CrashSuspects suspects) {
         this.zone = zone;
-        this.policies = policies;
+        this.placer = new RequestPlacer(policies);
         this.fleet = fleet;
+        this.groups = groups;
+        this.connections = connections;
         this.suspects = suspects;
     }
 
@@ -87,20 +100,37 @@
             return new DispatchDecision.Refuse(refusal(
                     request, ErrorCode.DEADLINE_EXCEEDED, "the request's time was over before it could be sent"));
         }
-        Optional<FleetEndpoint> best = choose(request, nowNanos);
-        if (best.isEmpty()) {
-            return new DispatchDecision.Refuse(noEndpoint());
+        return place(request, nowNanos);
+    }
+
+    /** Decides the next action after the coordinator of a group has answered {@link DispatchDecision.AskGroup}. */
+    public DispatchDecision placementAnswered(RoutedRequest request, PlacementAnswer answer, long nowNanos) {
+        if (answer instanceof PlacementAnswer.Placed placed) {
+            Optional<FleetEndpoint> endpoint = fleet.find(placed.endpoint())
+                    .filter(found ->
+                            found.isUsable(nowNanos) && !request.tried().contains(found.key()));
+            if (endpoint.isPresent()) {
+                return send(request, endpoint.get(), placed.facts(), true, nowNanos);
+            }
+        } else if (answer instanceof PlacementAnswer.Overloaded overloaded && request.isRefusable()) {
+            return new DispatchDecision.Refuse(
+                    overloadRefusal(overloaded.retryAfterMillis()), Optional.of(overloaded.facts()));
+        } else if (answer instanceof PlacementAnswer.Elsewhere elsewhere && request.groupAsked(elsewhere.group())) {
+            return ask(request, elsewhere.group(), nowNanos);
         }
-        OverloadCase overload = overloadCase(request, best.get(), nowNanos);
-        double longestWaitMillis = policies.overload().longestWaitMillis(overload);
-        if (overload.waitMillis() > longestWaitMillis) {
-            Refusal refusal = Refusal.notRun(
-                    ErrorCode.OVERLOADED,
-                    "no slot is likely to be free in time",
-                    policies.retryAfter().retryAfterMillis(overload));
-            return new DispatchDecision.Refuse(refusal, Optional.of(OverloadFacts.of(overload, longestWaitMillis)));
+        return placeWithoutAnswer(request, nowNanos);
+    }
+
+    /**
+     * Decides the next action when the coordinator of a group does not answer: another group is asked, or the host chooses
+     * an endpoint by what it knows itself.
+     */
+    public DispatchDecision placeWithoutAnswer(RoutedRequest request, long nowNanos) {
+        Optional<EndpointGroup> next = groups.next(request.info().service(), request.askedGroups(), nowNanos);
+        if (next.isPresent() && request.groupAsked(next.get())) {
+            return ask(request, next.get(), nowNanos);
         }
-        return send(request, best.get(), nowNanos);
+        return placeLocally(request, nowNanos);
     }
 
     /** Decides what follows an attempt that ended without the whole answer: another endpoint, a wait or a refusal. */
@@ -110,7 +140,7 @@
         if (refusal.isPresent()) {
             return new DispatchDecision.Refuse(refusal.get());
         }
-        return sendToAnother(request, nowNanos);
+        return place(request, nowNanos);
     }
 
     /**
@@ -124,7 +154,7 @@
         RequestProgress afterSilence = request.progress().after(AttemptEnd.SILENT);
         return refuseFurtherAttempt(request, afterSilence, AttemptEnd.SILENT, nowNanos)
                         .isEmpty()
-                && chooseUntried(request, nowNanos).isPresent();
+                && hasUntriedEndpoint(request, nowNanos);
     }
 
     /** Decides the next action after the delay of a {@link DispatchDecision.Wait} has passed. */
@@ -133,13 +163,52 @@
             return new DispatchDecision.Refuse(
                     refusal(request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for the rest of the answer"));
         }
-        return sendToAnother(request, nowNanos);
+        return place(request, nowNanos);
+    }
+
+    private DispatchDecision place(RoutedRequest request, long nowNanos) {
+        request.placementStarted();
+        return placeWithoutAnswer(request, nowNanos);
+    }
+
+    private DispatchDecision ask(RoutedRequest request, EndpointGroup group, long nowNanos) {
+        Set<EndpointKey> excluded = new HashSet<>(request.tried());
+        Set<EndpointKey> connected = new HashSet<>();
+        for (EndpointEntry member : groups.members(group)) {
+            if (fleet.find(member.key())
+                    .filter(found -> found.isUsable(nowNanos))
+                    .isEmpty()) {
+                excluded.add(member.key());
+            } else if (connections.test(member)) {
+                connected.add(member.key());
+            }
+        }
+        return new DispatchDecision.AskGroup(group, query(request, excluded, connected, nowNanos));
+    }
+
+    private DispatchDecision placeLocally(RoutedRequest request, long nowNanos) {
+        List<FleetEndpoint> endpoints = fleet.endpointsOf(request.info().service());
+        PlacementQuery query = query(request, request.tried(), connected(endpoints), nowNanos);
+        Optional<FleetEndpoint> chosen = placer.choose(endpoints, query, nowNanos);
+        if (chosen.isEmpty()) {
+            return refuseOrWait(request);
+        }
+        List<FleetEndpoint> usable = fleet.usableEndpoints(request.info().service(), nowNanos);
+        if (request.isRefusable()) {
+            Optional<PlacementAnswer.Overloaded> overloaded =
+                    placer.refuseOverloaded(chosen.get(), usable, fleet.hostCount(), query, nowNanos);
+            if (overloaded.isPresent()) {
+                return new DispatchDecision.Refuse(
+                        overloadRefusal(overloaded.get().retryAfterMillis()),
+                        Optional.of(overloaded.get().facts()));
+            }
+        }
+        return send(request, chosen.get(), placer.facts(chosen.get(), usable.size()), false, nowNanos);
     }
 
-    private DispatchDecision sendToAnother(RoutedRequest request, long nowNanos) {
-        Optional<FleetEndpoint> endpoint = choose(request, nowNanos);
-        if (endpoint.isPresent()) {
-            return send(request, endpoint.get(), nowNanos);
+    private DispatchDecision refuseOrWait(RoutedRequest request) {
+        if (request.isRefusable()) {
+            return new DispatchDecision.Refuse(noEndpoint());
         }
         return request.mayWaitForEndpoint()
                 ? new DispatchDecision.Wait(FULL_SERVICE_WAIT_MILLIS)
@@ -148,7 +217,7 @@
 
     /** Records that an attempt returned the whole answer. */
     public void attemptSucceeded(RoutedRequest request, long nowNanos) {
-        runTime(request).add(request.attemptNanos(nowNanos));
+        placer.requestAnswered(request.info().service(), request.attemptNanos(nowNanos));
         attemptEnded(request, AttemptEnd.ANSWERED, nowNanos);
         if (suspects.size() > 0) {
             suspects.clear(request.info().fingerprint());
@@ -195,64 +264,43 @@
         return refuseQuarantined(request, nowNanos);
     }
 
-    private OverloadCase overloadCase(RoutedRequest request, FleetEndpoint best, long nowNanos) {
-        double meanRunMillis = runTime(request).meanRunMillis();
-        int slots = 0;
-        for (FleetEndpoint endpoint : fleet.usableEndpoints(request.info().service(), nowNanos)) {
-            slots += endpoint.entry().slots();
-        }
-        return new OverloadCase(
-                request.info().service(),
-                WaitForecast.waitMillis(best, meanRunMillis),
-                request.info().route().targetLatencyMillis(),
-                request.remainingMillis(nowNanos),
-                slots,
-                meanRunMillis,
-                fleet.hostCount(),
-                nowNanos);
-    }
-
-    private DispatchDecision send(RoutedRequest request, FleetEndpoint endpoint, long nowNanos) {
+    private DispatchDecision send(
+            RoutedRequest request, FleetEndpoint endpoint, PlacementFacts facts, boolean assigned, long nowNanos) {
         EndpointEntry entry = endpoint.entry();
-        PlacementFacts facts = placementFacts(request, endpoint, nowNanos);
         fleet.onlineStarted(entry.key());
         request.attemptStarted(entry.key(), nowNanos);
-        request.info().prompt().ifPresent(prompt -> prefixes.requestSent(entry.key(), prompt));
-        return new DispatchDecision.Send(entry, facts);
-    }
-
-    private PlacementFacts placementFacts(RoutedRequest request, FleetEndpoint endpoint, long nowNanos) {
-        int usable = fleet.usableEndpoints(request.info().service(), nowNanos).size();
-        double waitMillis = WaitForecast.waitMillis(endpoint, runTime(request).meanRunMillis());
-        return new PlacementFacts(
-                usable, endpoint.online(), endpoint.batch(), endpoint.entry().slots(), Math.round(waitMillis));
+        request.info().prompt().ifPresent(prompt -> placer.requestPlaced(entry.key(), prompt));
+        return new DispatchDecision.Send(entry, facts, assigned);
     }
 
-    private Optional<FleetEndpoint> choose(RoutedRequest request, long nowNanos) {
-        return choose(request, request.tried(), nowNanos);
+    /** Returns whether some endpoint neither has the request now nor was tried before. */
+    private boolean hasUntriedEndpoint(RoutedRequest request, long nowNanos) {
+        return fleet.usableEndpoints(request.info().service(), nowNanos).stream()
+                .map(FleetEndpoint::key)
+                .anyMatch(key ->
+                        !request.tried().contains(key) && !request.endpoint().equals(Optional.of(key)));
     }
 
-    /** Chooses an endpoint that neither has the request now nor was tried before. */
-    private Optional<FleetEndpoint> chooseUntried(RoutedRequest request, long nowNanos) {
-        Set<EndpointKey> excluded = new HashSet<>(request.tried());
-        request.endpoint().ifPresent(excluded::add);
-        return choose(request, excluded, nowNanos);
+    private Set<EndpointKey> connected(List<FleetEndpoint> endpoints) {
+        Set<EndpointKey> connected = new HashSet<>();
+        endpoints.stream()
+                .filter(endpoint -> connections.test(endpoint.entry()))
+                .forEach(endpoint -> connected.add(endpoint.key()));
+        return connected;
     }
 
-    private Optional<FleetEndpoint> choose(RoutedRequest request, Set<EndpointKey> excluded, long nowNanos) {
-        List<FleetEndpoint> endpoints = fleet.endpointsOf(request.info().service());
-        PlacementCase placement = new PlacementCase(
+    private PlacementQuery query(
+            RoutedRequest request, Set<EndpointKey> excluded, Set<EndpointKey> connected, long nowNanos) {
+        return new PlacementQuery(
+                request.info().service(),
                 zone,
                 request.info().prompt(),
-                prefixes,
                 excluded,
-                runTime(request).meanRunMillis(),
-                nowNanos);
-        return policies.placement().choose(endpoints, placement);
-    }
-
-    private ServiceRunTime runTime(RoutedRequest request) {
-        return runTimes.computeIfAbsent(request.info().service(), service -> new ServiceRunTime());
+                connected,
+                request.info().route().targetLatencyMillis(),
+                request.remainingMillis(nowNanos),
+                request.isRefusable(),
+                request.isRedirectable());
     }
 
     private Optional<Refusal> refuseQuarantined(RoutedRequest request, long nowNanos) {
@@ -267,6 +315,10 @@
                 Optional.of(millis)));
     }
 
+    private static Refusal overloadRefusal(long retryAfterMillis) {
+        return Refusal.notRun(ErrorCode.OVERLOADED, "no slot is likely to be free in time", retryAfterMillis);
+    }
+
     private static Refusal noEndpoint() {
         return Refusal.notRun(
                 ErrorCode.NO_ENDPOINT, "no endpoint of the service can be used", NO_ENDPOINT_RETRY_AFTER_MILLIS);
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointGroup;
 
 /** The next action for a routed request. Immutable. */
 public sealed interface DispatchDecision {
@@ -11,8 +12,18 @@
      *
      * @param endpoint the endpoint
      * @param facts the figures by which it was chosen
+     * @param assigned whether a coordinator has assigned the slot, and counts the request already
      */
-    record Send(EndpointEntry endpoint, PlacementFacts facts) implements DispatchDecision {}
+    record Send(EndpointEntry endpoint, PlacementFacts facts, boolean assigned) implements DispatchDecision {}
+
+    /**
+     * Asks the coordinator of a group of endpoints where to send the request, then calls {@link
+     * DispatchCore#placementAnswered}, or {@link DispatchCore#placeWithoutAnswer} if there is no answer in time.
+     *
+     * @param group the group
+     * @param query what the choice depends on
+     */
+    record AskGroup(EndpointGroup group, PlacementQuery query) implements DispatchDecision {}
 
     /**
      * Asks for another decision after a delay: no endpoint can take the request now, but its caller has received a part
--- a/src/main/java/org/gooseberryhill/decision/dispatch/ExponentialMovingAverage.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/ExponentialMovingAverage.java
@@ -21,6 +21,11 @@
         return value;
     }
 
+    /** Replaces the mean. */
+    public void reset(double newMean) {
+        value = newMean;
+    }
+
     /** Adds a value to the mean. */
     public void add(double newest) {
         value += newestWeight * (newest - value);
--- a/src/main/java/org/gooseberryhill/decision/dispatch/Fleet.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/Fleet.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,23 +21,12 @@
  * of this host looks like a failure of all of them; the reports of a lost host no longer count.
  */
 public final class Fleet {
-    private final ConnectionView connections;
     private final Map<EndpointKey, FleetEndpoint> byKey = new TreeMap<>();
     private final Map<HostId, Report> reports = new HashMap<>();
     private final Map<EndpointKey, InFlight> ownInFlight = new TreeMap<>();
     private final List<HealthChange> healthChanges = new ArrayList<>();
     private Map<String, List<FleetEndpoint>> byService = Map.of();
 
-    /** Creates a fleet without endpoints, on a host without idle connections. */
-    public Fleet() {
-        this(ConnectionView.NONE);
-    }
-
-    /** Creates a fleet without endpoints, on a host that keeps the idle connections of the given view. */
-    public Fleet(ConnectionView connections) {
-        this.connections = connections;
-    }
-
     /** Replaces the directory; the state of endpoints that remain registered is kept. */
     public void updateDirectory(Collection<EndpointEntry> entries) {
         Map<EndpointKey, EndpointEntry> listed = new TreeMap<>();
@@ -54,16 +42,35 @@
         byService = services;
     }
 
-    /** Applies the report of another host on all requests that it has in flight. */
+    /** Replaces what is known of the requests that another host has in flight. */
     public void updateReport(HostId host, Map<EndpointKey, InFlight> inFlight, long nowNanos) {
-        Report earlierReport = reports.put(host, new Report(Map.copyOf(inFlight), nowNanos));
-        inFlight.keySet().forEach(this::updateOtherHostsInFlight);
-        updateEndpointsNoLongerReported(earlierReport, inFlight);
+        removeReport(host);
+        Report report = new Report(nowNanos);
+        reports.put(host, report);
+        inFlight.forEach((key, count) -> addInFlight(report, key, count.online(), count.batch()));
     }
 
-    /** Removes the report of a lost host: none of its requests count as in flight any longer. */
+    /** Removes what is known of a lost host: none of its requests count as in flight any longer. */
     public void removeReport(HostId host) {
-        updateEndpointsNoLongerReported(reports.remove(host), Map.of());
+        Report report = reports.remove(host);
+        if (report != null) {
+            report.inFlight.forEach((key, count) ->
+                    find(key).ifPresent(endpoint -> endpoint.addOtherHostsInFlight(-count.online(), -count.batch())));
+        }
+    }
+
+    /** Adds to the online requests that another host has in flight at an endpoint; the count stays at least 0. */
+    public void addOnline(HostId host, EndpointKey key, int change, long nowNanos) {
+        Report report = reports.computeIfAbsent(host, id -> new Report(nowNanos));
+        int before = report.at(key).online();
+        addInFlight(report, key, Math.max(0, before + change) - before, 0);
+    }
+
+    /** Adds to the batch items that another host has in flight at an endpoint; the count stays at least 0. */
+    public void addBatch(HostId host, EndpointKey key, int change, long nowNanos) {
+        Report report = reports.computeIfAbsent(host, id -> new Report(nowNanos));
+        int before = report.at(key).batch();
+        addInFlight(report, key, 0, Math.max(0, before + change) - before);
     }
 
     /**
@@ -145,32 +152,6 @@
         addOwnInFlight(key, 0, -1);
     }
 
-    /**
-     * Returns how many of its items a host has to stop at an endpoint that has more requests in flight than slots. All
-     * hosts with items there compute it from the same counts: the hosts with the most items yield first, so that not
-     * every host yields to the same request.
-     */
-    public int yieldShare(FleetEndpoint endpoint, HostId self) {
-        int excess = Math.min(-endpoint.freeSlots(), endpoint.batch());
-        if (excess <= 0) {
-            return 0;
-        }
-        Map<HostId, Integer> items = new TreeMap<>();
-        items.put(self, endpoint.ownInFlight().batch());
-        reports.forEach(
-                (host, report) -> items.put(host, report.at(endpoint.key()).batch()));
-        Comparator<Map.Entry<HostId, Integer>> mostItemsFirst = Map.Entry.comparingByValue(Comparator.reverseOrder());
-        List<Map.Entry<HostId, Integer>> order =
-                items.entrySet().stream().sorted(mostItemsFirst).toList();
-        for (Map.Entry<HostId, Integer> entry : order) {
-            if (entry.getKey().equals(self)) {
-                return Math.min(excess, entry.getValue());
-            }
-            excess -= Math.min(excess, entry.getValue());
-        }
-        return 0;
-    }
-
     /** Updates the health of an endpoint by the end of an attempt there. */
     public void attemptEnded(EndpointKey key, AttemptEnd end, long nowNanos) {
         find(key).ifPresent(endpoint -> recordAttemptEnd(endpoint, end, nowNanos));
@@ -251,44 +232,35 @@
     }
 
     private FleetEndpoint newEndpoint(EndpointEntry entry) {
-        FleetEndpoint endpoint = new FleetEndpoint(entry, connections);
+        FleetEndpoint endpoint = new FleetEndpoint(entry);
         endpoint.setOwnInFlight(ownInFlight.getOrDefault(entry.key(), InFlight.NONE));
-        updateOtherHostsInFlight(endpoint);
+        for (Report report : reports.values()) {
+            InFlight inFlight = report.at(entry.key());
+            endpoint.addOtherHostsInFlight(inFlight.online(), inFlight.batch());
+        }
         return endpoint;
     }
 
-    /** Recounts the endpoints that the earlier report of a host contained and its current one does not. */
-    private void updateEndpointsNoLongerReported(Report earlierReport, Map<EndpointKey, InFlight> reportedNow) {
-        if (earlierReport == null) {
-            return;
-        }
-        for (EndpointKey key : earlierReport.inFlight.keySet()) {
-            if (!reportedNow.containsKey(key)) {
-                updateOtherHostsInFlight(key);
-            }
+    private void addInFlight(Report report, EndpointKey key, int online, int batch) {
+        InFlight before = report.at(key);
+        InFlight after = new InFlight(before.online() + online, before.batch() + batch);
+        if (after.total() == 0) {
+            report.inFlight.remove(key);
+        } else {
+            report.inFlight.put(key, after);
         }
+        find(key).ifPresent(endpoint -> endpoint.addOtherHostsInFlight(online, batch));
     }
 
-    private void updateOtherHostsInFlight(EndpointKey key) {
-        FleetEndpoint endpoint = byKey.get(key);
-        if (endpoint != null) {
-            updateOtherHostsInFlight(endpoint);
-        }
-    }
+    /** The requests that a host has in flight, and when its report arrived. */
+    private static final class Report {
+        private final Map<EndpointKey, InFlight> inFlight = new HashMap<>();
+        private final long receivedNanos;
 
-    private void updateOtherHostsInFlight(FleetEndpoint endpoint) {
-        int online = 0;
-        int batch = 0;
-        for (Report report : reports.values()) {
-            InFlight inFlight = report.at(endpoint.key());
-            online += inFlight.online();
-            batch += inFlight.batch();
+        Report(long receivedNanos) {
+            this.receivedNanos = receivedNanos;
         }
-        endpoint.setOtherHostsInFlight(new InFlight(online, batch));
-    }
 
-    /** The requests that a host had in flight, and when its report arrived. */
-    private record Report(Map<EndpointKey, InFlight> inFlight, long receivedNanos) {
         InFlight at(EndpointKey endpoint) {
             return inFlight.getOrDefault(endpoint, InFlight.NONE);
         }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/FleetEndpoint.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/FleetEndpoint.java
@@ -10,14 +10,12 @@
  */
 public final class FleetEndpoint {
     private final EndpointHealth health = new EndpointHealth();
-    private final ConnectionView connections;
     private EndpointEntry entry;
     private InFlight ownInFlight = InFlight.NONE;
     private InFlight otherHostsInFlight = InFlight.NONE;
 
-    FleetEndpoint(EndpointEntry entry, ConnectionView connections) {
+    FleetEndpoint(EndpointEntry entry) {
         this.entry = entry;
-        this.connections = connections;
     }
 
     /** Returns the registration of the endpoint. */
@@ -55,11 +53,6 @@
         return entry.zone().equals(zone);
     }
 
-    /** Returns whether this host keeps an idle connection to the endpoint. */
-    public boolean isConnected() {
-        return connections.hasIdleConnection(entry.address());
-    }
-
     /** Returns whether new requests may be placed at the endpoint. */
     public boolean isUsable(long nowNanos) {
         return !entry.leaving() && health.isUsable(nowNanos);
@@ -77,8 +70,8 @@
         entry = newEntry;
     }
 
-    void setOtherHostsInFlight(InFlight inFlight) {
-        otherHostsInFlight = inFlight;
+    void addOtherHostsInFlight(int online, int batch) {
+        otherHostsInFlight = new InFlight(otherHostsInFlight.online() + online, otherHostsInFlight.batch() + batch);
     }
 
     void setOwnInFlight(InFlight inFlight) {
--- a/src/main/java/org/gooseberryhill/decision/dispatch/LeastWaitPlacement.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/LeastWaitPlacement.java
@@ -56,7 +56,7 @@
         double zoneMillis = endpoint.isIn(placement.zone()) ? 0 : OTHER_ZONE_MILLIS;
         double loadMillis =
                 FULL_LOAD_MILLIS * endpoint.online() / endpoint.entry().slots();
-        double connectMillis = endpoint.isConnected() ? 0 : CONNECT_MILLIS;
+        double connectMillis = placement.isConnected(endpoint) ? 0 : CONNECT_MILLIS;
         double prefillMillis = PREFILL_MILLIS_PER_TOKEN * placement.prefillTokens(endpoint);
         double warmUpMillis = Math.max(0, endpoint.entry().warmUpLeftMillis());
         return WaitForecast.waitMillis(endpoint, placement.meanRunMillis())
--- a/src/main/java/org/gooseberryhill/decision/dispatch/PlacementCase.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/PlacementCase.java
@@ -12,6 +12,7 @@
  * @param zone the availability zone where the host runs
  * @param prompt the prompt; present for a token generation request
  * @param prefixes the prompt prefixes that the endpoints have processed
+ * @param connected the endpoints to which the host that will send the request keeps an idle connection
  * @param excluded the endpoints to leave out, since they have or had the request
  * @param meanRunMillis the mean time that a request of the service holds its slot
  * @param nowNanos the current time
@@ -20,9 +21,15 @@
         AvailabilityZone zone,
         Optional<Prompt> prompt,
         PromptPrefixTracker prefixes,
+        Set<EndpointKey> connected,
         Set<EndpointKey> excluded,
         double meanRunMillis,
         long nowNanos) {
+    /** Returns whether the host that will send the request keeps an idle connection to an endpoint. */
+    boolean isConnected(FleetEndpoint endpoint) {
+        return connected.contains(endpoint.key());
+    }
+
     /** Returns how many tokens of the prompt an endpoint would have to process; 0 without a prompt. */
     int prefillTokens(FleetEndpoint endpoint) {
         return prompt.map(generationPrompt -> prefixes.prefillTokens(endpoint.key(), generationPrompt))
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RequestPlacer.java
@@ -0,0 +1,87 @@
+package org.gooseberryhill.decision.dispatch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.gooseberryhill.contract.Prompt;
+import org.gooseberryhill.directory.EndpointKey;
+
+/**
+ * Chooses endpoints for requests, and decides which requests are refused because of load, from the counts in a fleet. Not
+ * thread-safe.
+ */
+public final class RequestPlacer {
+    private final DispatchPolicies policies;
+    private final Map<String, ServiceRunTime> runTimes = new HashMap<>();
+    private final PromptPrefixTracker prefixes = new PromptPrefixTracker();
+
+    /** Creates a placer that knows no run times and no prompts yet. */
+    public RequestPlacer(DispatchPolicies policies) {
+        this.policies = policies;
+    }
+
+    /** Returns the endpoint for a request; empty if none is usable. */
+    public Optional<FleetEndpoint> choose(List<FleetEndpoint> endpoints, PlacementQuery query, long nowNanos) {
+        PlacementCase placement = new PlacementCase(
+                query.zone(),
+                query.prompt(),
+                prefixes,
+                query.connected(),
+                query.excluded(),
+                meanRunMillis(query.service()),
+                nowNanos);
+        return policies.placement().choose(endpoints, placement);
+    }
+
+    /**
+     * Returns the refusal of a request that would have to wait for too long at the endpoint that was chosen for it.
+     *
+     * @param usable the usable endpoints that the choice was made from
+     * @param hostCount number of hosts that share these endpoints without knowing of each other's refusals
+     */
+    public Optional<PlacementAnswer.Overloaded> refuseOverloaded(
+            FleetEndpoint chosen, List<FleetEndpoint> usable, int hostCount, PlacementQuery query, long nowNanos) {
+        double meanRunMillis = meanRunMillis(query.service());
+        OverloadCase overload = new OverloadCase(
+                query.service(),
+                WaitForecast.waitMillis(chosen, meanRunMillis),
+                query.targetLatencyMillis(),
+                query.remainingMillis(),
+                usable.stream().mapToInt(endpoint -> endpoint.entry().slots()).sum(),
+                meanRunMillis,
+                hostCount,
+                nowNanos);
+        double longestWaitMillis = policies.overload().longestWaitMillis(overload);
+        if (overload.waitMillis() <= longestWaitMillis) {
+            return Optional.empty();
+        }
+        return Optional.of(new PlacementAnswer.Overloaded(
+                policies.retryAfter().retryAfterMillis(overload), OverloadFacts.of(overload, longestWaitMillis)));
+    }
+
+    /** Returns the figures by which an endpoint was chosen. */
+    public PlacementFacts facts(FleetEndpoint chosen, int usableCount) {
+        double meanRunMillis = meanRunMillis(chosen.entry().service());
+        return new PlacementFacts(
+                usableCount,
+                chosen.online(),
+                chosen.batch(),
+                chosen.entry().slots(),
+                Math.round(WaitForecast.waitMillis(chosen, meanRunMillis)));
+    }
+
+    /** Records that a request with a prompt goes to an endpoint. */
+    public void requestPlaced(EndpointKey endpoint, Prompt prompt) {
+        prefixes.requestSent(endpoint, prompt);
+    }
+
+    /** Records how long a request that was answered completely held its slot. */
+    public void requestAnswered(String service, long nanos) {
+        runTimes.computeIfAbsent(service, key -> new ServiceRunTime()).add(nanos);
+    }
+
+    private double meanRunMillis(String service) {
+        return runTimes.computeIfAbsent(service, key -> new ServiceRunTime()).meanRunMillis();
+    }
+}
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 
 /**
@@ -16,9 +17,13 @@
  * <p>Invariant: once an attempt may have run, the request may have run, whatever the results of later attempts.
  */
 public final class RoutedRequest {
+    /** Each costs a round trip; the load of groups that were passed over hardly changes meanwhile. */
+    private static final int MAX_ASKED_GROUPS = 3;
+
     private final RoutedRequestInfo info;
     private final Set<EndpointKey> tried = new HashSet<>();
     private final Set<EndpointKey> refusedBy = new HashSet<>();
+    private final Set<EndpointGroup> askedGroups = new HashSet<>();
     private final List<PastAttempt> pastAttempts = new ArrayList<>();
     private Optional<EndpointKey> endpoint = Optional.empty();
     private RequestProgress progress = new RequestProgress(Outcome.NOT_RUN, 0, 0, false);
@@ -73,6 +78,31 @@
         return tried;
     }
 
+    /** Returns whether the request may be refused because of load: no endpoint has had it yet. */
+    boolean isRefusable() {
+        return progress.sends() == 0;
+    }
+
+    /** Begins the choice of an endpoint for the next attempt. */
+    void placementStarted() {
+        askedGroups.clear();
+    }
+
+    /** Records that the coordinator of a group is asked for an endpoint; returns false if it was asked before. */
+    boolean groupAsked(EndpointGroup group) {
+        return askedGroups.size() < MAX_ASKED_GROUPS && askedGroups.add(group);
+    }
+
+    /** Returns the groups whose coordinators were asked for the next attempt. */
+    Set<EndpointGroup> askedGroups() {
+        return askedGroups;
+    }
+
+    /** Returns whether the coordinator that is asked now may name another group. */
+    boolean isRedirectable() {
+        return askedGroups.size() < MAX_ASKED_GROUPS;
+    }
+
     /** Returns whether the request may wait for an endpoint when none can take it now. */
     boolean mayWaitForEndpoint() {
         return leftSilentEndpoint || (progress.answerStarted() && !refusedBy.isEmpty());
--- a/src/main/java/org/gooseberryhill/decision/ownership/Ownership.java
+++ b/src/main/java/org/gooseberryhill/decision/ownership/Ownership.java
@@ -19,6 +19,9 @@
  * the key-value store.
  */
 public final class Ownership {
+    private static final int MANTISSA_SHIFT = 11;
+    private static final double MANTISSA_UNIT = 0x1.0p-53;
+
     private Ownership() {}
 
     /**
@@ -82,6 +85,11 @@
         return chosen;
     }
 
+    /** Returns a number between 0 and 1, both excluded, that is uniform over the keys and the hosts. */
+    public static double uniform(String key, Host host) {
+        return ((score(key, host) >>> MANTISSA_SHIFT) + 0.5) * MANTISSA_UNIT;
+    }
+
     private static long score(String key, Host host) {
         return Hashing.komihash5_0().hashCharsToLong(host.id().value() + "\0" + key);
     }
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -18,12 +18,6 @@
     /** The delay after an error answer: the endpoint may be the cause, and other items can run in the meantime. */
     private static final long ERROR_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    /**
-     * The delay after yielding. The burst of online requests lasts longer than the time that an immediate restart at
-     * another endpoint would gain.
-     */
-    private static final long YIELD_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
     /** The delay after an endpoint refused to run an item: about the time until one of its slots is free. */
     private static final long BUSY_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -175,10 +169,7 @@
         switch (end) {
             case COMPLETED -> uncommitted.add(item.complete());
             case REJECTED -> uncommitted.add(item.giveUp());
-            case YIELDED -> {
-                item.discardOutputUnlessResumable();
-                item.deferUntil(nowNanos + YIELD_BACKOFF_NANOS);
-            }
+            case YIELDED -> item.discardOutputUnlessResumable();
             case NOT_RUN -> item.deferUntil(nowNanos + BUSY_BACKOFF_NANOS);
             case CUT -> handleCut(item, nowNanos);
             case ERROR_ANSWER -> handleErrorAnswer(item, maxAttempts, nowNanos);
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/PlacedItem.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/PlacedItem.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.decision.requestbatch;
 
+import org.gooseberryhill.decision.coordination.ItemTiming;
 import org.gooseberryhill.directory.EndpointEntry;
 
 /**
@@ -7,20 +8,20 @@
  * same endpoint differ.
  */
 public final class PlacedItem {
+    private final long number;
     private final OwnedBatch batch;
     private final ItemProgress item;
     private final EndpointEntry endpoint;
-    private final double slackMillis;
-    private final boolean urgent;
+    private final ItemTiming timing;
     private final long startedNanos;
     private final int charactersAtStart;
 
-    PlacedItem(DueItem dueItem, EndpointEntry endpoint, boolean urgent, long startedNanos) {
+    PlacedItem(long number, DueItem dueItem, EndpointEntry endpoint, ItemTiming timing, long startedNanos) {
+        this.number = number;
         this.batch = dueItem.batch();
         this.item = dueItem.item();
         this.endpoint = endpoint;
-        this.slackMillis = dueItem.slackMillis();
-        this.urgent = urgent;
+        this.timing = timing;
         this.startedNanos = startedNanos;
         this.charactersAtStart = item.characterCount();
     }
@@ -40,14 +41,14 @@
         return endpoint;
     }
 
-    /** Returns how long the item could still have waited when the run started; negative if it was late already. */
-    public double slackMillis() {
-        return slackMillis;
+    /** Returns the number of the run, unique for the process. */
+    public long number() {
+        return number;
     }
 
-    /** Returns whether the run was allowed to take a slot that is reserved for online requests. */
-    public boolean isUrgent() {
-        return urgent;
+    /** Returns the times of the item when the run started. */
+    public ItemTiming timing() {
+        return timing;
     }
 
     /** Returns how long the run has lasted so far. */
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -5,17 +5,24 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.decision.coordination.ItemStart;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.FleetEndpoint;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.route.Route;
 import org.gooseberryhill.timeline.EventKind;
 
-/** Runs items of owned batches at endpoints, as {@link ItemDispatch} decides. Confined to the control thread. */
-final class BatchRunner {
+/**
+ * Runs items of owned batches in the slots that the coordinators of endpoints grant, as {@link ItemDispatch} decides.
+ * Confined to the control thread.
+ */
+final class BatchRunner implements SlotExchange.GrantReceiver {
     /**
      * Age at which a batch without a route is given up. Until then a new configuration may contain its route again;
      * after that no caller is entitled to its results.
@@ -26,7 +33,8 @@
     private final BatchRegistry registry;
     private final BatchRoutes routes;
     private final ItemDispatch dispatch;
-    private final Runnable onLoadChange;
+    private final SlotExchange slots;
+    private final WorkAnnouncer announcer;
     private final Map<PlacedItem, ItemRun> runs = new IdentityHashMap<>();
     private boolean stopping;
 
@@ -35,12 +43,14 @@
             BatchRegistry registry,
             BatchRoutes routes,
             ItemDispatch dispatch,
-            Runnable onLoadChange) {
+            SlotExchange slots,
+            WorkAnnouncer announcer) {
         this.context = context;
         this.registry = registry;
         this.routes = routes;
         this.dispatch = dispatch;
-        this.onLoadChange = onLoadChange;
+        this.slots = slots;
+        this.announcer = announcer;
     }
 
     /** Stops starting items, because the host is stopping. */
@@ -52,19 +62,41 @@
         return dispatch.runningCount();
     }
 
-    /**
-     * Adjusts the running items to the current state: items yield where too much is in flight, others start where slots
-     * are free.
-     */
+    /** Announces the items that wait for a slot to the coordinators of endpoints, with the next tick. */
     void schedule() {
+        announcer.itemsChanged();
+    }
+
+    /** Gives up items that are too old. Called often. */
+    void tick() {
         giveUpExpired();
-        cancelRuns(dispatch.chooseRunsToYield(context.nowNanos(), System.currentTimeMillis()));
-        if (!stopping) {
-            dispatch.startRuns(registry.openBatches(), context.nowNanos(), System.currentTimeMillis())
-                    .forEach(this::start);
+        announcer.tick();
+    }
+
+    @Override
+    public void onGrant(HostId coordinator, CoordinationMessage.SlotGrant grant) {
+        Optional<FleetEndpoint> usable =
+                context.fleet().find(grant.endpoint()).filter(found -> found.isUsable(context.nowNanos()));
+        Optional<PlacedItem> placed = stopping
+                ? Optional.empty()
+                : usable.flatMap(found -> dispatch.startAt(
+                        found.entry(),
+                        grant.pressure(),
+                        registry.openBatches(),
+                        context.nowNanos(),
+                        System.currentTimeMillis()));
+        if (placed.isPresent()) {
+            start(placed.get(), grant.reservation());
+        } else {
+            slots.send(coordinator, new CoordinationMessage.GrantReturned(grant.reservation()));
         }
     }
 
+    @Override
+    public void onYield(List<Long> numbers) {
+        numbers.forEach(number -> dispatch.find(number).ifPresent(run -> cancelRuns(List.of(run))));
+    }
+
     /** Processes the output that the running items have generated since the last call. */
     void processQueuedEvents() {
         runs.values().forEach(ItemRun::processQueuedEvents);
@@ -84,6 +116,7 @@
     void onRunEnded(PlacedItem run, RunEnd end, AttemptEnd attemptEnd, String detail) {
         runs.remove(run);
         dispatch.runEnded(run, end, attemptEnd, context.nowNanos());
+        slots.tell(run.endpoint().key(), new CoordinationMessage.ItemEnded(run.number(), attemptEnd));
         context.metrics().itemRunEnded(end);
         context.timeline()
                 .event(isFailure(end) ? EventKind.ITEM_RUN_FAILED : EventKind.ITEM_RUN_ENDED)
@@ -97,27 +130,30 @@
                 .with("errorAnswers", run.item().errorAnswerCount())
                 .with("givenUp", run.item().isGivenUp())
                 .write();
-        onLoadChange.run();
+        announcer.itemsChanged();
     }
 
     private static boolean isFailure(RunEnd end) {
         return end == RunEnd.CUT || end == RunEnd.ERROR_ANSWER || end == RunEnd.REJECTED;
     }
 
-    private void start(PlacedItem placed) {
+    private void start(PlacedItem placed, long reservation) {
+        slots.tell(
+                placed.endpoint().key(),
+                new CoordinationMessage.ItemStarted(new ItemStart(
+                        reservation, placed.number(), placed.endpoint().key(), placed.timing())));
         context.timeline()
                 .event(EventKind.ITEM_STARTED)
                 .job(placed.batch().id())
                 .with("item", placed.item().item().id())
                 .endpoint(placed.endpoint().id())
                 .with("afterEvent", placed.item().lastEventId().orElse(0L))
-                .with("slackMillis", Math.round(placed.slackMillis()))
-                .with("urgent", placed.isUrgent())
+                .with("slackMillis", placed.timing().slackMillis())
                 .write();
         ItemRun run = new ItemRun(context, this, placed);
         runs.put(placed, run);
         run.start();
-        onLoadChange.run();
+        announcer.itemsChanged();
     }
 
     private void cancelRuns(List<PlacedItem> runsToCancel) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
@@ -3,13 +3,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
 
 /** Handles messages of other gateways. They arrive on traffic threads and are processed on the control thread. */
 final class GatewayMessageHandler {
     private final GatewayContext context;
-    private final LoadExchange loadExchange;
+    private final HostHeartbeats heartbeats;
+    private final SlotExchange slots;
     private final GatewayViews views;
     private final CrashTracking crashTracking;
     private final BatchRegistry registry;
@@ -21,7 +23,8 @@
     /** Creates a handler that dispatches messages to the given objects. */
     GatewayMessageHandler(
             GatewayContext context,
-            LoadExchange loadExchange,
+            HostHeartbeats heartbeats,
+            SlotExchange slots,
             GatewayViews views,
             CrashTracking crashTracking,
             BatchRegistry registry,
@@ -30,7 +33,8 @@
             BatchTakeover takeover,
             RelayingKeyValueStore store) {
         this.context = context;
-        this.loadExchange = loadExchange;
+        this.heartbeats = heartbeats;
+        this.slots = slots;
         this.views = views;
         this.crashTracking = crashTracking;
         this.registry = registry;
@@ -48,8 +52,14 @@
     }
 
     private void dispatch(HostId from, PeerMessage message, CompletableFuture<PeerMessage> reply) {
-        if (message instanceof GatewayMessage.InFlightReport report) {
-            loadExchange.onReport(from, report);
+        if (message instanceof CoordinationMessage.PlacementRequest request) {
+            reply.complete(slots.answer(from, request));
+            return;
+        }
+        if (message instanceof CoordinationMessage coordination) {
+            slots.handle(from, coordination);
+        } else if (message instanceof GatewayMessage.InFlightReport report) {
+            heartbeats.onReport(from, report);
         } else if (message instanceof GatewayMessage.ViewChanges changes) {
             views.onForwardedChanges(from, changes);
         } else if (message instanceof PeerMessage.CrashNotice notice) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -4,12 +4,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.Closeable;
+import java.util.Collection;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.gooseberryhill.control.ControlLoop;
+import org.gooseberryhill.decision.coordination.GroupRouting;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.Fleet;
@@ -17,11 +19,9 @@
 import org.gooseberryhill.decision.membership.ListedHost;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
-import org.gooseberryhill.decision.requestbatch.FeasibleFirstOrder;
-import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.dialect.Dialects;
+import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.external.KeyValueStoreFactory;
-import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.http.HttpClient;
 import org.gooseberryhill.http.HttpLimits;
 import org.gooseberryhill.http.HttpServer;
@@ -90,7 +90,10 @@
     private final GatewayContext context;
     private final PeerLinks links;
     private final StoreRelayClient relayClient;
-    private final LoadExchange loadExchange;
+    private final GroupRouting routing;
+    private final CrashSuspects suspects = new CrashSuspects(SUSPECT_RETENTION_MILLIS, MAX_SUSPECTS);
+    private final SlotAssignment assignment;
+    private final HostHeartbeats heartbeats;
     private final CrashTracking crashTracking;
     private final GatewayTraffic traffic;
     private final RequestRouter requestRouter;
@@ -106,9 +109,7 @@
     private final BatchHandOver handOver;
     private final GatewayMessageHandler messageHandler;
     private final StandardOutputSink log = new StandardOutputSink();
-    private final ProcessDelayDetector processDelayDetector = new ProcessDelayDetector(TICK_PERIOD_MILLIS);
-    private final TrafficDelayDetector trafficDelayDetector =
-            new TrafficDelayDetector(group, System::nanoTime, this::trafficDelayed);
+    private final DelayLog delayLog;
     private final RejectedConnectionsLog rejectedConnectionsLog;
     private final Readiness readiness;
     private final StopSequence stop;
@@ -123,31 +124,33 @@
     public GatewayProcess(GatewaySettings settings, Dialects dialects, KeyValueStoreFactory storeFactory, long seed) {
         this.settings = settings;
         Random random = new Random(seed);
-        HostId self = settings.self().id();
         HttpClient http = new HttpClient(group);
-        Fleet fleet = new Fleet(http::hasIdleConnection);
+        Fleet fleet = new Fleet();
+        this.routing = new GroupRouting(settings.self());
         this.store = new RelayingKeyValueStore(
                 storeFactory.create(http), storeReachability, this::relayStoreCall, this::storeReachabilityChanged);
-        CrashSuspects suspects = new CrashSuspects(SUSPECT_RETENTION_MILLIS, MAX_SUSPECTS);
         DispatchPolicies policies = DispatchPolicies.defaults(random);
         this.context = new GatewayContext(
                 () -> this.settings,
                 ProcessStartIds.next(),
-                new ControlLoop(self.value()),
+                new ControlLoop(settings.self().id().value()),
                 http,
-                new PeerClient(group, self, clock),
+                new PeerClient(group, settings.self().id(), clock),
                 this.store,
                 dialects,
                 fleet,
-                new DispatchCore(settings.self().zone(), policies, fleet, suspects),
+                createCore(http, policies, fleet),
                 new PlannedStop(STOP_GRACE_MILLIS, settings.stopBoundMillis()),
-                new Timeline(self.value(), clock, log),
+                new Timeline(settings.self().id().value(), clock, log),
                 new GatewayMetrics());
+        this.delayLog = new DelayLog(context, group, TICK_PERIOD_MILLIS);
         this.links = new PeerLinks(context);
         this.relayClient = new StoreRelayClient(context, links, random);
-        this.loadExchange = new LoadExchange(context, links, storeReachability);
+        this.assignment = new SlotAssignment(context, links, routing, policies);
+        SlotExchange slots = assignment.exchange();
+        this.heartbeats = new HostHeartbeats(context, links, storeReachability, slots);
         this.crashTracking = new CrashTracking(context, links, suspects);
-        this.traffic = new GatewayTraffic(context, crashTracking, this::loadChanged, this::directoryAgeMillis);
+        this.traffic = new GatewayTraffic(context, crashTracking, slots, this::directoryAgeMillis);
         this.registration = new HostRegistration(
                 context.loop(),
                 context.store(),
@@ -155,8 +158,7 @@
                 () -> new ListedHost(this.settings.self(), context.processStart()));
         this.probes = new EndpointProbes(context);
         BatchStore batchStore = new BatchStore(context.store(), dialects.batches());
-        ItemDispatch items = new ItemDispatch(self, fleet, batchRoutes, new FeasibleFirstOrder(), policies.items());
-        this.runner = new BatchRunner(context, registry, batchRoutes, items, this::loadChanged);
+        this.runner = assignment.createRunner(registry, batchRoutes);
         this.committer = new BatchCommitter(context, batchStore, registry, batchRoutes, runner::cancelRunsOfBatch);
         BatchRefusals refusals = new BatchRefusals(context, traffic);
         StoredBatchReader storedBatchReader = new StoredBatchReader(context, batchStore);
@@ -176,10 +178,20 @@
         this.stop = new StopSequence(
                 context, traffic, runner, handOver, registration, this::callersServer, this::stopRequested);
         this.messageHandler = new GatewayMessageHandler(
-                context, loadExchange, views, crashTracking, registry, batchApiHandler, ender, takeover, store);
+                context, heartbeats, slots, views, crashTracking, registry, batchApiHandler, ender, takeover, store);
         this.requestRouter = new RequestRouter(context, traffic, submissionHandler, batchApiHandler, gate, random);
     }
 
+    private DispatchCore createCore(HttpClient http, DispatchPolicies policies, Fleet fleet) {
+        return new DispatchCore(
+                settings.self().zone(),
+                policies,
+                fleet,
+                routing,
+                endpoint -> http.hasIdleConnection(endpoint.address()),
+                suspects);
+    }
+
     /** Starts serving at the addresses in the settings. */
     public void start() {
         start(ListeningSocket.open(settings.callersAddress()));
@@ -287,8 +299,9 @@
         views.start();
         context.loop().every(TICK_PERIOD_MILLIS, this::tick);
         context.loop().every(SLOW_TICK_PERIOD_MILLIS, this::slowTick);
-        context.loop().every(HEARTBEAT_PERIOD_MILLIS, loadExchange::sendHeartbeat);
-        context.loop().every(HEARTBEAT_PERIOD_MILLIS, trafficDelayDetector::measure);
+        context.loop().every(HEARTBEAT_PERIOD_MILLIS, heartbeats::send);
+        context.loop().every(HEARTBEAT_PERIOD_MILLIS, assignment::reportAll);
+        context.loop().every(HEARTBEAT_PERIOD_MILLIS, delayLog::measureTraffic);
         context.loop().every(HEARTBEAT_PERIOD_MILLIS, () -> callersServer.ifPresent(rejectedConnectionsLog::write));
         context.loop().every(LOG_FLUSH_PERIOD_MILLIS, log::flush);
         context.loop().every(RECORD_SCAN_PERIOD_MILLIS, () -> takeover.scanRecords(true));
@@ -297,32 +310,18 @@
     }
 
     private void tick() {
-        processDelayDetector
-                .tick(context.nowNanos(), System.currentTimeMillis())
-                .ifPresent(delay -> context.timeline()
-                        .event(EventKind.PROCESS_DELAYED)
-                        .with("thread", "control")
-                        .with("millis", delay.millis())
-                        .with("suspendedMillis", delay.suspendedMillis())
-                        .write());
+        delayLog.tick();
         views.tick();
         runner.processQueuedEvents();
-        runner.schedule();
+        runner.tick();
         committer.tick(!context.stop().acceptsAllRequests());
         updateReadiness();
     }
 
-    private void trafficDelayed(long millis) {
-        context.timeline()
-                .event(EventKind.PROCESS_DELAYED)
-                .with("thread", "traffic")
-                .with("millis", millis)
-                .write();
-    }
-
     private void slowTick() {
         takeover.tick();
         probes.tick();
+        assignment.slowTick();
     }
 
     private void updateReadiness() {
@@ -330,11 +329,9 @@
         readiness.update(canRoute, context.stop().phase() != PlannedStop.Phase.SERVING);
     }
 
-    private void loadChanged() {
-        loadExchange.scheduleReport();
-    }
-
-    private void endpointsChanged() {
+    private void endpointsChanged(Collection<EndpointEntry> entries) {
+        context.fleet().updateDirectory(entries);
+        assignment.endpointsChanged(entries);
         updateReadiness();
         runner.schedule();
     }
@@ -379,7 +376,7 @@
 
     private void stopRequested() {
         updateReadiness();
-        loadExchange.sendHeartbeat();
+        heartbeats.send();
     }
 
     private HttpLimits limits() {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
@@ -26,7 +26,7 @@
 
     private final GatewayContext context;
     private final CrashTracking crashTracking;
-    private final Runnable onLoadChange;
+    private final SlotExchange slots;
     private final LongSupplier directoryAgeMillis;
     private int inProgress;
     private long configurationVersion;
@@ -34,18 +34,15 @@
     /**
      * Creates the state of a host with no request in progress.
      *
-     * @param onLoadChange runs when this host's requests in flight at endpoints have changed
+     * @param slots exchange with the coordinators of endpoints
      * @param directoryAgeMillis supplies the time since the last moment at which the list of endpoints was certainly up
      *     to date, in milliseconds
      */
     GatewayTraffic(
-            GatewayContext context,
-            CrashTracking crashTracking,
-            Runnable onLoadChange,
-            LongSupplier directoryAgeMillis) {
+            GatewayContext context, CrashTracking crashTracking, SlotExchange slots, LongSupplier directoryAgeMillis) {
         this.context = context;
         this.crashTracking = crashTracking;
-        this.onLoadChange = onLoadChange;
+        this.slots = slots;
         this.directoryAgeMillis = directoryAgeMillis;
     }
 
@@ -82,9 +79,8 @@
         inProgress--;
     }
 
-    /** Reports that this host's requests in flight at endpoints have changed. */
-    void loadChanged() {
-        onLoadChange.run();
+    SlotExchange slots() {
+        return slots;
     }
 
     /** Sends a refusal to a caller; may be called from any thread. */
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -42,7 +42,7 @@
     private final GatewayContext context;
     private final PeerLinks links;
     private final Consumer<RouteConfiguration> onConfiguration;
-    private final Runnable onEndpointsChanged;
+    private final Consumer<Collection<EndpointEntry>> onEndpointsChanged;
     private final EvacuationReporter evacuationReporter;
     private final ViewUpdater registrations;
     private final ViewUpdater operators;
@@ -56,7 +56,7 @@
             GatewayContext context,
             PeerLinks links,
             Consumer<RouteConfiguration> onConfiguration,
-            Runnable onEndpointsChanged) {
+            Consumer<Collection<EndpointEntry>> onEndpointsChanged) {
         this.context = context;
         this.links = links;
         this.onConfiguration = onConfiguration;
@@ -140,9 +140,8 @@
         if (registeredEndpoints.apply(changes)) {
             Collection<EndpointEntry> entries = registeredEndpoints.entries();
             logDirectoryChanges(entries);
-            context.fleet().updateDirectory(entries);
+            onEndpointsChanged.accept(entries);
         }
-        onEndpointsChanged.run();
     }
 
     private void logDirectoryChanges(Collection<EndpointEntry> entries) {
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -10,13 +10,14 @@
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
 import org.gooseberryhill.decision.dispatch.OverloadFacts;
+import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementFacts;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
-import org.gooseberryhill.decision.dispatch.ServiceState;
 import org.gooseberryhill.dialect.AttemptMetadata;
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.http.Exchange;
 import org.gooseberryhill.http.ExchangeOptions;
 import org.gooseberryhill.http.ExchangeRequest;
@@ -34,7 +35,7 @@
  */
 final class RoutedCall {
     /** Value that logs and metrics give as the end of a request whose caller got an endpoint's answer. */
-    private static final String ANSWERED = "answered";
+    static final String ANSWERED = "answered";
 
     /** A connection that has been idle for longer may be closing: a request that is not repeatable takes a new one. */
     private static final int MAX_IDLE_MILLIS_UNREPEATABLE = 1500;
@@ -55,6 +56,7 @@
     private final byte[] body;
     private final RoutedRequest request;
     private final AnswerRelay relay;
+    private final RoutedCallLog log;
     /** Present while an attempt is in progress. */
     private Optional<Exchange> exchange = Optional.empty();
 
@@ -75,6 +77,7 @@
         this.body = body;
         this.request = context.core().newRequest(requestInfo);
         this.relay = new AnswerRelay(call, requestInfo.route(), metadata.lastEventId());
+        this.log = new RoutedCallLog(context, traffic, request);
     }
 
     /** Starts the request; may be called from any thread. */
@@ -107,7 +110,12 @@
 
     private void applyDecision(DispatchDecision decision) {
         if (decision instanceof DispatchDecision.Send send) {
-            send(send.endpoint(), send.facts());
+            if (!send.assigned()) {
+                traffic.slots().onlineStarted(send.endpoint().key());
+            }
+            send(send.endpoint(), send.facts(), send.assigned());
+        } else if (decision instanceof DispatchDecision.AskGroup ask) {
+            traffic.slots().place(ask.group(), ask.query(), this::placementAnswered);
         } else if (decision instanceof DispatchDecision.Wait wait) {
             context.loop().after(wait.millis(), this::dispatchAfterWait);
         } else if (decision instanceof DispatchDecision.Refuse refuse) {
@@ -115,31 +123,34 @@
         }
     }
 
+    private void placementAnswered(Optional<PlacementAnswer> answer) {
+        Optional<EndpointKey> assigned = answer.filter(PlacementAnswer.Placed.class::isInstance)
+                .map(placed -> ((PlacementAnswer.Placed) placed).endpoint());
+        if (finished) {
+            assigned.ifPresent(this::returnSlot);
+            return;
+        }
+        DispatchDecision decision = answer.map(
+                        given -> context.core().placementAnswered(request, given, context.nowNanos()))
+                .orElseGet(() -> context.core().placeWithoutAnswer(request, context.nowNanos()));
+        assigned.filter(endpoint -> !request.endpoint().equals(Optional.of(endpoint)))
+                .ifPresent(this::returnSlot);
+        applyDecision(decision);
+    }
+
+    private void returnSlot(EndpointKey endpoint) {
+        traffic.slots().onlineEnded(endpoint, AttemptEnd.DROPPED, 0);
+    }
+
     private void dispatchAfterWait() {
         if (!finished) {
             applyDecision(context.core().dispatchAfterWait(request, context.nowNanos()));
         }
     }
 
-    private void send(EndpointEntry endpoint, PlacementFacts facts) {
+    private void send(EndpointEntry endpoint, PlacementFacts facts, boolean assigned) {
         attemptNumber++;
-        traffic.loadChanged();
-        context.timeline()
-                .event(EventKind.ATTEMPT_SENT)
-                .request(request.info().id())
-                .endpoint(endpoint.id())
-                .with("attempt", attemptNumber)
-                .with("usable", facts.usable())
-                .with("online", facts.online())
-                .with("batch", facts.batch())
-                .with("slots", facts.slots())
-                .with("waitMillis", facts.waitMillis())
-                .with(
-                        "sinceArrivalMillis",
-                        TimeUnit.NANOSECONDS.toMillis(
-                                context.nowNanos() - request.info().arrivedNanos()))
-                .with("directoryAgeMillis", traffic.directoryAgeMillis())
-                .write();
+        log.attemptSent(endpoint, attemptNumber, facts, assigned);
         HttpHeaders headers = ForwardedHeaders.ofRequest(call.headers());
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.info().deadlineNanos() - context.nowNanos());
         context.dialects()
@@ -248,14 +259,7 @@
             }
             exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
-            context.timeline()
-                    .event(EventKind.ATTEMPT_FAILED)
-                    .request(request.info().id())
-                    .endpoint(endpoint)
-                    .with("attempt", attempt)
-                    .with("end", end)
-                    .with("detail", detail)
-                    .write();
+            log.attemptFailed(endpoint, attempt, end, detail);
             recordAttemptEnd(end);
             recordAnswerStart();
             if (!relay.isStarted()) {
@@ -280,9 +284,11 @@
     }
 
     private void recordAttemptEnd(AttemptEnd end) {
-        request.endpoint()
-                .ifPresent(key -> context.metrics()
-                        .attemptEnded(key.id(), end, seconds(request.attemptNanos(context.nowNanos()))));
+        long attemptNanos = request.attemptNanos(context.nowNanos());
+        request.endpoint().ifPresent(key -> {
+            context.metrics().attemptEnded(key.id(), end, seconds(attemptNanos));
+            traffic.slots().onlineEnded(key, end, attemptNanos);
+        });
     }
 
     private static double seconds(long nanos) {
@@ -327,58 +333,24 @@
 
     private String deadlineExceededReason() {
         long timeoutMillis = request.info().route().timeoutMillis();
-        String bound = allowedMillis() >= timeoutMillis ? "the route's timeout" : "the caller's deadline";
-        return bound + " of " + allowedMillis() + " ms was over before the " + (relay.isStarted() ? "end of the " : "")
+        long allowedMillis = log.allowedMillis();
+        String bound = allowedMillis >= timeoutMillis ? "the route's timeout" : "the caller's deadline";
+        return bound + " of " + allowedMillis + " ms was over before the " + (relay.isStarted() ? "end of the " : "")
                 + "answer";
     }
 
-    /** Returns the time that the request may take from its arrival at this host. */
-    private long allowedMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(
-                request.info().deadlineNanos() - request.info().arrivedNanos());
-    }
-
     private void abandonAttempt() {
         exchange.ifPresent(Exchange::cancel);
         exchange = Optional.empty();
+        request.endpoint().ifPresent(key -> traffic.slots().onlineEnded(key, AttemptEnd.ABANDONED, 0));
         context.core().abandoned(request, context.nowNanos());
     }
 
     private void finish(String end, EventBuilder event) {
         finished = true;
         traffic.requestEnded();
-        traffic.loadChanged();
         context.metrics().requestEnded(request.info().route().name(), end);
-        if (!end.equals(ANSWERED)) {
-            // Log lines may be dropped under load, so the line of a failed request itself states what led to the
-            // failure.
-            event.with("attempts", request.pastAttempts())
-                    .with("answerBegun", relay.isStarted())
-                    .with("allowedMillis", allowedMillis())
-                    .with("configuration", traffic.configurationVersion());
-            addService(event, request.info().service());
-        }
-        event.request(request.info().id())
-                .with("route", request.info().route().name())
-                .with("sends", request.sends())
-                .with("outcome", request.outcome().wireName())
-                .with(
-                        "millis",
-                        TimeUnit.NANOSECONDS.toMillis(
-                                context.nowNanos() - request.info().arrivedNanos()))
-                .write();
-    }
-
-    private void addService(EventBuilder event, String service) {
-        ServiceState state = traffic.serviceState(service);
-        event.with("service", service)
-                .with("endpoints", state.endpoints())
-                .with("usable", state.usable())
-                .with("slots", state.slots())
-                .with("online", state.online())
-                .with("batch", state.batch())
-                .with("reportAgeMillis", state.reportAgeMillis())
-                .with("directoryAgeMillis", traffic.directoryAgeMillis());
+        log.ended(end, event, relay.isStarted());
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
@@ -0,0 +1,96 @@
+package org.gooseberryhill.gateway;
+
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.PlacementFacts;
+import org.gooseberryhill.decision.dispatch.RoutedRequest;
+import org.gooseberryhill.decision.dispatch.ServiceState;
+import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.timeline.EventBuilder;
+import org.gooseberryhill.timeline.EventKind;
+
+/** Writes the log lines of one routed request. Confined to the control thread. */
+final class RoutedCallLog {
+    private final GatewayContext context;
+    private final GatewayTraffic traffic;
+    private final RoutedRequest request;
+
+    RoutedCallLog(GatewayContext context, GatewayTraffic traffic, RoutedRequest request) {
+        this.context = context;
+        this.traffic = traffic;
+        this.request = request;
+    }
+
+    /** Returns the time that the request may take from its arrival at this host. */
+    long allowedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(
+                request.info().deadlineNanos() - request.info().arrivedNanos());
+    }
+
+    void attemptSent(EndpointEntry endpoint, long attempt, PlacementFacts facts, boolean assigned) {
+        context.timeline()
+                .event(EventKind.ATTEMPT_SENT)
+                .request(request.info().id())
+                .endpoint(endpoint.id())
+                .with("attempt", attempt)
+                .with("usable", facts.usable())
+                .with("online", facts.online())
+                .with("batch", facts.batch())
+                .with("slots", facts.slots())
+                .with("waitMillis", facts.waitMillis())
+                .with("assigned", assigned)
+                .with("sinceArrivalMillis", sinceArrivalMillis())
+                .with("directoryAgeMillis", traffic.directoryAgeMillis())
+                .write();
+    }
+
+    void attemptFailed(String endpoint, long attempt, AttemptEnd end, String detail) {
+        context.timeline()
+                .event(EventKind.ATTEMPT_FAILED)
+                .request(request.info().id())
+                .endpoint(endpoint)
+                .with("attempt", attempt)
+                .with("end", end)
+                .with("detail", detail)
+                .write();
+    }
+
+    /**
+     * Writes the end of the request.
+     *
+     * @param event the event with what is specific to this end
+     * @param answerBegun whether the caller has received a part of the answer
+     */
+    void ended(String end, EventBuilder event, boolean answerBegun) {
+        if (!end.equals(RoutedCall.ANSWERED)) {
+            // Log lines may be dropped under load, so the line of a failed request itself states what led to the
+            // failure.
+            event.with("attempts", request.pastAttempts())
+                    .with("answerBegun", answerBegun)
+                    .with("allowedMillis", allowedMillis())
+                    .with("configuration", traffic.configurationVersion());
+            addService(event, request.info().service());
+        }
+        event.request(request.info().id())
+                .with("route", request.info().route().name())
+                .with("sends", request.sends())
+                .with("outcome", request.outcome().wireName())
+                .with("millis", sinceArrivalMillis())
+                .write();
+    }
+
+    private long sinceArrivalMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - request.info().arrivedNanos());
+    }
+
+    private void addService(EventBuilder event, String service) {
+        ServiceState state = traffic.serviceState(service);
+        event.with("service", service)
+                .with("endpoints", state.endpoints())
+                .with("usable", state.usable())
+                .with("slots", state.slots())
+                .with("ownOnline", state.online())
+                .with("ownBatch", state.batch())
+                .with("directoryAgeMillis", traffic.directoryAgeMillis());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -0,0 +1,73 @@
+package org.gooseberryhill.gateway;
+
+import java.util.Collection;
+import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.decision.coordination.FeasibleFirstOrder;
+import org.gooseberryhill.decision.coordination.FluctuationReserve;
+import org.gooseberryhill.decision.coordination.GroupRouting;
+import org.gooseberryhill.decision.coordination.ItemOrder;
+import org.gooseberryhill.decision.coordination.SlotCoordinator;
+import org.gooseberryhill.decision.dispatch.DispatchPolicies;
+import org.gooseberryhill.decision.dispatch.RequestPlacer;
+import org.gooseberryhill.decision.requestbatch.BatchRoutes;
+import org.gooseberryhill.decision.requestbatch.ItemDispatch;
+import org.gooseberryhill.directory.EndpointEntry;
+
+/**
+ * Creates and runs the parts of a gateway that assign the slots of endpoints: as a coordinator, as a host that asks for
+ * endpoints, and as an owner of batch items. Confined to the control thread.
+ */
+final class SlotAssignment {
+    private final ItemOrder order = new FeasibleFirstOrder();
+    private final GatewayContext context;
+    private final PeerLinks links;
+    private final GroupRouting routing;
+    private final SlotCoordinator coordinator;
+    private final SlotExchange exchange;
+    private WorkAnnouncer announcer;
+
+    SlotAssignment(GatewayContext context, PeerLinks links, GroupRouting routing, DispatchPolicies policies) {
+        this.context = context;
+        this.links = links;
+        this.routing = routing;
+        // Microseconds since the epoch grow faster than an earlier process can have used numbers.
+        long firstReservation = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+        this.coordinator =
+                new SlotCoordinator(new RequestPlacer(policies), new FluctuationReserve(), order, firstReservation);
+        this.exchange = new SlotExchange(context, links, routing, coordinator);
+    }
+
+    /** Returns the exchange of messages with coordinators. */
+    SlotExchange exchange() {
+        return exchange;
+    }
+
+    /** Creates what runs the items of this host's batches in the slots that coordinators grant; called once. */
+    BatchRunner createRunner(BatchRegistry registry, BatchRoutes routes) {
+        ItemDispatch items = new ItemDispatch(context.fleet(), routes, order);
+        announcer = new WorkAnnouncer(context, links, routing, exchange, items, registry::openBatches);
+        BatchRunner runner = new BatchRunner(context, registry, routes, items, exchange, announcer);
+        exchange.setGrantReceiver(runner);
+        return runner;
+    }
+
+    /** Applies a new directory. */
+    void endpointsChanged(Collection<EndpointEntry> entries) {
+        boolean groupsChanged = routing.updateEndpoints(entries);
+        coordinator.updateDirectory(routing.groups(), entries);
+        if (groupsChanged) {
+            announcer.reportAll();
+        }
+    }
+
+    /** Applies changes of the live hosts, and assigns slots that have become free. Called ten times a second. */
+    void slowTick() {
+        announcer.updateHosts();
+        exchange.tick();
+    }
+
+    /** Reports all work to the coordinators. */
+    void reportAll() {
+        announcer.reportAll();
+    }
+}
--- a/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
@@ -27,6 +27,7 @@
         BatchCodecs.all().forEach(CompactCodecs::add);
         SubmissionCodecs.all().forEach(CompactCodecs::add);
         StoreCallCodecs.all().forEach(CompactCodecs::add);
+        CoordinationCodecs.all().forEach(CompactCodecs::add);
     }
 
     private CompactCodecs() {}
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
@@ -29,7 +29,7 @@
     static final int SLOTS = 8;
 
     final Set<Address> connected = new HashSet<>();
-    final Fleet fleet = new Fleet(connected::contains);
+    final Fleet fleet = new Fleet();
     final CrashSuspects suspects = new CrashSuspects(60_000, 100);
     final DispatchCore core;
     long nowNanos = TimeUnit.SECONDS.toNanos(100);
@@ -40,7 +40,15 @@
     }
 
     DispatchFixture(int endpoints, DispatchPolicies policies) {
-        core = new DispatchCore(ZONE, policies, fleet, suspects);
+        this(endpoints, policies, GroupSelector.NONE);
+    }
+
+    DispatchFixture(int endpoints, GroupSelector groups) {
+        this(endpoints, DispatchPolicies.defaults(new Random(1)), groups);
+    }
+
+    private DispatchFixture(int endpoints, DispatchPolicies policies, GroupSelector groups) {
+        core = new DispatchCore(ZONE, policies, fleet, groups, entry -> connected.contains(entry.address()), suspects);
         List<EndpointEntry> entries = new ArrayList<>();
         for (int i = 0; i < endpoints; i++) {
             entries.add(entry("e" + i, 1, false));
--- a/src/test/java/org/gooseberryhill/decision/replay/OverloadReplayTest.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/OverloadReplayTest.java
@@ -12,7 +12,6 @@
 import org.gooseberryhill.decision.dispatch.ForecastRetryAfterPolicy;
 import org.gooseberryhill.decision.dispatch.LeastWaitPlacement;
 import org.gooseberryhill.decision.dispatch.OverloadPolicy;
-import org.gooseberryhill.decision.dispatch.ReservedSlotPlacement;
 import org.gooseberryhill.decision.dispatch.RetryAfterPolicy;
 import org.junit.jupiter.api.Test;
 
@@ -21,13 +20,11 @@
  * with the policy that it replaces, under the same arrivals.
  */
 class OverloadReplayTest {
-    private static final double STREAMS_PER_SECOND = 56.5;
-    private static final double BATCHES_PER_SECOND = 0.72;
     private static final int SEEDS = 3;
 
     @Test
     void atNormalLoadNoRequestIsRefusedAndNearlyAllAreOnTime() {
-        for (ReplayResult result : runReplays(DispatchPolicies::defaults, replay -> normalLoad(replay, 30))) {
+        for (ReplayResult result : runReplays(DispatchPolicies::defaults, replay -> replay.load(30, 1))) {
             assertThat(result.onTimeShare()).isGreaterThan(0.995);
             assertThat(result.servedShare()).isEqualTo(1);
             assertThat(result.itemsOnTimeShare()).isGreaterThan(0.99);
@@ -73,15 +70,15 @@
     }
 
     private static DispatchPolicies policies(Random random, OverloadPolicy overload, RetryAfterPolicy retryAfter) {
-        return new DispatchPolicies(
-                new LeastWaitPlacement(random), overload, retryAfter, new ReservedSlotPlacement(random));
+        return new DispatchPolicies(new LeastWaitPlacement(random), overload, retryAfter);
     }
 
     private static List<ReplayResult> runReplays(
             Function<Random, DispatchPolicies> policies, Consumer<ServingReplay> load) {
         return LongStream.rangeClosed(1, SEEDS)
                 .mapToObj(seed -> {
-                    ServingReplay replay = new ServingReplay(policies, seed);
+                    ServingReplay replay =
+                            new ServingReplay(ReplaySize.SMALL, ReplayPolicies.withRequestPolicies(policies), seed);
                     load.accept(replay);
                     replay.finish();
                     return replay.result();
@@ -89,20 +86,12 @@
                 .toList();
     }
 
-    private static void normalLoad(ServingReplay replay, double seconds) {
-        scaledLoad(replay, seconds, 1);
-    }
-
     private static void longBursts(ServingReplay replay) {
-        normalLoad(replay, 5);
-        scaledLoad(replay, 8, 1.6);
-        normalLoad(replay, 10);
-        scaledLoad(replay, 8, 2.2);
-        normalLoad(replay, 10);
-    }
-
-    private static void scaledLoad(ServingReplay replay, double seconds, double factor) {
-        replay.load(1000 * seconds, factor * STREAMS_PER_SECOND, factor * BATCHES_PER_SECOND);
+        replay.load(5, 1);
+        replay.load(8, 1.6);
+        replay.load(10, 1);
+        replay.load(8, 2.2);
+        replay.load(10, 1);
     }
 
     private static double meanOnTimeShare(List<ReplayResult> results) {
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
@@ -11,24 +11,27 @@
  * queues some more and refuses the rest.
  *
  * <p>The figures are those of the endpoints in use: 47 ms to the first token plus the prompt at 112 tokens per
- * millisecond, eight tokens per event, and 3.23 ms per token plus a small amount for each running request.
+ * millisecond, and 3.23 ms per token plus a small amount for each running request.
  */
 final class ReplayEndpoint {
     private static final double FIRST_TOKEN_MILLIS = 47;
     private static final double PROMPT_TOKENS_PER_MILLI = 112;
-    private static final double TOKENS_PER_EVENT = 8;
     private static final double TOKEN_MILLIS = 3.23;
     private static final double TOKEN_MILLIS_PER_RUNNING_REQUEST = 0.0483;
     private static final int MAX_QUEUED = 24;
 
     private final VirtualClock clock;
     private final EndpointEntry entry;
+    private final double tokensPerEvent;
+    private final ReplayCounts counts;
     private final Deque<Run> queue = new ArrayDeque<>();
     private final List<Run> running = new ArrayList<>();
 
-    ReplayEndpoint(VirtualClock clock, EndpointEntry entry) {
+    ReplayEndpoint(VirtualClock clock, EndpointEntry entry, double tokensPerEvent, ReplayCounts counts) {
         this.clock = clock;
         this.entry = entry;
+        this.tokensPerEvent = tokensPerEvent;
+        this.counts = counts;
     }
 
     EndpointEntry entry() {
@@ -41,11 +44,13 @@
 
     /** Starts, queues or refuses a request that arrives. */
     void receive(Run run) {
+        counts.arrivals++;
         if (running.size() < entry.slots()) {
             start(run);
         } else if (queue.size() < MAX_QUEUED) {
             queue.add(run);
         } else {
+            counts.rejectedArrivals++;
             run.listener.onBusy();
         }
     }
@@ -76,7 +81,7 @@
             startNext();
         } else {
             double tokenMillis = TOKEN_MILLIS + TOKEN_MILLIS_PER_RUNNING_REQUEST * running.size();
-            clock.schedule(TOKENS_PER_EVENT * tokenMillis, () -> sendEvent(run));
+            clock.schedule(tokensPerEvent * tokenMillis, () -> sendEvent(run));
         }
     }
 
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -10,24 +10,31 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import org.gooseberryhill.contract.Fingerprint;
-import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.coordination.CoordinatorCommand;
+import org.gooseberryhill.decision.coordination.GroupLoad;
+import org.gooseberryhill.decision.coordination.GroupRouting;
+import org.gooseberryhill.decision.coordination.ItemStart;
+import org.gooseberryhill.decision.coordination.ItemTiming;
+import org.gooseberryhill.decision.coordination.PlacementReply;
+import org.gooseberryhill.decision.coordination.SlotCoordinator;
+import org.gooseberryhill.decision.coordination.WaitingItems;
+import org.gooseberryhill.decision.coordination.WorkReports;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
-import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.Fleet;
-import org.gooseberryhill.decision.dispatch.InFlight;
+import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
-import org.gooseberryhill.decision.requestbatch.FeasibleFirstOrder;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.route.Route;
 import org.gooseberryhill.route.RouteTable;
@@ -37,58 +44,85 @@
  * endpoints in virtual time.
  */
 final class ReplayHost {
-    /** One-way network latency from a host to an endpoint; half of the endpoints are in other availability zones. */
-    private static final double ONE_WAY_LATENCY_MILLIS = 0.8;
-
-    /** Delay in which load changes are collected before they are reported to the other hosts. */
-    private static final double REPORT_DELAY_MILLIS = 25;
-
+    private static final double ONE_WAY_LATENCY_MILLIS = ReplayNetwork.ONE_WAY_LATENCY_MILLIS;
     private static final double TICK_MILLIS = 25;
+    private static final double LOADS_MILLIS = 100;
+    private static final double REPORT_MILLIS = 1000;
     private static final long SUSPECT_MILLIS = 60_000;
+    private static final int ITEM_PROMPT_TOKENS = 350;
+    private static final String ITEM_EVENT = "w".repeat(70);
 
     private final VirtualClock clock;
-    private final HostId id;
+    private final ReplayNetwork network;
+    private final Random random;
+    private final Host self;
     private final Map<EndpointKey, ReplayEndpoint> endpoints;
     private final Fleet fleet = new Fleet();
+    private final GroupRouting routing;
+    private final SlotCoordinator coordinator;
+    private final WorkReports reports;
     private final DispatchCore core;
     private final ItemDispatch items;
+    private final ReplayCounts counts;
     private final Map<RoutedRequest, ReplayCall> calls = new IdentityHashMap<>();
     private final Map<PlacedItem, ItemRun> itemRuns = new IdentityHashMap<>();
     private final List<OwnedBatch> batches = new ArrayList<>();
     private final Map<String, Integer> eventsByItem = new HashMap<>();
     private final Consumer<OwnedBatch> onItemDone;
-    private List<ReplayHost> otherHosts = List.of();
-    private boolean reportScheduled;
+    private boolean itemsChanged;
     private int requestCount;
 
     ReplayHost(
             VirtualClock clock,
-            int number,
+            ReplayNetwork network,
+            Host self,
             Map<EndpointKey, ReplayEndpoint> endpoints,
             RouteTable routes,
-            DispatchPolicies policies,
+            ReplayPolicies policies,
+            ReplayCounts counts,
             Consumer<OwnedBatch> onItemDone) {
         this.clock = clock;
-        this.onItemDone = onItemDone;
-        this.id = new HostId("host-" + number);
+        this.network = network;
+        this.self = self;
+        this.random = new Random(self.id().value().hashCode());
         this.endpoints = endpoints;
+        this.counts = counts;
+        this.onItemDone = onItemDone;
         List<EndpointEntry> entries =
                 endpoints.values().stream().map(ReplayEndpoint::entry).toList();
         fleet.updateDirectory(entries);
-        core = new DispatchCore(entries.get(0).zone(), policies, fleet, new CrashSuspects(SUSPECT_MILLIS, 100));
+        routing = new GroupRouting(self);
+        routing.updateEndpoints(entries);
+        reports = new WorkReports(routing);
+        coordinator = new SlotCoordinator(
+                new RequestPlacer(policies.requests(random)), policies.reserve(), policies.order(), 0);
+        coordinator.updateDirectory(routing.groups(), entries);
+        core = new DispatchCore(
+                self.zone(),
+                policies.requests(random),
+                fleet,
+                policies.selector(routing),
+                endpoint -> false,
+                new CrashSuspects(SUSPECT_MILLIS, 100));
         BatchRoutes batchRoutes = new BatchRoutes();
         batchRoutes.configure(routes);
-        items = new ItemDispatch(id, fleet, batchRoutes, new FeasibleFirstOrder(), policies.items());
-        clock.schedule(new Random(number).nextDouble() * TICK_MILLIS, this::tick);
+        items = new ItemDispatch(fleet, batchRoutes, policies.order());
+        every(TICK_MILLIS, this::announceItems);
+        every(REPORT_MILLIS, this::reportWork);
+        every(LOADS_MILLIS, this::sendLoads);
+    }
+
+    void setOtherHosts(List<Host> others) {
+        routing.updateHosts(others);
     }
 
-    void setOtherHosts(List<ReplayHost> hosts) {
-        otherHosts = hosts.stream().filter(host -> host != this).toList();
+    Host host() {
+        return self;
     }
 
     /** Handles an attempt of a caller that arrives at this host. */
     void receive(ReplayCall call, Route route, long deadlineNanos) {
-        String name = id.value() + "-" + requestCount++;
+        String name = self.id().value() + "-" + requestCount++;
         RoutedRequest request = core.newRequest(new RoutedRequestInfo(
                 name,
                 route,
@@ -107,31 +141,138 @@
         for (int item = 0; item < events.size(); item++) {
             eventsByItem.put(batch.id() + "/i" + item, events.get(item));
         }
-        dispatchItems();
+        itemsChanged = true;
+    }
+
+    /** Returns whether items wait for a slot. */
+    boolean hasWaitingItems() {
+        return !waitingItems().isEmpty();
+    }
+
+    private void every(double millis, Runnable action) {
+        clock.schedule(random.nextDouble() * millis, new Runnable() {
+            @Override
+            public void run() {
+                action.run();
+                clock.schedule(millis, this);
+            }
+        });
     }
 
-    private void tick() {
-        dispatchItems();
-        clock.schedule(TICK_MILLIS, this::tick);
+    private void send(HostId to, Consumer<ReplayHost> action) {
+        network.send(self.id(), to, action);
+    }
+
+    private void sendToCoordinator(EndpointKey endpoint, Consumer<ReplayHost> action) {
+        send(routing.coordinatorOf(endpoint).orElseThrow().id(), action);
     }
 
     private void execute(RoutedRequest request, DispatchDecision decision) {
         if (decision instanceof DispatchDecision.Send send) {
+            if (!send.assigned()) {
+                EndpointKey endpoint = send.endpoint().key();
+                sendToCoordinator(
+                        endpoint, host -> host.coordinator.onlineStarted(self.id(), endpoint, clock.nowNanos()));
+            }
             send(request, send.endpoint());
+        } else if (decision instanceof DispatchDecision.AskGroup ask) {
+            send(routing.coordinator(ask.group()).id(), host -> host.place(this, request, ask));
         } else if (decision instanceof DispatchDecision.Refuse refuse) {
-            refuse(request, refuse.refusal());
+            calls.remove(request).onRefused(refuse.refusal().retryAfterMillis().orElse(0L));
         } else if (decision instanceof DispatchDecision.Wait wait) {
             clock.schedule(wait.millis(), () -> execute(request, core.dispatchAfterWait(request, clock.nowNanos())));
         }
     }
 
-    private void refuse(RoutedRequest request, Refusal refusal) {
-        calls.remove(request).onRefused(refusal.retryAfterMillis().orElse(0L));
-        scheduleLoadReport();
+    private void place(ReplayHost asking, RoutedRequest request, DispatchDecision.AskGroup ask) {
+        PlacementReply reply = coordinator.place(asking.self.id(), ask.group(), ask.query(), clock.nowNanos());
+        assign();
+        send(asking.self.id(), host -> {
+            host.reports.reservationReceived(self.id(), reply.reservation());
+            host.execute(request, host.core.placementAnswered(request, reply.answer(), clock.nowNanos()));
+        });
+    }
+
+    private void assign() {
+        for (CoordinatorCommand command : coordinator.assign(routing::isCoordinator, clock.nowNanos())) {
+            if (command instanceof CoordinatorCommand.Grant grant) {
+                send(grant.owner(), host -> host.granted(self.id(), grant));
+            } else if (command instanceof CoordinatorCommand.Yield yield) {
+                send(
+                        yield.owner(),
+                        host -> yield.runs()
+                                .forEach(run -> host.items
+                                        .find(run)
+                                        .ifPresent(placed ->
+                                                host.itemRuns.get(placed).yieldToOnline())));
+            }
+        }
+    }
+
+    private void granted(HostId from, CoordinatorCommand.Grant grant) {
+        long reservation = grant.reservation();
+        EndpointKey endpoint = grant.endpoint();
+        reports.reservationReceived(from, reservation);
+        Optional<PlacedItem> placed = items.startAt(
+                fleet.find(endpoint).orElseThrow().entry(),
+                grant.pressure(),
+                openBatches(),
+                clock.nowNanos(),
+                clock.nowMillis());
+        if (placed.isEmpty()) {
+            counts.returnedGrants++;
+            send(from, host -> {
+                host.coordinator.grantReturned(self.id(), reservation, clock.nowNanos());
+                host.assign();
+            });
+            return;
+        }
+        ItemStart start = new ItemStart(
+                reservation, placed.get().number(), endpoint, placed.get().timing());
+        send(from, host -> {
+            host.coordinator.itemStarted(self.id(), start, clock.nowNanos());
+            host.assign();
+        });
+        ItemRun run = new ItemRun(placed.get());
+        itemRuns.put(placed.get(), run);
+        itemsChanged = true;
+        clock.schedule(ONE_WAY_LATENCY_MILLIS, run::start);
+    }
+
+    private void announceItems() {
+        if (!itemsChanged) {
+            return;
+        }
+        itemsChanged = false;
+        List<ItemTiming> timings = waitingItems();
+        for (Host to : reports.coordinatorsOf(ServingReplay.SERVICE)) {
+            WaitingItems waiting = new WaitingItems(ServingReplay.SERVICE, reports.lastReservation(to.id()), timings);
+            send(to.id(), host -> {
+                host.coordinator.itemsWaiting(self.id(), waiting, clock.nowNanos());
+                host.assign();
+            });
+        }
+    }
+
+    private void reportWork() {
+        reports.compose(fleet.ownInFlight(), items.starts())
+                .forEach((to, work) ->
+                        send(to.id(), host -> host.coordinator.report(self.id(), work, clock.nowNanos())));
+        itemsChanged = true;
+    }
+
+    private void sendLoads() {
+        List<GroupLoad> loads = coordinator.sampleLoads(routing::isCoordinator, clock.nowNanos());
+        if (loads.isEmpty()) {
+            return;
+        }
+        routing.groups().all().stream()
+                .filter(group -> !routing.isCoordinator(group))
+                .forEach(group -> send(
+                        routing.coordinator(group).id(), host -> host.coordinator.groupLoads(loads, clock.nowNanos())));
     }
 
     private void send(RoutedRequest request, EndpointEntry entry) {
-        scheduleLoadReport();
         ReplayCall call = calls.get(request);
         ReplayEndpoint endpoint = endpoints.get(entry.key());
         ReplayEndpoint.Run run =
@@ -143,65 +284,46 @@
 
                     @Override
                     public void onEnd() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> completeRequest(request));
+                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> handleAnswer(request, entry.key()));
                     }
 
                     @Override
                     public void onBusy() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> handleBusy(request));
+                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> handleBusy(request, entry.key()));
                     }
                 });
         clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.receive(run));
     }
 
-    private void completeRequest(RoutedRequest request) {
+    private void handleAnswer(RoutedRequest request, EndpointKey endpoint) {
+        tellEnded(endpoint, AttemptEnd.ANSWERED, request.attemptNanos(clock.nowNanos()));
         core.attemptSucceeded(request, clock.nowNanos());
         calls.remove(request).onAnswered();
-        scheduleLoadReport();
     }
 
-    private void handleBusy(RoutedRequest request) {
-        DispatchDecision decision = core.attemptFailed(request, AttemptEnd.BUSY, clock.nowNanos());
-        scheduleLoadReport();
-        execute(request, decision);
+    private void handleBusy(RoutedRequest request, EndpointKey endpoint) {
+        tellEnded(endpoint, AttemptEnd.BUSY, 0);
+        execute(request, core.attemptFailed(request, AttemptEnd.BUSY, clock.nowNanos()));
     }
 
-    private void dispatchItems() {
-        items.chooseRunsToYield(clock.nowNanos(), clock.nowMillis())
-                .forEach(run -> itemRuns.get(run).yieldToOnline());
-        List<OwnedBatch> open =
-                batches.stream().filter(batch -> batch.openItemCount() > 0).toList();
-        items.startRuns(open, clock.nowNanos(), clock.nowMillis()).forEach(this::start);
-    }
-
-    private void start(PlacedItem placed) {
-        ItemRun run = new ItemRun(placed);
-        itemRuns.put(placed, run);
-        scheduleLoadReport();
-        clock.schedule(ONE_WAY_LATENCY_MILLIS, run::start);
+    private void tellEnded(EndpointKey endpoint, AttemptEnd end, long nanos) {
+        sendToCoordinator(endpoint, host -> {
+            host.coordinator.onlineEnded(self.id(), endpoint, end, nanos, clock.nowNanos());
+            host.assign();
+        });
     }
 
-    private void scheduleLoadReport() {
-        if (reportScheduled) {
-            return;
-        }
-        reportScheduled = true;
-        clock.schedule(REPORT_DELAY_MILLIS, () -> {
-            reportScheduled = false;
-            Map<EndpointKey, InFlight> load = fleet.ownInFlight();
-            otherHosts.forEach(host -> clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> host.receiveLoadReport(id, load)));
-        });
+    private List<ItemTiming> waitingItems() {
+        return items.waitingItems(openBatches(), clock.nowNanos(), clock.nowMillis())
+                .getOrDefault(ServingReplay.SERVICE, List.of());
     }
 
-    private void receiveLoadReport(HostId from, Map<EndpointKey, InFlight> load) {
-        fleet.updateReport(from, load, clock.nowNanos());
+    private List<OwnedBatch> openBatches() {
+        return batches.stream().filter(batch -> batch.openItemCount() > 0).toList();
     }
 
     /** A run of a batch item at an endpoint. */
     private final class ItemRun implements ReplayEndpoint.AnswerListener {
-        private static final int PROMPT_TOKENS = 350;
-        private static final int EVENT_CHARACTERS = 70;
-
         private final PlacedItem placed;
         private final ReplayEndpoint endpoint;
         private final ReplayEndpoint.Run run;
@@ -214,11 +336,12 @@
                     placed.batch().id() + "/" + placed.item().item().id());
             int remainingEvents =
                     totalEvents - placed.item().lastEventId().orElse(0L).intValue();
-            this.run = new ReplayEndpoint.Run(PROMPT_TOKENS, remainingEvents, this);
+            this.run = new ReplayEndpoint.Run(ITEM_PROMPT_TOKENS, remainingEvents, this);
         }
 
         void start() {
             if (!finished) {
+                counts.itemRuns++;
                 endpoint.receive(run);
             }
         }
@@ -227,6 +350,7 @@
             if (finished) {
                 return;
             }
+            counts.itemYielded(placed.elapsedNanos(clock.nowNanos()));
             finish(RunEnd.YIELDED, AttemptEnd.ABANDONED);
             clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.cancel(run));
         }
@@ -235,7 +359,7 @@
         public void onEvent() {
             if (!finished) {
                 long next = placed.item().lastEventId().orElse(0L) + 1;
-                placed.item().appendEvent(Optional.of(next), "w".repeat(EVENT_CHARACTERS));
+                placed.item().appendEvent(Optional.of(next), ITEM_EVENT);
             }
         }
 
@@ -256,10 +380,14 @@
             finished = true;
             itemRuns.remove(placed);
             items.runEnded(placed, end, attemptEnd, clock.nowNanos());
+            itemsChanged = true;
+            sendToCoordinator(placed.endpoint().key(), host -> {
+                host.coordinator.itemEnded(self.id(), placed.number(), attemptEnd, clock.nowNanos());
+                host.assign();
+            });
             if (end == RunEnd.COMPLETED) {
                 onItemDone.accept(placed.batch());
             }
-            scheduleLoadReport();
         }
     }
 }
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -0,0 +1,39 @@
+package org.gooseberryhill.decision.replay;
+
+import java.util.Random;
+import java.util.function.Function;
+import org.gooseberryhill.decision.coordination.FeasibleFirstOrder;
+import org.gooseberryhill.decision.coordination.FluctuationReserve;
+import org.gooseberryhill.decision.coordination.GroupRouting;
+import org.gooseberryhill.decision.coordination.ItemOrder;
+import org.gooseberryhill.decision.coordination.SlotReserve;
+import org.gooseberryhill.decision.dispatch.DispatchPolicies;
+import org.gooseberryhill.decision.dispatch.GroupSelector;
+
+/**
+ * The policies of all hosts in a replay. Immutable.
+ *
+ * @param requestPolicies creates the policies for online requests from a random source
+ * @param reserve the slots that items leave free
+ * @param order the order in which items get slots
+ * @param coordinated whether hosts ask coordinators for endpoints, as in the product
+ */
+record ReplayPolicies(
+        Function<Random, DispatchPolicies> requestPolicies, SlotReserve reserve, ItemOrder order, boolean coordinated) {
+    /** The policies that the product uses. */
+    static final ReplayPolicies PRODUCT =
+            new ReplayPolicies(DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true);
+
+    /** Returns the product's policies with other ones for online requests. */
+    static ReplayPolicies withRequestPolicies(Function<Random, DispatchPolicies> policies) {
+        return new ReplayPolicies(policies, new FluctuationReserve(), new FeasibleFirstOrder(), true);
+    }
+
+    DispatchPolicies requests(Random random) {
+        return requestPolicies.apply(random);
+    }
+
+    GroupSelector selector(GroupRouting routing) {
+        return coordinated ? routing : GroupSelector.NONE;
+    }
+}
--- a/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
@@ -1,18 +1,20 @@
 package org.gooseberryhill.decision.replay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.function.Function;
 import java.util.function.Predicate;
-import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.host.Host;
+import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.host.Role;
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.route.ClientLimits;
 import org.gooseberryhill.route.Route;
@@ -25,16 +27,12 @@
 /**
  * Replays online requests and request batches on several hosts through the product's decisions, in virtual time.
  *
- * <p>The load is that of the sites in use: 8 hosts; 13 endpoints of 8 slots; streams of about 25 events with prompts of
- * about 450 tokens, with a load peak of 2.4 s in each period of 6 s; batches of about 10 items of 173 events, which are
- * due after 18 s.
+ * <p>The load is that of the sites in use: streams with prompts of about 450 tokens, with a load peak of 2.4 s in each
+ * period of 6 s; batches of about 10 items, which are due after 18 s. Callers use some hosts more than others.
  */
 final class ServingReplay {
     static final String SERVICE = "s";
 
-    private static final int HOSTS = 8;
-    private static final int ENDPOINTS = 13;
-    private static final int SLOTS = 8;
     private static final double LOAD_PERIOD_MILLIS = 6000;
     private static final double TROUGH_MILLIS = 3600;
     private static final double TROUGH_RATE_FACTOR = 0.391;
@@ -46,7 +44,12 @@
 
     private static final double MILLIS_PER_SECOND = 1000;
 
+    private static final double SAMPLE_MILLIS = 50;
+    private static final double EVENTS_DEVIATION = 0.25;
+
     private final VirtualClock clock = new VirtualClock();
+    private final ReplaySize size;
+    private final ReplayCounts counts = new ReplayCounts();
     private final Random random;
     private final Map<EndpointKey, ReplayEndpoint> endpoints = new LinkedHashMap<>();
     private final List<ReplayHost> hosts = new ArrayList<>();
@@ -58,24 +61,47 @@
     private int items;
     private int itemsOnTime;
 
-    ServingReplay(Function<Random, DispatchPolicies> policies, long seed) {
+    ServingReplay(ReplaySize size, ReplayPolicies policies, long seed) {
+        this.size = size;
         random = new Random(seed);
-        for (int i = 0; i < ENDPOINTS; i++) {
+        for (int i = 0; i < size.endpoints(); i++) {
             EndpointEntry entry = new EndpointEntry(
-                    "e" + i, 1, SERVICE, new Address("10.0.0.1", 8000 + i), new AvailabilityZone("a"), SLOTS, false, 0);
-            endpoints.put(entry.key(), new ReplayEndpoint(clock, entry));
+                    "e" + i, 1, SERVICE, new Address("10.0.0.1", 8000 + i), zone(i), size.slots(), false, 0);
+            endpoints.put(entry.key(), new ReplayEndpoint(clock, entry, size.tokensPerEvent(), counts));
         }
+        ReplayNetwork network = new ReplayNetwork(clock, counts, new Random(seed));
         RouteTable routes = new RouteTable(
                 new RouteConfiguration(1, List.of(streamRoute, batchRoute), Map.of(), ClientLimits.DEFAULT));
-        for (int i = 0; i < HOSTS; i++) {
-            DispatchPolicies hostPolicies = policies.apply(new Random(seed * HOSTS + i));
-            hosts.add(new ReplayHost(clock, i, endpoints, routes, hostPolicies, this::itemDone));
+        for (int i = 0; i < size.hosts(); i++) {
+            Host host = new Host(
+                    new HostId("host-" + seed + "-" + i),
+                    Role.GATEWAY,
+                    zone(i),
+                    new Address("10.0.1.1", 8000 + i),
+                    false);
+            hosts.add(new ReplayHost(clock, network, host, endpoints, routes, policies, counts, this::itemDone));
         }
-        hosts.forEach(host -> host.setOtherHosts(hosts));
+        Map<HostId, ReplayHost> byId = new HashMap<>();
+        hosts.forEach(host -> byId.put(host.host().id(), host));
+        network.setHosts(byId);
+        hosts.forEach(host -> host.setOtherHosts(hosts.stream()
+                .filter(other -> other != host)
+                .map(ReplayHost::host)
+                .toList()));
+        clock.schedule(SAMPLE_MILLIS, this::sample);
+    }
+
+    ReplayCounts counts() {
+        return counts;
+    }
+
+    /** Advances the time while requests and batches arrive at a multiple of the mean rates. */
+    void load(double seconds, double factor) {
+        load(MILLIS_PER_SECOND * seconds, factor * size.streamsPerSecond(), factor * size.batchesPerSecond());
     }
 
     /** Advances the time while requests and batches arrive at the given mean rates. */
-    void load(double millis, double streamsPerSecond, double batchesPerSecond) {
+    private void load(double millis, double streamsPerSecond, double batchesPerSecond) {
         double untilMillis = clock.nowMillis() + millis;
         double expectedStreams = 0;
         double expectedBatches = 0;
@@ -99,8 +125,9 @@
         clock.advance(2 * BATCH_DUE_MILLIS);
     }
 
+    /** Returns the host that a caller uses; the first ones serve up to twice the mean number of callers. */
     ReplayHost randomHost() {
-        return hosts.get(random.nextInt(HOSTS));
+        return hosts.get((int) (hosts.size() * random.nextDouble() * Math.max(random.nextDouble(), 0.5)));
     }
 
     /** Returns the outcome of the load so far. */
@@ -126,7 +153,7 @@
 
     private void startCall() {
         double promptTokens = 150 + 600 * random.nextDouble();
-        int events = (int) Math.max(5, 25 + 6 * random.nextGaussian());
+        int events = events(size.streamEvents());
         ReplayCall call = new ReplayCall(clock, this, streamRoute, promptTokens, events);
         calls.add(call);
         call.startAttempt();
@@ -141,12 +168,32 @@
         List<Integer> events = new ArrayList<>();
         for (int i = 0; i < itemCount; i++) {
             batchItems.add(new BatchItem("i" + i, "/b/1/" + i, Map.of(), new byte[0], 100));
-            events.add(130 + random.nextInt(87));
+            events.add(events(size.itemEvents()));
         }
         items += itemCount;
         randomHost().addBatch(new OwnedBatch(id, record, 1, batchItems, List.of()), events);
     }
 
+    private int events(int mean) {
+        return (int) Math.max(5, mean * (1 + EVENTS_DEVIATION * random.nextGaussian()));
+    }
+
+    private AvailabilityZone zone(int number) {
+        return new AvailabilityZone("zone-" + number % size.zones());
+    }
+
+    /** Samples how many slots are busy, and the items at the endpoints. */
+    private void sample() {
+        boolean itemsWait = hosts.stream().anyMatch(ReplayHost::hasWaitingItems);
+        for (ReplayEndpoint endpoint : endpoints.values()) {
+            if (itemsWait) {
+                counts.busySlotSamples += endpoint.running();
+                counts.slotSamples += size.slots();
+            }
+        }
+        clock.schedule(SAMPLE_MILLIS, this::sample);
+    }
+
     private void itemDone(OwnedBatch batch) {
         long lateMillis = clock.nowMillis() - batch.record().acceptedAtMillis() - BATCH_DUE_MILLIS;
         itemsOnTime += lateMillis <= READ_GRACE_MILLIS ? 1 : 0;
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -7,11 +7,20 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.decision.coordination.CoordinatorCommand;
+import org.gooseberryhill.decision.coordination.FluctuationReserve;
+import org.gooseberryhill.decision.coordination.HostWork;
+import org.gooseberryhill.decision.coordination.ItemOrder;
+import org.gooseberryhill.decision.coordination.ItemStart;
+import org.gooseberryhill.decision.coordination.ItemTiming;
+import org.gooseberryhill.decision.coordination.SlotCoordinator;
+import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.Fleet;
-import org.gooseberryhill.decision.dispatch.InFlight;
-import org.gooseberryhill.decision.dispatch.ReservedSlotPlacement;
+import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointGroups;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
@@ -44,9 +53,11 @@
     private static final long READ_GRACE_MILLIS = 700;
 
     private static final HostId CALLERS = new HostId("callers");
+    private static final HostId OWNER = new HostId("owner");
 
     private final Random random;
     private final ItemDispatch dispatch;
+    private final SlotCoordinator coordinator;
     private final Fleet fleet = new Fleet();
     private final List<EndpointKey> endpoints = new ArrayList<>();
     private final List<OwnedBatch> batches = new ArrayList<>();
@@ -70,8 +81,10 @@
         fleet.updateDirectory(entries);
         BatchRoutes routes = new BatchRoutes();
         routes.configure(new RouteTable(new RouteConfiguration(1, List.of(route()), Map.of(), ClientLimits.DEFAULT)));
-        dispatch = new ItemDispatch(
-                new HostId("owner"), fleet, routes, order, new ReservedSlotPlacement(new Random(seed + 1)));
+        dispatch = new ItemDispatch(fleet, routes, order);
+        coordinator = new SlotCoordinator(
+                new RequestPlacer(DispatchPolicies.defaults(new Random(seed + 1))), new FluctuationReserve(), order, 0);
+        coordinator.updateDirectory(EndpointGroups.of(entries), entries);
     }
 
     /** Advances the time while batches of 4 to 16 items are submitted at random times with the given mean rate. */
@@ -152,13 +165,13 @@
     private void reportOnlineLoad(double meanSlots) {
         boolean burst = nowMillis % 6000 >= 3600;
         double slots = meanSlots * (burst ? 1.9 : 0.4);
-        Map<EndpointKey, InFlight> inFlight = new HashMap<>();
+        Map<EndpointKey, Integer> inFlight = new HashMap<>();
         for (int i = 0; i < ENDPOINTS; i++) {
             double share = slots / ENDPOINTS;
             int requests = (int) share + (random.nextDouble() < share - (int) share ? 1 : 0);
-            inFlight.put(endpoints.get(i), new InFlight(Math.min(SLOTS, requests), 0));
+            inFlight.put(endpoints.get(i), Math.min(SLOTS, requests));
         }
-        fleet.updateReport(CALLERS, inFlight, nowNanos());
+        coordinator.report(CALLERS, new HostWork(0, inFlight, List.of()), nowNanos());
     }
 
     private void tick() {
@@ -166,15 +179,39 @@
         for (PlacedItem run : dispatch.allRuns()) {
             advance(run);
         }
-        dispatch.chooseRunsToYield(nowNanos(), nowMillis).forEach(run -> end(run, RunEnd.YIELDED));
         List<OwnedBatch> open =
                 batches.stream().filter(batch -> batch.openItemCount() > 0).toList();
-        dispatch.startRuns(open, nowNanos(), nowMillis).forEach(run -> eventFractions.put(run, 0.0));
+        List<ItemTiming> waiting =
+                dispatch.waitingItems(open, nowNanos(), nowMillis).getOrDefault("s", List.of());
+        coordinator.itemsWaiting(OWNER, new WaitingItems("s", Long.MAX_VALUE, waiting), nowNanos());
+        if (nowMillis % 100 == 0) {
+            coordinator.sampleLoads(group -> true, nowNanos());
+        }
+        coordinator.assign(group -> true, nowNanos()).forEach(command -> execute(command, open));
         if (nowMillis % 2000 == 0) {
             saveCheckpoints(open);
         }
     }
 
+    private void execute(CoordinatorCommand command, List<OwnedBatch> open) {
+        if (command instanceof CoordinatorCommand.Yield yield) {
+            yield.runs().forEach(run -> dispatch.find(run).ifPresent(placed -> end(placed, RunEnd.YIELDED)));
+        } else if (command instanceof CoordinatorCommand.Grant grant) {
+            PlacedItem run = dispatch.startAt(
+                            fleet.find(grant.endpoint()).orElseThrow().entry(),
+                            grant.pressure(),
+                            open,
+                            nowNanos(),
+                            nowMillis)
+                    .orElseThrow();
+            eventFractions.put(run, 0.0);
+            coordinator.itemStarted(
+                    OWNER,
+                    new ItemStart(grant.reservation(), run.number(), grant.endpoint(), run.timing()),
+                    nowNanos());
+        }
+    }
+
     private void saveCheckpoints(List<OwnedBatch> open) {
         for (OwnedBatch batch : open) {
             batch.checkpoints().forEach(item -> savedCheckpoints.put(batch.id() + "/" + item.id(), item));
@@ -204,6 +241,7 @@
     private void end(PlacedItem run, RunEnd end) {
         eventFractions.remove(run);
         dispatch.runEnded(run, end, AttemptEnd.ABANDONED, nowNanos());
+        coordinator.itemEnded(OWNER, run.number(), AttemptEnd.ABANDONED, nowNanos());
     }
 
     private static String key(PlacedItem run) {
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplayTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplayTest.java
@@ -4,6 +4,9 @@
 
 import java.util.function.Supplier;
 import java.util.stream.LongStream;
+import org.gooseberryhill.decision.coordination.EarliestDueOrder;
+import org.gooseberryhill.decision.coordination.FeasibleFirstOrder;
+import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.junit.jupiter.api.Test;
 
 /**
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/directory/EndpointGroupsTest.java
@@ -0,0 +1,87 @@
+package org.gooseberryhill.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.zone.AvailabilityZone;
+import org.junit.jupiter.api.Test;
+
+class EndpointGroupsTest {
+    @Test
+    void groupsHaveSimilarSizesBelowTheMaximum() {
+        for (int count : new int[] {1, 16, 17, 37, 63, 200}) {
+            EndpointGroups groups = EndpointGroups.of(entries(count, 5));
+            List<Integer> sizes = groups.of("s").stream()
+                    .map(group -> groups.members(group).size())
+                    .sorted()
+                    .toList();
+
+            assertThat(sizes.stream().mapToInt(Integer::intValue).sum()).isEqualTo(count);
+            assertThat(sizes.get(sizes.size() - 1)).isLessThanOrEqualTo(EndpointGroups.MAX_GROUP_ENDPOINTS);
+            assertThat(sizes.get(sizes.size() - 1) - sizes.get(0)).isLessThanOrEqualTo(1);
+        }
+    }
+
+    @Test
+    void aGroupSpansFewZones() {
+        EndpointGroups groups = EndpointGroups.of(entries(80, 5));
+
+        assertThat(groups.of("s"))
+                .allMatch(group -> groups.members(group).stream()
+                                .map(EndpointEntry::zone)
+                                .distinct()
+                                .count()
+                        <= 2);
+    }
+
+    /** Guards against a coordinator's counts that start anew for most endpoints whenever one comes or goes. */
+    @Test
+    void theLossOfAnEndpointMovesFewOthersToAnotherGroup() {
+        List<EndpointEntry> entries = entries(37, 5);
+        EndpointGroups before = EndpointGroups.of(entries);
+        for (int lost = 0; lost < entries.size(); lost++) {
+            List<EndpointEntry> left = new ArrayList<>(entries);
+            left.remove(lost);
+            EndpointGroups after = EndpointGroups.of(left);
+
+            long moved = left.stream()
+                    .filter(entry -> !before.groupOf(entry.key()).equals(after.groupOf(entry.key())))
+                    .count();
+            assertThat(moved).isLessThanOrEqualTo(before.of("s").size());
+        }
+    }
+
+    @Test
+    void aChangeOfARegistrationAloneKeepsTheGroups() {
+        List<EndpointEntry> entries = entries(20, 2);
+        List<EndpointEntry> leaving = new ArrayList<>(entries);
+        EndpointEntry first = entries.get(0);
+        leaving.set(
+                0,
+                new EndpointEntry(
+                        first.id(), 1, first.service(), first.address(), first.zone(), first.slots(), true, 0));
+
+        assertThat(EndpointGroups.of(leaving).hasSameGroups(EndpointGroups.of(entries)))
+                .isTrue();
+        assertThat(EndpointGroups.of(entries.subList(1, 20)).hasSameGroups(EndpointGroups.of(entries)))
+                .isFalse();
+    }
+
+    private static List<EndpointEntry> entries(int count, int zones) {
+        List<EndpointEntry> entries = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            entries.add(new EndpointEntry(
+                    "e" + i,
+                    1,
+                    "s",
+                    new Address("10.0.0.1", 8000 + i),
+                    new AvailabilityZone("z" + i % zones),
+                    7,
+                    false,
+                    0));
+        }
+        return entries;
+    }
+}
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -7,9 +7,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
+import org.gooseberryhill.contract.Prompt;
+import org.gooseberryhill.contract.PromptPart;
 import org.gooseberryhill.decision.configuration.TextChange;
+import org.gooseberryhill.decision.coordination.GroupLoad;
+import org.gooseberryhill.decision.coordination.HostWork;
+import org.gooseberryhill.decision.coordination.ItemStart;
+import org.gooseberryhill.decision.coordination.ItemTiming;
+import org.gooseberryhill.decision.coordination.PlacementReply;
+import org.gooseberryhill.decision.coordination.WaitingItems;
+import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.InFlight;
+import org.gooseberryhill.decision.dispatch.OverloadFacts;
+import org.gooseberryhill.decision.dispatch.PlacementAnswer;
+import org.gooseberryhill.decision.dispatch.PlacementFacts;
+import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.job.ItemEnd;
 import org.gooseberryhill.decision.job.WorkItem;
 import org.gooseberryhill.decision.membership.HostState;
@@ -19,6 +33,7 @@
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.ItemState;
+import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.external.KeyChange;
@@ -26,6 +41,7 @@
 import org.gooseberryhill.external.Transaction;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.HybridTimestamp;
+import org.gooseberryhill.zone.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -104,8 +120,57 @@
                         Optional.of(4L)));
     }
 
+    static Stream<PeerMessage> coordinationMessages() {
+        EndpointKey key = new EndpointKey("e", 7);
+        EndpointGroup group = new EndpointGroup("s", 2);
+        ItemTiming timing = new ItemTiming(-5, 900, 5000, true);
+        ItemStart start = new ItemStart(8, 9, key, timing);
+        Prompt prompt = new Prompt("m", 450, 40, List.of(new PromptPart("a", 200), new PromptPart("b", 250)));
+        PlacementFacts facts = new PlacementFacts(3, 2, 1, 7, 40);
+        return Stream.of(
+                new CoordinationMessage.PlacementRequest(
+                        group,
+                        new PlacementQuery(
+                                "s",
+                                new AvailabilityZone("z"),
+                                Optional.of(prompt),
+                                Set.of(key),
+                                Set.of(),
+                                300,
+                                5000,
+                                true,
+                                false)),
+                new CoordinationMessage.PlacementRequest(
+                        group,
+                        new PlacementQuery(
+                                "s",
+                                new AvailabilityZone("z"),
+                                Optional.empty(),
+                                Set.of(),
+                                Set.of(key),
+                                300,
+                                5000,
+                                false,
+                                true)),
+                new CoordinationMessage.Placement(new PlacementReply(5, new PlacementAnswer.Placed(key, facts))),
+                new CoordinationMessage.Placement(new PlacementReply(0, new PlacementAnswer.Elsewhere(group))),
+                new CoordinationMessage.Placement(
+                        new PlacementReply(0, new PlacementAnswer.Overloaded(30, new OverloadFacts(4, 3, 700)))),
+                new CoordinationMessage.Placement(new PlacementReply(0, new PlacementAnswer.NoEndpoint())),
+                new CoordinationMessage.OnlineStarted(key),
+                new CoordinationMessage.OnlineEnded(key, AttemptEnd.CUT, 12_000_000_000L),
+                new CoordinationMessage.ItemStarted(start),
+                new CoordinationMessage.ItemEnded(9, AttemptEnd.ABANDONED),
+                new CoordinationMessage.GrantReturned(8),
+                new CoordinationMessage.WorkReport(new HostWork(8, Map.of(key, 3), List.of(start))),
+                new CoordinationMessage.ItemsWaiting(new WaitingItems("s", 8, List.of(timing))),
+                new CoordinationMessage.SlotGrant(8, key, 1.25),
+                new CoordinationMessage.ItemsYield(List.of(9L, 10L)),
+                new CoordinationMessage.GroupLoads(List.of(new GroupLoad(group, 49, 12))));
+    }
+
     @ParameterizedTest
-    @MethodSource({"messages", "gatewayMessages"})
+    @MethodSource({"messages", "gatewayMessages", "coordinationMessages"})
     void aMessageSurvivesARoundTrip(PeerMessage message) throws IOException {
         PeerFrame frame = new PeerFrame(5, true, HybridTimestamp.ofMillis(1000), HOST, message);
 
