--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequestInfo.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequestInfo.java
@@ -2,6 +2,7 @@
 
 import io.vavr.Lazy;
 import java.util.Optional;
+import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.contract.Prompt;
 import org.gooseberryhill.route.Route;
@@ -12,6 +13,7 @@
  * @param id identifies the request
  * @param route its route
  * @param service the service that was selected for it among the targets of the route
+ * @param caller on whose behalf it is sent
  * @param prompt the prompt; present for a token generation request
  * @param lazyFingerprint equal for equal requests; computed only once some request has crashed endpoints, as it takes a
  *     digest of the whole body
@@ -23,6 +25,7 @@
         String id,
         Route route,
         String service,
+        Caller caller,
         Optional<Prompt> prompt,
         Lazy<Fingerprint> lazyFingerprint,
         long arrivedNanos,
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/BatchRecord.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/BatchRecord.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The state of a batch in the key-value store: written when the batch is accepted or changes its owner, with each
@@ -22,6 +23,7 @@
  * @param ended whether the caller ended the batch
  * @param chunks the position of the first result of each committed chunk, in order
  * @param listed the number of committed results, which is also the position of the next one in the list of results
+ * @param account name of the client account that submitted the batch, which its items run for; empty if no account did
  */
 public record BatchRecord(
         String host,
@@ -34,7 +36,8 @@
         int items,
         boolean ended,
         List<Integer> chunks,
-        int listed) {
+        int listed,
+        Optional<String> account) {
     /** Returns whether the caller ended the batch or all its results are committed. */
     @JsonIgnore
     public boolean isFinished() {
@@ -54,13 +57,42 @@
                 items,
                 ended,
                 chunks,
-                listed);
+                listed,
+                account);
+    }
+
+    /** Returns a copy of this record with another account. */
+    public BatchRecord withAccount(Optional<String> newAccount) {
+        return new BatchRecord(
+                host,
+                target,
+                bodyHash,
+                owner,
+                ownerStart,
+                acceptedAtMillis,
+                bodyParts,
+                items,
+                ended,
+                chunks,
+                listed,
+                newAccount);
     }
 
     /** Returns a copy of this record that is marked as ended by the caller. */
     public BatchRecord asEnded() {
         return new BatchRecord(
-                host, target, bodyHash, owner, ownerStart, acceptedAtMillis, bodyParts, items, true, chunks, listed);
+                host,
+                target,
+                bodyHash,
+                owner,
+                ownerStart,
+                acceptedAtMillis,
+                bodyParts,
+                items,
+                true,
+                chunks,
+                listed,
+                account);
     }
 
     /** Returns a copy of this record with one more committed chunk of the given number of results. */
@@ -78,6 +110,7 @@
                 items,
                 ended,
                 List.copyOf(newChunks),
-                listed + results);
+                listed + results,
+                account);
     }
 }
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/BatchRoutes.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/BatchRoutes.java
@@ -15,6 +15,11 @@
         table = newTable;
     }
 
+    /** Returns whether the current configuration has client accounts. */
+    public boolean hasAccounts() {
+        return !table.accounts().isEmpty();
+    }
+
     /** Returns the route that a batch was submitted to, if the configuration still contains it. */
     public Optional<Route> of(OwnedBatch batch) {
         return table.find(batch.record().host(), batch.record().target())
--- a/src/main/java/org/gooseberryhill/dialect/AttemptMetadata.java
+++ b/src/main/java/org/gooseberryhill/dialect/AttemptMetadata.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.gooseberryhill.account.Attribution;
 
 /**
  * Metadata that an endpoint must receive with one attempt. Immutable.
@@ -10,6 +11,11 @@
  * @param remainingMillis how long the caller still waits; empty for a batch item, which has no deadline of its own
  * @param lastEventId id of the event after which the stream continues
  * @param requestId id of the request, if its own headers do not contain one
+ * @param attribution on whose behalf the request is sent
  */
 public record AttemptMetadata(
-        String endpointId, OptionalLong remainingMillis, Optional<Long> lastEventId, Optional<String> requestId) {}
+        String endpointId,
+        OptionalLong remainingMillis,
+        Optional<Long> lastEventId,
+        Optional<String> requestId,
+        Attribution attribution) {}
--- a/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
+++ b/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
@@ -9,7 +9,16 @@
     /** Returns the metadata of a request; values that cannot be parsed count as absent. */
     RequestMetadata parseRequest(HttpHeaders request);
 
-    /** Adds the metadata of an attempt to a request. */
+    /**
+     * Returns the key of a client account that a request bears; empty if there is none, or more than one, so that it is not
+     * clear whose request it is.
+     */
+    Optional<String> accountKey(HttpHeaders request);
+
+    /**
+     * Adds the metadata of an attempt to a request. If the caller is attributed, the request loses its key, and whatever the
+     * caller may have sent as the name of an account.
+     */
     void addAttemptMetadata(HttpHeaders request, AttemptMetadata attempt);
 
     /** Returns whether an answer states that the endpoint has not run the request and never will. */
--- a/src/main/java/org/gooseberryhill/gateway/BatchApiHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchApiHandler.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
@@ -53,14 +54,14 @@
     }
 
     /** Answers an API call. Callable from any thread. */
-    void handle(HttpCall call, BatchApiCall batchApiCall) {
+    void handle(HttpCall call, BatchApiCall batchApiCall, BatchAccess access) {
         context.loop().execute(() -> {
             if (batchApiCall instanceof BatchApiCall.ReadResults read) {
-                readResults(call, read);
+                readResults(call, read, access);
             } else if (batchApiCall instanceof BatchApiCall.ReadItem read) {
-                readItem(call, read);
+                readItem(call, read, access);
             } else if (batchApiCall instanceof BatchApiCall.EndBatch end) {
-                ender.end(call, end.batch());
+                ender.end(call, end.batch(), access);
             }
         });
     }
@@ -68,10 +69,10 @@
     /**
      * Reads a page of an owned batch, also on behalf of another host. Waits for results if there are none yet.
      *
-     * @param receiver gets the page, or empty if this host does not own the batch
+     * @param receiver gets the page, or empty if this host does not own the batch or the caller may not see it
      */
-    void readOwnedResults(String id, int firstPosition, long waitMillis, PageReceiver receiver) {
-        Optional<OwnedBatch> batch = registry.find(id);
+    void readOwnedResults(String id, int firstPosition, long waitMillis, BatchAccess access, PageReceiver receiver) {
+        Optional<OwnedBatch> batch = registry.find(id, access);
         if (batch.isEmpty()) {
             receiver.receive(Optional.empty());
             return;
@@ -87,35 +88,40 @@
         context.loop().after(waitMillis, answerOnce);
     }
 
-    private void readResults(HttpCall call, BatchApiCall.ReadResults read) {
+    private void readResults(HttpCall call, BatchApiCall.ReadResults read, BatchAccess access) {
         // A stopping host answers at once: a waiting call would be cut off when the process ends.
         long waitMillis = context.stop().phase() == PlannedStop.Phase.SERVING ? read.waitMillis() : 0;
         if (registry.find(read.batch()).isPresent()) {
-            readOwnedResults(read.batch(), read.firstPosition(), waitMillis, page -> replyPage(call, read, page));
+            readOwnedResults(
+                    read.batch(),
+                    read.firstPosition(),
+                    waitMillis,
+                    access,
+                    page -> replyPage(call, read, access, page));
             return;
         }
         Optional<Host> owner = registry.owner(read.batch()).flatMap(links::find);
         if (owner.isEmpty()) {
-            readStoredResults(call, read);
+            readStoredResults(call, read, access);
             return;
         }
-        PeerMessage request = new GatewayMessage.ResultsRequest(read.batch(), read.firstPosition(), waitMillis);
+        PeerMessage request = new GatewayMessage.ResultsRequest(read.batch(), read.firstPosition(), waitMillis, access);
         context.onLoop(links.ask(owner.get(), request, waitMillis + REPLY_MARGIN_MILLIS), (reply, failure) -> {
             boolean hasOwnerAnswer = reply instanceof GatewayMessage.Results;
-            replyPage(call, read, hasOwnerAnswer ? ((GatewayMessage.Results) reply).page() : Optional.empty());
+            replyPage(call, read, access, hasOwnerAnswer ? ((GatewayMessage.Results) reply).page() : Optional.empty());
         });
     }
 
-    private void replyPage(HttpCall call, BatchApiCall.ReadResults read, Optional<BatchPage> page) {
+    private void replyPage(HttpCall call, BatchApiCall.ReadResults read, BatchAccess access, Optional<BatchPage> page) {
         if (page.isPresent()) {
             call.reply(OK, JSON_HEADERS, context.dialects().batches().formatPage(page.get()));
         } else {
-            readStoredResults(call, read);
+            readStoredResults(call, read, access);
         }
     }
 
-    private void readStoredResults(HttpCall call, BatchApiCall.ReadResults read) {
-        context.onLoop(storedBatchReader.readPage(read.batch(), read.firstPosition()), (page, failure) -> {
+    private void readStoredResults(HttpCall call, BatchApiCall.ReadResults read, BatchAccess access) {
+        context.onLoop(storedBatchReader.readPage(read.batch(), read.firstPosition(), access), (page, failure) -> {
             if (failure != null) {
                 refusals.unavailable(call, read.batch(), false);
             } else if (page.isEmpty()) {
@@ -126,37 +132,40 @@
         });
     }
 
-    private void readItem(HttpCall call, BatchApiCall.ReadItem read) {
+    private void readItem(HttpCall call, BatchApiCall.ReadItem read, BatchAccess access) {
         Optional<OwnedBatch> batch = registry.find(read.batch());
         if (batch.isPresent()) {
-            replyItem(call, read, findOwnedItemBody(read.batch(), read.item()));
+            replyItem(call, read, findOwnedItemBody(read.batch(), read.item(), access));
             return;
         }
         Optional<Host> owner = registry.owner(read.batch()).flatMap(links::find);
         if (owner.isEmpty()) {
-            readStoredItem(call, read);
+            readStoredItem(call, read, access);
             return;
         }
-        PeerMessage request = new GatewayMessage.ItemBodyRequest(read.batch(), read.item());
+        PeerMessage request = new GatewayMessage.ItemBodyRequest(read.batch(), read.item(), access);
         context.onLoop(links.ask(owner.get(), request), (reply, failure) -> {
             if (reply instanceof GatewayMessage.ItemBody answer && answer.owned()) {
                 replyItem(call, read, answer.body());
             } else {
-                readStoredItem(call, read);
+                readStoredItem(call, read, access);
             }
         });
     }
 
-    /** Returns the body of an item without a committed result, if this host owns the batch and it is not ended. */
-    Optional<byte[]> findOwnedItemBody(String batchId, String item) {
-        return registry.find(batchId)
+    /**
+     * Returns the body of an item without a committed result, if this host owns the batch, the caller may see it and it is not
+     * ended.
+     */
+    Optional<byte[]> findOwnedItemBody(String batchId, String item, BatchAccess access) {
+        return registry.find(batchId, access)
                 .filter(batch -> !batch.record().ended())
                 .flatMap(batch -> batch.uncommittedItem(item))
                 .map(BatchItem::body);
     }
 
-    private void readStoredItem(HttpCall call, BatchApiCall.ReadItem read) {
-        context.onLoop(storedBatchReader.readItemBody(read.batch(), read.item()), (body, failure) -> {
+    private void readStoredItem(HttpCall call, BatchApiCall.ReadItem read, BatchAccess access) {
+        context.onLoop(storedBatchReader.readItemBody(read.batch(), read.item(), access), (body, failure) -> {
             if (failure != null) {
                 refusals.unavailable(call, read.batch(), false);
             } else {
--- a/src/main/java/org/gooseberryhill/gateway/BatchEnder.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchEnder.java
@@ -6,12 +6,14 @@
 import java.util.function.Consumer;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.peer.GatewayMessage;
+import org.gooseberryhill.peer.PeerMessage;
 import org.gooseberryhill.stored.BatchStore;
 
 /**
@@ -65,24 +67,26 @@
     }
 
     /** Ends a batch, whichever host owns it. */
-    void end(HttpCall call, String id) {
-        if (registry.find(id).isPresent()) {
+    void end(HttpCall call, String id, BatchAccess access) {
+        if (registry.find(id, access).isPresent()) {
             EndReply reply = new EndReply(call, id);
-            endOwned(id, reply::send);
+            endOwned(id, access, reply::send);
             context.loop().after(END_TIMEOUT_MILLIS, () -> reply.send(false));
             return;
         }
         Optional<Host> owner = registry.owner(id).flatMap(links::find);
         if (owner.isPresent()) {
-            endAtOwner(id, owner.get(), () -> confirm(call), () -> endStored(call, id, owner));
+            endAtOwner(id, owner.get(), access, () -> confirm(call), () -> endStored(call, id, access, owner));
         } else {
-            endStored(call, id, Optional.empty());
+            endStored(call, id, access, Optional.empty());
         }
     }
 
-    /** Ends a batch if this host owns it; the receiver gets whether its record is marked as ended. */
-    void endOwned(String id, Consumer<Boolean> receiver) {
-        Optional<OwnedBatch> batch = registry.find(id);
+    /**
+     * Ends a batch if this host owns it and the caller may end it; the receiver gets whether its record is marked as ended.
+     */
+    void endOwned(String id, BatchAccess access, Consumer<Boolean> receiver) {
+        Optional<OwnedBatch> batch = registry.find(id, access);
         if (batch.isEmpty()) {
             receiver.accept(false);
             return;
@@ -92,8 +96,8 @@
         committer.end(batch.get(), receiver);
     }
 
-    private void endAtOwner(String id, Host owner, Runnable onEnded, Runnable onNotEnded) {
-        context.onLoop(links.ask(owner, new GatewayMessage.BatchEndRequest(id)), (reply, failure) -> {
+    private void endAtOwner(String id, Host owner, BatchAccess access, Runnable onEnded, Runnable onNotEnded) {
+        context.onLoop(links.ask(owner, new GatewayMessage.BatchEndRequest(id, access)), (reply, failure) -> {
             if (reply instanceof GatewayMessage.BatchEnded answer && answer.ended()) {
                 onEnded.run();
             } else {
@@ -107,11 +111,11 @@
      *
      * @param asked the host that was asked without success
      */
-    private void endStored(HttpCall call, String id, Optional<Host> asked) {
+    private void endStored(HttpCall call, String id, BatchAccess access, Optional<Host> asked) {
         context.onLoop(store.readRecord(id), (found, failure) -> {
             if (failure != null) {
                 refusals.unavailable(call, id, true);
-            } else if (found.isEmpty()) {
+            } else if (found.isEmpty() || !access.isGranted(found.get().record().account())) {
                 refusals.refuse(call, id, Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such batch"));
             } else if (found.get().record().isFinished()) {
                 confirm(call);
@@ -124,7 +128,12 @@
     private void endRecord(HttpCall call, BatchStore.StoredRecord stored, Optional<Host> asked) {
         findOwner(stored, owner -> {
             if (owner.isPresent() && !owner.equals(asked)) {
-                endAtOwner(stored.id(), owner.get(), () -> confirm(call), () -> writeEndedRecord(call, stored));
+                endAtOwner(
+                        stored.id(),
+                        owner.get(),
+                        BatchAccess.UNCHECKED,
+                        () -> confirm(call),
+                        () -> writeEndedRecord(call, stored));
             } else {
                 writeEndedRecord(call, stored);
             }
@@ -175,7 +184,8 @@
             retry.run();
             return;
         }
-        context.onLoop(links.ask(host.get(), new GatewayMessage.BatchEndRequest(stored.id())), (reply, failure) -> {
+        PeerMessage request = new GatewayMessage.BatchEndRequest(stored.id(), BatchAccess.UNCHECKED);
+        context.onLoop(links.ask(host.get(), request), (reply, failure) -> {
             if (failure != null) {
                 retry.run();
             }
--- a/src/main/java/org/gooseberryhill/gateway/BatchRegistry.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.host.HostId;
 
@@ -53,6 +54,11 @@
         return Optional.ofNullable(owned.get(id));
     }
 
+    /** Returns a batch if this host owns it and the caller may see it. */
+    Optional<OwnedBatch> find(String id, BatchAccess access) {
+        return find(id).filter(batch -> access.isGranted(batch.record().account()));
+    }
+
     /** Returns whether this host owns the batch and last wrote its record at a later revision than the given one. */
     boolean hasWrittenAfter(String id, long revision) {
         return find(id).filter(batch -> batch.recordRevision() > revision).isPresent();
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.account.Attribution;
 import org.gooseberryhill.decision.coordination.ItemStart;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
+import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
@@ -111,6 +113,13 @@
         cancelRuns(dispatch.allRuns());
     }
 
+    /** Returns what endpoints are told of the account of a batch, also once the account has no keys any more. */
+    Attribution attribution(BatchRecord record) {
+        return record.account()
+                .map(Attribution::to)
+                .orElse(routes.hasAccounts() ? Attribution.ANONYMOUS : Attribution.NONE);
+    }
+
     /** Handles the end of a run. */
     void onRunEnded(PlacedItem run, RunEnd end, AttemptEnd attemptEnd, String detail) {
         runs.remove(run);
--- a/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.contract.Outcome;
@@ -68,7 +69,7 @@
     }
 
     /** Accepts or refuses a submitted batch. Callable from any thread. */
-    void submit(HttpCall call, String id, Route route, byte[] body, long arrivedNanos) {
+    void submit(HttpCall call, String id, Route route, Caller caller, byte[] body, long arrivedNanos) {
         Either<List<String>, List<BatchItem>> items =
                 context.dialects().batches().parseItems(body);
         if (items.isLeft()) {
@@ -87,15 +88,17 @@
                 items.get().size(),
                 false,
                 List.of(),
-                0);
+                0,
+                caller.accountName());
         BatchAcceptance acceptance = new BatchAcceptance(context.settings().submissionCopies());
         Submission submission = new Submission(call, id, route, record, body, items.get(), arrivedNanos, acceptance);
         context.loop().execute(() -> create(submission));
     }
 
     private void create(Submission submission) {
-        if (registry.find(submission.id).isPresent()) {
-            confirm(submission);
+        Optional<OwnedBatch> owned = registry.find(submission.id);
+        if (owned.isPresent()) {
+            confirmIfSame(submission, owned.get().record());
             return;
         }
         if (!context.stop().acceptsRequest(SUBMIT_TIMEOUT_MILLIS, context.nowNanos())) {
@@ -180,11 +183,8 @@
             return;
         }
         BatchRecord existing = found.get().record();
-        if (!existing.bodyHash().equals(submission.record.bodyHash())) {
-            refusals.refuse(
-                    submission.call,
-                    submission.id,
-                    Refusal.notRun(ErrorCode.CONFLICT, "another batch was accepted under this id"));
+        if (!isSame(submission, existing)) {
+            refuseOther(submission);
             return;
         }
         boolean hasNoResults = !existing.isFinished() && existing.listed() == 0;
@@ -232,6 +232,28 @@
                 .write();
     }
 
+    /** Confirms a batch that comes again, after any of its submissions, unless another batch has its id. */
+    private void confirmIfSame(Submission submission, BatchRecord existing) {
+        if (isSame(submission, existing)) {
+            confirm(submission);
+        } else {
+            refuseOther(submission);
+        }
+    }
+
+    /** Returns whether a record is that of the submitted batch; an earlier version may have written it without an account. */
+    private static boolean isSame(Submission submission, BatchRecord existing) {
+        boolean sameAccount = existing.account().isEmpty() || existing.account().equals(submission.record.account());
+        return sameAccount && existing.bodyHash().equals(submission.record.bodyHash());
+    }
+
+    private void refuseOther(Submission submission) {
+        refusals.refuse(
+                submission.call,
+                submission.id,
+                Refusal.notRun(ErrorCode.CONFLICT, "another batch was accepted under this id"));
+    }
+
     private void confirm(Submission submission) {
         submission.call.reply(ACCEPTED, JSON_HEADERS, "{}".getBytes(StandardCharsets.UTF_8));
     }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
@@ -89,15 +89,17 @@
                     request.batch(),
                     request.after(),
                     request.waitMillis(),
+                    request.access(),
                     page -> reply.complete(new GatewayMessage.Results(page)));
             return;
         } else if (message instanceof GatewayMessage.ItemBodyRequest request) {
             boolean owned = registry.find(request.batch()).isPresent();
             reply.complete(new GatewayMessage.ItemBody(
-                    owned, batchApiHandler.findOwnedItemBody(request.batch(), request.item())));
+                    owned, batchApiHandler.findOwnedItemBody(request.batch(), request.item(), request.access())));
             return;
         } else if (message instanceof GatewayMessage.BatchEndRequest request) {
-            ender.endOwned(request.batch(), ended -> reply.complete(new GatewayMessage.BatchEnded(ended)));
+            ender.endOwned(
+                    request.batch(), request.access(), ended -> reply.complete(new GatewayMessage.BatchEnded(ended)));
             return;
         } else if (message instanceof GatewayMessage.BatchHandOver handedOver) {
             takeover.takeOver(handedOver, taken -> reply.complete(new GatewayMessage.BatchEnded(taken)));
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -69,7 +69,8 @@
                 placed.endpoint().id(),
                 OptionalLong.empty(),
                 item.lastEventId(),
-                Optional.of(item.item().id()));
+                Optional.of(item.item().id()),
+                runner.attribution(placed.batch().record()));
         context.dialects().traffic().addAttemptMetadata(request, metadata);
         String id = item.item().id();
         ExchangeOptions options = new ExchangeOptions(
--- a/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
@@ -2,13 +2,17 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.Lazy;
+import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.access.BatchAccess;
+import org.gooseberryhill.decision.access.CallerAuthentication;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
 import org.gooseberryhill.dialect.BatchApiCall;
 import org.gooseberryhill.dialect.RequestMetadata;
@@ -25,6 +29,9 @@
 final class RequestRouter {
     private static final long NO_CONFIGURATION_RETRY_AFTER_MILLIS = 500;
 
+    private static final Refusal NO_CONFIGURATION_REFUSAL =
+            Refusal.notRun(ErrorCode.NO_ENDPOINT, "no configuration is known yet", NO_CONFIGURATION_RETRY_AFTER_MILLIS);
+
     /** Deadline of a request whose caller sets none, on a route without a timeout. */
     private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
 
@@ -63,59 +70,77 @@
         int maxBytes = current.configuration().limits().maxBodyBytes();
         Optional<BatchApiCall> batchApiCall = context.dialects().batches().parseCall(call);
         if (batchApiCall.isPresent()) {
-            return readBody(call, maxBytes, body -> batchApiHandler.handle(call, batchApiCall.get()));
+            return readBody(call, maxBytes, body -> runOrHold(() -> handleBatchApiCall(call, batchApiCall.get())));
         }
         RequestMetadata metadata = context.dialects().traffic().parseRequest(call.headers());
-        return readBody(call, maxBytes, body -> routeOrHold(call, metadata, body, arrivedNanos));
+        return readBody(call, maxBytes, body -> runOrHold(() -> routeNow(call, metadata, body, arrivedNanos)));
     }
 
-    private void routeOrHold(HttpCall call, RequestMetadata metadata, byte[] body, long arrivedNanos) {
-        if (!gate.isOpen()) {
-            context.loop().execute(() -> {
-                boolean accepted =
-                        gate.runOrHold(() -> routeNow(call, metadata, body, arrivedNanos), context.nowNanos());
-                if (!accepted) {
-                    routeNow(call, metadata, body, arrivedNanos);
-                }
-            });
+    private void handleBatchApiCall(HttpCall call, BatchApiCall batchApiCall) {
+        RouteTable current = table;
+        if (current.configuration().isEmpty()) {
+            refuse(call, "", NO_CONFIGURATION_REFUSAL);
             return;
         }
-        routeNow(call, metadata, body, arrivedNanos);
+        Either<Refusal, Caller> caller = authenticate(call, current, false);
+        if (caller.isLeft() && current.hasAnonymousBatches(host(call))) {
+            caller = Either.right(Caller.ANONYMOUS);
+        }
+        caller.peek(found -> batchApiHandler.handle(call, batchApiCall, BatchAccess.of(found)))
+                .peekLeft(refusal -> refuse(call, "", refusal));
+    }
+
+    private Either<Refusal, Caller> authenticate(HttpCall call, RouteTable current, boolean anonymous) {
+        Optional<String> key = context.dialects().traffic().accountKey(call.headers());
+        return CallerAuthentication.authenticate(current.accounts(), key, anonymous);
+    }
+
+    /** Handles a call at once, or as soon as the configuration is known, if that is likely to be soon. */
+    private void runOrHold(Runnable action) {
+        if (gate.isOpen()) {
+            action.run();
+            return;
+        }
+        context.loop().execute(() -> {
+            boolean accepted = gate.runOrHold(action, context.nowNanos());
+            if (!accepted) {
+                action.run();
+            }
+        });
     }
 
     private void routeNow(HttpCall call, RequestMetadata metadata, byte[] body, long arrivedNanos) {
         RouteTable current = table;
         String id = metadata.id().orElse("");
         if (current.configuration().isEmpty()) {
-            refuse(
-                    call,
-                    id,
-                    Refusal.notRun(
-                            ErrorCode.NO_ENDPOINT,
-                            "no configuration is known yet",
-                            NO_CONFIGURATION_RETRY_AFTER_MILLIS));
+            refuse(call, id, NO_CONFIGURATION_REFUSAL);
             return;
         }
-        Optional<Route> route = current.find(call.headers().get(HttpHeaderNames.HOST, ""), call.target());
+        Optional<Route> route = current.find(host(call), call.target());
         if (route.isEmpty()) {
             refuse(call, id, Refusal.notRun(ErrorCode.NOT_FOUND, "no route takes this host and path"));
             return;
         }
+        Either<Refusal, Caller> caller = authenticate(call, current, route.get().anonymous());
+        if (caller.isLeft()) {
+            refuse(call, id, caller.getLeft());
+            return;
+        }
         if (id.isEmpty()) {
             refuse(call, id, Refusal.notRun(ErrorCode.INVALID_REQUEST, "the request has no id"));
             return;
         }
         if (route.get().kind() == RouteKind.BATCH) {
-            submissionHandler.submit(call, id, route.get(), body, arrivedNanos);
+            submissionHandler.submit(call, id, route.get(), caller.get(), body, arrivedNanos);
             return;
         }
         RoutedRequestInfo requestInfo = new RoutedRequestInfo(
                 id,
                 route.get(),
                 chooseService(route.get()),
+                caller.get(),
                 metadata.prompt(),
-                Lazy.of(() -> Fingerprint.of(
-                        call.method() + " " + call.headers().get(HttpHeaderNames.HOST, "") + call.target(), body)),
+                Lazy.of(() -> Fingerprint.of(call.method() + " " + host(call) + call.target(), body)),
                 arrivedNanos,
                 arrivedNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis(metadata, route.get())));
         new RoutedCall(context, traffic, call, metadata, requestInfo, body).start();
@@ -149,13 +174,17 @@
                 .request(id)
                 .with("code", refusal.code().wireName())
                 .with("reason", refusal.message())
-                .with("host", call.headers().get(HttpHeaderNames.HOST, ""))
+                .with("host", host(call))
                 .with("prefix", firstSegment(call.path()))
                 .with("configuration", table.configuration().version())
                 .write();
         traffic.refuse(call, id, refusal);
     }
 
+    private static String host(HttpCall call) {
+        return call.headers().get(HttpHeaderNames.HOST, "");
+    }
+
     /** Returns the part of a path that may name a route; the rest may be data of the caller. */
     private static String firstSegment(String path) {
         int end = path.indexOf('/', 1);
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -161,7 +161,8 @@
                                 endpoint.id(),
                                 OptionalLong.of(Math.max(1, remainingMillis)),
                                 relay.lastEventId(),
-                                Optional.empty()));
+                                Optional.empty(),
+                                request.info().caller().attribution()));
         ExchangeRequest exchangeRequest = new ExchangeRequest(
                 endpoint.address(), call.method(), call.target(), headers, body, options(remainingMillis));
         Exchange started = context.http().start(exchangeRequest, relay.newAttemptListener(this, attemptNumber));
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
@@ -71,6 +71,7 @@
                     .with("configuration", traffic.configurationVersion());
             addService(event, request.info().service());
         }
+        request.info().caller().accountName().ifPresent(name -> event.with("account", name));
         event.request(request.info().id())
                 .with("route", request.info().route().name())
                 .with("sends", request.sends())
--- a/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
+++ b/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
@@ -33,15 +34,19 @@
     }
 
     /**
-     * Reads the committed results from a position of the batch's list of results on; empty if there is no such batch.
+     * Reads the committed results from a position of the batch's list of results on; empty if there is no such batch, or none
+     * that the caller may see.
      */
-    CompletableFuture<Optional<BatchPage>> readPage(String id, int firstPosition) {
+    CompletableFuture<Optional<BatchPage>> readPage(String id, int firstPosition, BatchAccess access) {
         CachedResults cached = cache.get(id);
+        if (cached != null && !access.isGranted(cached.record.account())) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
         if (cached != null && (cached.record.isFinished() || cached.results.size() > firstPosition)) {
             return CompletableFuture.completedFuture(Optional.of(cached.page(firstPosition)));
         }
         return store.readRecord(id).thenCompose(found -> {
-            if (found.isEmpty()) {
+            if (found.isEmpty() || !access.isGranted(found.get().record().account())) {
                 return CompletableFuture.completedFuture(Optional.empty());
             }
             BatchRecord record = found.get().record();
@@ -53,10 +58,15 @@
         });
     }
 
-    /** Reads the body of an item without a committed result; empty if there is no such item, or its batch is ended. */
-    CompletableFuture<Optional<byte[]>> readItemBody(String id, String itemId) {
+    /**
+     * Reads the body of an item without a committed result; empty if there is no such item, none that the caller may see, or
+     * its batch is ended.
+     */
+    CompletableFuture<Optional<byte[]>> readItemBody(String id, String itemId, BatchAccess access) {
         return store.readRecord(id).thenCompose(found -> {
-            if (found.isEmpty() || found.get().record().ended()) {
+            if (found.isEmpty()
+                    || found.get().record().ended()
+                    || !access.isGranted(found.get().record().account())) {
                 return CompletableFuture.completedFuture(Optional.empty());
             }
             BatchRecord record = found.get().record();
--- a/src/main/java/org/gooseberryhill/peer/BatchCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/BatchCodecs.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
@@ -24,11 +26,16 @@
                 new CompactCodec<>(
                         7,
                         GatewayMessage.ResultsRequest.class,
-                        (request, packer) -> packer.packString(request.batch())
-                                .packInt(request.after())
-                                .packLong(request.waitMillis()),
+                        (request, packer) -> writeAccess(
+                                packer.packString(request.batch())
+                                        .packInt(request.after())
+                                        .packLong(request.waitMillis()),
+                                request.access()),
                         unpacker -> new GatewayMessage.ResultsRequest(
-                                unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackLong())),
+                                unpacker.unpackString(),
+                                unpacker.unpackInt(),
+                                unpacker.unpackLong(),
+                                readAccess(unpacker))),
                 new CompactCodec<>(
                         8,
                         GatewayMessage.Results.class,
@@ -39,9 +46,10 @@
                 new CompactCodec<>(
                         9,
                         GatewayMessage.ItemBodyRequest.class,
-                        (request, packer) -> packer.packString(request.batch()).packString(request.item()),
-                        unpacker ->
-                                new GatewayMessage.ItemBodyRequest(unpacker.unpackString(), unpacker.unpackString())),
+                        (request, packer) -> writeAccess(
+                                packer.packString(request.batch()).packString(request.item()), request.access()),
+                        unpacker -> new GatewayMessage.ItemBodyRequest(
+                                unpacker.unpackString(), unpacker.unpackString(), readAccess(unpacker))),
                 new CompactCodec<>(
                         10,
                         GatewayMessage.ItemBody.class,
@@ -53,8 +61,8 @@
                 new CompactCodec<>(
                         11,
                         GatewayMessage.BatchEndRequest.class,
-                        (request, packer) -> packer.packString(request.batch()),
-                        unpacker -> new GatewayMessage.BatchEndRequest(unpacker.unpackString())),
+                        (request, packer) -> writeAccess(packer.packString(request.batch()), request.access()),
+                        unpacker -> new GatewayMessage.BatchEndRequest(unpacker.unpackString(), readAccess(unpacker))),
                 new CompactCodec<>(
                         12,
                         GatewayMessage.BatchEnded.class,
@@ -88,14 +96,15 @@
         packer.packString(handOver.batch()).packLong(handOver.revision());
         writeRecord(packer, handOver.record());
         CompactFields.writeList(packer, handOver.progress(), BatchCodecs::writeCheckpoint);
+        writeAccount(packer, handOver.record());
     }
 
     private static GatewayMessage.BatchHandOver readHandOver(MessageUnpacker unpacker) throws IOException {
-        return new GatewayMessage.BatchHandOver(
-                unpacker.unpackString(),
-                unpacker.unpackLong(),
-                readRecord(unpacker),
-                CompactFields.readList(unpacker, BatchCodecs::readCheckpoint));
+        String batch = unpacker.unpackString();
+        long revision = unpacker.unpackLong();
+        BatchRecord record = readRecord(unpacker);
+        List<ItemCheckpoint> progress = CompactFields.readList(unpacker, BatchCodecs::readCheckpoint);
+        return new GatewayMessage.BatchHandOver(batch, revision, readAccount(unpacker, record), progress);
     }
 
     private static void writeCheckpoint(MessagePacker packer, ItemCheckpoint checkpoint) throws IOException {
@@ -106,6 +115,30 @@
         return new ItemCheckpoint(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString());
     }
 
+    /** Writes the account of a record at the end of a message, where earlier versions do not look for it. */
+    static void writeAccount(MessagePacker packer, BatchRecord record) throws IOException {
+        CompactFields.writeOptional(packer, record.account(), MessagePacker::packString);
+    }
+
+    /** Reads the account of a record at the end of a message; earlier versions do not write it. */
+    static BatchRecord readAccount(MessageUnpacker unpacker, BatchRecord record) throws IOException {
+        return unpacker.hasNext()
+                ? record.withAccount(CompactFields.readOptional(unpacker, MessageUnpacker::unpackString))
+                : record;
+    }
+
+    private static void writeAccess(MessagePacker packer, BatchAccess access) throws IOException {
+        CompactFields.writeOptional(packer, access.requiredAccount(), MessagePacker::packString);
+    }
+
+    /** Reads the access at the end of a message; earlier versions do not write it, as they know no accounts. */
+    private static BatchAccess readAccess(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext()
+                ? new BatchAccess(CompactFields.readOptional(unpacker, MessageUnpacker::unpackString))
+                : BatchAccess.UNCHECKED;
+    }
+
+    /** Writes a record without its account, which follows at the end of the message. */
     static void writeRecord(MessagePacker packer, BatchRecord record) throws IOException {
         packer.packString(record.host())
                 .packString(record.target())
@@ -132,6 +165,7 @@
                 unpacker.unpackInt(),
                 unpacker.unpackBoolean(),
                 CompactFields.readList(unpacker, MessageUnpacker::unpackInt),
-                unpacker.unpackInt());
+                unpacker.unpackInt(),
+                Optional.empty());
     }
 }
--- a/src/main/java/org/gooseberryhill/peer/GatewayMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/GatewayMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
@@ -76,8 +77,9 @@
      * @param batch the batch's id
      * @param after the position of the first requested result in the batch's list of results, counted from 0
      * @param waitMillis how long the owner may wait for a result before it replies
+     * @param access whether the caller may see the batch
      */
-    record ResultsRequest(String batch, int after, long waitMillis) implements GatewayMessage {}
+    record ResultsRequest(String batch, int after, long waitMillis, BatchAccess access) implements GatewayMessage {}
 
     /**
      * Returns results of a request batch.
@@ -91,8 +93,9 @@
      *
      * @param batch the batch's id
      * @param item the item's id
+     * @param access whether the caller may see the batch
      */
-    record ItemBodyRequest(String batch, String item) implements GatewayMessage {}
+    record ItemBodyRequest(String batch, String item, BatchAccess access) implements GatewayMessage {}
 
     /**
      * Returns the body of an item.
@@ -106,8 +109,9 @@
      * Asks the owner of a request batch to end it; the reply is {@link BatchEnded}.
      *
      * @param batch the batch's id
+     * @param access whether the caller may end the batch
      */
-    record BatchEndRequest(String batch) implements GatewayMessage {}
+    record BatchEndRequest(String batch, BatchAccess access) implements GatewayMessage {}
 
     /**
      * Tells whether a batch was ended or, in reply to {@link BatchHandOver}, taken over.
--- a/src/main/java/org/gooseberryhill/peer/SubmissionCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/SubmissionCodecs.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -37,10 +38,13 @@
     private static void writePut(OutboxMessage.Put put, MessagePacker packer) throws IOException {
         BatchCodecs.writeRecord(packer.packString(put.batch()), put.record());
         CompactFields.writeBytes(packer, put.body());
+        BatchCodecs.writeAccount(packer, put.record());
     }
 
     private static OutboxMessage.Put readPut(MessageUnpacker unpacker) throws IOException {
-        return new OutboxMessage.Put(
-                unpacker.unpackString(), BatchCodecs.readRecord(unpacker), CompactFields.readBytes(unpacker));
+        String batch = unpacker.unpackString();
+        BatchRecord record = BatchCodecs.readRecord(unpacker);
+        byte[] body = CompactFields.readBytes(unpacker);
+        return new OutboxMessage.Put(batch, BatchCodecs.readAccount(unpacker, record), body);
     }
 }
--- a/src/main/java/org/gooseberryhill/route/Route.java
+++ b/src/main/java/org/gooseberryhill/route/Route.java
@@ -20,6 +20,7 @@
  * @param eventGapTargetMillis maximum pause between two events of a stream that counts as on time; 0 if none is set
  * @param completionTargetMillis time after its first submission at which a request batch is due; 0 for other kinds
  * @param retentionMillis time after that submission at which an item may be given up; 0 for other kinds
+ * @param anonymous whether requests need no key of a client account
  */
 public record Route(
         String name,
@@ -35,7 +36,8 @@
         boolean promptAware,
         long eventGapTargetMillis,
         long completionTargetMillis,
-        long retentionMillis) {
+        long retentionMillis,
+        boolean anonymous) {
     /** Returns whether a request may run more than once, from its beginning or from an event on. */
     public boolean isRepeatable() {
         return kind == RouteKind.SAFE || kind == RouteKind.BATCH || (kind == RouteKind.STREAM && resumable);
--- a/src/main/java/org/gooseberryhill/route/RouteTable.java
+++ b/src/main/java/org/gooseberryhill/route/RouteTable.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.gooseberryhill.account.AccountDirectory;
 
 /**
  * Finds the route of a request: among the routes of its host, the one with the longest prefix. Immutable and thread-safe.
@@ -17,10 +18,12 @@
 
     private final RouteConfiguration configuration;
     private final Map<String, Map<String, Route>> byHostAndPrefix = new HashMap<>();
+    private final AccountDirectory accounts;
 
     /** Creates the table of a configuration. */
     public RouteTable(RouteConfiguration configuration) {
         this.configuration = configuration;
+        this.accounts = new AccountDirectory(configuration.accounts());
         for (Route route : configuration.routes()) {
             byHostAndPrefix
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
@@ -33,6 +36,17 @@
         return configuration;
     }
 
+    /** Returns the client accounts of the configuration. */
+    public AccountDirectory accounts() {
+        return accounts;
+    }
+
+    /** Returns whether a host has an anonymous route for request batches. */
+    public boolean hasAnonymousBatches(String hostHeader) {
+        Map<String, Route> byPrefix = byHostAndPrefix.getOrDefault(hostName(hostHeader), Map.of());
+        return byPrefix.values().stream().anyMatch(route -> route.anonymous() && route.kind() == RouteKind.BATCH);
+    }
+
     /** Returns the route of a request; the target may contain a query, the host header a port. */
     public Optional<Route> find(String hostHeader, String target) {
         Map<String, Route> byPrefix = byHostAndPrefix.get(hostName(hostHeader));
--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Try;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.gooseberryhill.decision.membership.ListedHost;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
@@ -21,8 +22,8 @@
 /**
  * Encodes and decodes the values in the key-value store, as JSON. Stateless.
  *
- * <p>Invariant: every host can read what any other host wrote. A value that lacks a field is unreadable; unknown fields
- * are ignored.
+ * <p>Invariant: every host can read what any other host wrote, also a host of an earlier version. A value that lacks a field
+ * is unreadable, except for fields that earlier versions did not write; unknown fields are ignored.
  */
 public final class StoredValueCodec {
     private StoredValueCodec() {}
@@ -69,6 +70,7 @@
                 .put("listed", record.listed());
         ArrayNode chunks = json.putArray("chunks");
         record.chunks().forEach(chunks::add);
+        record.account().ifPresent(account -> json.put("account", account));
         return Json.bytes(json);
     }
 
@@ -88,7 +90,8 @@
                     json.required("items").intValue(),
                     json.required("ended").booleanValue(),
                     List.copyOf(chunks),
-                    json.required("listed").intValue());
+                    json.required("listed").intValue(),
+                    Optional.ofNullable(json.path("account").textValue()));
         });
     }
 
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.contract.Prompt;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
@@ -79,7 +80,8 @@
                 true,
                 200,
                 0,
-                0);
+                0,
+                false);
     }
 
     RoutedRequest arrive(Route route) {
@@ -92,6 +94,7 @@
                 id,
                 route,
                 SERVICE,
+                Caller.UNATTRIBUTED,
                 prompt,
                 Lazy.of(() -> Fingerprint.of("s", id.getBytes(StandardCharsets.UTF_8))),
                 nowNanos,
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.decision.coordination.CoordinatorCommand;
 import org.gooseberryhill.decision.coordination.GroupLoad;
@@ -127,6 +128,7 @@
                 name,
                 route,
                 ServingReplay.SERVICE,
+                Caller.UNATTRIBUTED,
                 Optional.empty(),
                 Lazy.of(() -> Fingerprint.of(name, new byte[0])),
                 clock.nowNanos(),
--- a/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Predicate;
 import org.gooseberryhill.decision.requestbatch.BatchItem;
@@ -163,7 +164,18 @@
         String id = "b" + batchCount++;
         int itemCount = 4 + random.nextInt(13);
         BatchRecord record = new BatchRecord(
-                "h", "/b/1", "hash", "owner", "1", clock.nowMillis(), 1, itemCount, false, List.of(), 0);
+                "h",
+                "/b/1",
+                "hash",
+                "owner",
+                "1",
+                clock.nowMillis(),
+                1,
+                itemCount,
+                false,
+                List.of(),
+                0,
+                Optional.empty());
         List<BatchItem> batchItems = new ArrayList<>();
         List<Integer> events = new ArrayList<>();
         for (int i = 0; i < itemCount; i++) {
@@ -215,6 +227,7 @@
                 true,
                 200,
                 batch ? BATCH_DUE_MILLIS : 0,
-                batch ? 60_000 : 0);
+                batch ? 60_000 : 0,
+                false);
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchFixture.java
@@ -10,7 +10,7 @@
     private BatchFixture() {}
 
     static BatchRecord record(int items, String owner, String start) {
-        return new BatchRecord("h", "/b/1", "hash", owner, start, 0, 1, items, false, List.of(), 0);
+        return new BatchRecord("h", "/b/1", "hash", owner, start, 0, 1, items, false, List.of(), 0, Optional.empty());
     }
 
     static List<BatchItem> items(int count) {
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -133,8 +133,8 @@
 
     private void submit(int items) {
         String id = "b" + batches.size();
-        BatchRecord record =
-                new BatchRecord("h", "/b/1", "hash", "owner", "1", nowMillis, 1, items, false, List.of(), 0);
+        BatchRecord record = new BatchRecord(
+                "h", "/b/1", "hash", "owner", "1", nowMillis, 1, items, false, List.of(), 0, Optional.empty());
         OwnedBatch batch = new OwnedBatch(id, record, 1, BatchFixture.items(items), List.of());
         batches.add(batch);
         for (int item = 0; item < items; item++) {
@@ -267,6 +267,7 @@
                 true,
                 200,
                 DUE_MILLIS,
-                60_000);
+                60_000,
+                false);
     }
 }
--- a/src/test/java/org/gooseberryhill/gateway/BatchRegistryTest.java
+++ b/src/test/java/org/gooseberryhill/gateway/BatchRegistryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.host.HostId;
@@ -55,8 +56,8 @@
     }
 
     private static OwnedBatch batch() {
-        BatchRecord record =
-                new BatchRecord("host", "/batch/new", "hash", "self", "start", 0, 1, 0, false, List.of(), 0);
+        BatchRecord record = new BatchRecord(
+                "host", "/batch/new", "hash", "self", "start", 0, 1, 0, false, List.of(), 0, Optional.empty());
         return new OwnedBatch("b", record, REVISION, List.of(), List.of());
     }
 }
--- a/src/test/java/org/gooseberryhill/outbox/OutboxTest.java
+++ b/src/test/java/org/gooseberryhill/outbox/OutboxTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.junit.jupiter.api.AfterEach;
@@ -101,6 +102,6 @@
     }
 
     private static BatchRecord record(String owner) {
-        return new BatchRecord("h", "/b/1", "hash", owner, "1", 5, 1, 3, false, List.of(), 0);
+        return new BatchRecord("h", "/b/1", "hash", owner, "1", 5, 1, 3, false, List.of(), 0, Optional.empty());
     }
 }
--- a/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import org.gooseberryhill.Loopback;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.link.HybridClock;
@@ -99,7 +100,11 @@
     }
 
     private CompletableFuture<PeerMessage> ask(Address target, String batch, long timeoutMillis) {
-        return client.ask(target, PeerLane.CONTROL, new GatewayMessage.BatchEndRequest(batch), timeoutMillis);
+        return client.ask(
+                target,
+                PeerLane.CONTROL,
+                new GatewayMessage.BatchEndRequest(batch, BatchAccess.UNCHECKED),
+                timeoutMillis);
     }
 
     private CompletionStage<PeerMessage> answer(HostId from, PeerMessage message) {
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 import org.gooseberryhill.contract.Prompt;
 import org.gooseberryhill.contract.PromptPart;
+import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.configuration.TextChange;
 import org.gooseberryhill.decision.coordination.GroupLoad;
 import org.gooseberryhill.decision.coordination.HostWork;
@@ -88,7 +89,7 @@
                 new GatewayMessage.ViewRequest("p/"),
                 new GatewayMessage.ViewListing("p/", 9, List.of(), 40),
                 new GatewayMessage.BatchNotice("b"),
-                new GatewayMessage.ResultsRequest("b", 4, 1000),
+                new GatewayMessage.ResultsRequest("b", 4, 1000, new BatchAccess(Optional.of("studio"))),
                 new GatewayMessage.Results(Optional.empty()),
                 new GatewayMessage.Results(Optional.of(new BatchPage(
                         9,
@@ -96,17 +97,20 @@
                         List.of(
                                 new ItemResult("i", ItemState.DONE, "text\nwith \u00e4 line"),
                                 new ItemResult("j", ItemState.GIVEN_UP, ""))))),
-                new GatewayMessage.ItemBodyRequest("b", "i"),
+                new GatewayMessage.ItemBodyRequest("b", "i", BatchAccess.UNCHECKED),
                 new GatewayMessage.ItemBody(true, Optional.empty()),
-                new GatewayMessage.BatchEndRequest("b"),
+                new GatewayMessage.BatchEndRequest("b", BatchAccess.UNCHECKED),
                 new GatewayMessage.BatchEnded(true),
                 new GatewayMessage.BatchHandOver(
                         "b",
                         5,
-                        new BatchRecord("h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(0, 4), 6),
+                        new BatchRecord(
+                                "h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(0, 4), 6, Optional.empty()),
                         List.of(new ItemCheckpoint("i", 3, "so far"))),
                 new OutboxMessage.Stored(true),
-                new OutboxMessage.Drop("b", new BatchRecord("h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(), 0)),
+                new OutboxMessage.Drop(
+                        "b",
+                        new BatchRecord("h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(), 0, Optional.empty())),
                 new OutboxMessage.StateRequest(),
                 new OutboxMessage.State(3),
                 new GatewayMessage.StoreCall(
@@ -192,7 +196,8 @@
 
     @Test
     void aSubmissionSurvivesARoundTrip() throws IOException {
-        BatchRecord record = new BatchRecord("h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(), 0);
+        BatchRecord record =
+                new BatchRecord("h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(), 0, Optional.empty());
         byte[] value = {0, 1, -1, 127};
 
         OutboxMessage.Put put = (OutboxMessage.Put) roundTrip(new OutboxMessage.Put("b", record, value));
--- a/src/test/java/org/gooseberryhill/route/RouteTableTest.java
+++ b/src/test/java/org/gooseberryhill/route/RouteTableTest.java
@@ -68,7 +68,21 @@
 
     private static Route routeOfKind(RouteKind kind, boolean resumable) {
         return new Route(
-                "r", "h", "/", kind, List.of(new RouteTarget("s", 1)), 1000, 100, 2, 0, resumable, false, 0, 0, 0);
+                "r",
+                "h",
+                "/",
+                kind,
+                List.of(new RouteTarget("s", 1)),
+                1000,
+                100,
+                2,
+                0,
+                resumable,
+                false,
+                0,
+                0,
+                0,
+                false);
     }
 
     private static Route route(String name, String host, String prefix) {
@@ -86,6 +100,7 @@
                 false,
                 0,
                 0,
-                0);
+                0,
+                false);
     }
 }
--- a/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
+++ b/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.gooseberryhill.decision.membership.ListedHost;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
@@ -17,8 +18,8 @@
 import org.junit.jupiter.api.Test;
 
 class StoredValueCodecTest {
-    private static final BatchRecord RECORD =
-            new BatchRecord("host", "/b/1?x=\"y\"", "hash", "owner", "start", 1L << 40, 2, 9, true, List.of(0, 4), 6);
+    private static final BatchRecord RECORD = new BatchRecord(
+            "host", "/b/1?x=\"y\"", "hash", "owner", "start", 1L << 40, 2, 9, true, List.of(0, 4), 6, Optional.empty());
 
     @Test
     void encodedValuesAreDecodedUnchanged() {
