Limit client accounts to their quotas over all hosts together

Change: the coordinator that is asked for an endpoint anyway also decides whether the account's quota allows the request: no message more for a request. Coordinators add what they were asked to admit to the loads that they tell each other ten times a second. A request is admitted if the count of all hosts' requests and the coordinator's share by demand both allow it; a request over the quota gets 429 at once with a time of its own to come back. A request counts once however often it is sent, and not at all if it is refused as not run. A host that places a request itself asks any coordinator for its admission; if none answers, it admits one request of an account and a little more, and refuses others with 503, not run, to be sent again at another host.

Ruled out: the common count alone (worked out: an account of 129/s at 15 times its rate runs 1.1 x rate more in the 0.12 s in which counts are old; 0.6 x rate + 20 are allowed).

--- a/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -83,6 +84,20 @@
         return groups.groupOf(endpoint).map(this::coordinator);
     }
 
+    /** Returns the hosts that coordinate a group, each once. */
+    public Set<Host> coordinators() {
+        Set<Host> all = new LinkedHashSet<>();
+        groups.all().forEach(group -> all.add(coordinator(group)));
+        return all;
+    }
+
+    /** Returns a coordinator that is likely to answer, other than this host; empty if there is none. */
+    public Optional<Host> responsiveCoordinator(long nowNanos) {
+        return coordinators().stream()
+                .filter(host -> !host.id().equals(self.id()) && isResponsive(host.id(), nowNanos))
+                .max(Comparator.comparingDouble(host -> Ownership.uniform("count/" + host.id(), self)));
+    }
+
     /** Returns whether this host coordinates a group. */
     public boolean isCoordinator(EndpointGroup group) {
         return coordinator(group).id().equals(self.id());
--- a/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
@@ -16,6 +17,7 @@
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
+import org.gooseberryhill.decision.quota.QuotaPolicy;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointGroups;
@@ -43,6 +45,7 @@
 
     private final RequestPlacer placer;
     private final SlotReserve reserve;
+    private final QuotaPolicy quotas;
     private final Reservations reservations;
     private final Fleet ledger = new Fleet();
     private final ItemOrder order;
@@ -55,12 +58,15 @@
     /**
      * Creates a coordinator that knows no endpoints.
      *
+     * @param quotas decides whether the quota of a client account allows a request
      * @param firstReservation lower bound of the numbers of its reservations; greater than those of an earlier process of
      *     the same host
      */
-    public SlotCoordinator(RequestPlacer placer, SlotReserve reserve, ItemOrder order, long firstReservation) {
+    public SlotCoordinator(
+            RequestPlacer placer, SlotReserve reserve, QuotaPolicy quotas, ItemOrder order, long firstReservation) {
         this.placer = placer;
         this.reserve = reserve;
+        this.quotas = quotas;
         this.order = order;
         this.runs = new BatchRuns(order);
         this.reservations = new Reservations(firstReservation);
@@ -94,6 +100,10 @@
                 return PlacementReply.of(overloaded.get());
             }
         }
+        Optional<Long> overQuota = query.account().flatMap(account -> quotas.admit(account, nowNanos));
+        if (overQuota.isPresent()) {
+            return PlacementReply.of(new PlacementAnswer.OverQuota(overQuota.get()));
+        }
         PlacementAnswer answer = new PlacementAnswer.Placed(endpoint.key(), placer.facts(endpoint, usable.size()));
         query.prompt().ifPresent(prompt -> placer.requestPlaced(endpoint.key(), prompt));
         ledger.addOnline(host, endpoint.key(), 1, nowNanos);
@@ -101,6 +111,16 @@
         return new PlacementReply(reservations.add(host, endpoint.key(), false, nowNanos), answer);
     }
 
+    /** Decides whether a request may run that a host places itself, and counts it if so. */
+    public Admission admit(String account, long nowNanos) {
+        return new Admission(quotas.admit(account, nowNanos));
+    }
+
+    /** Returns what decides whether the quota of a client account allows a request. */
+    public QuotaPolicy quotas() {
+        return quotas;
+    }
+
     /** Records a request that a host sent to an endpoint without asking. */
     public void onlineStarted(HostId host, EndpointKey endpoint, long nowNanos) {
         ledger.addOnline(host, endpoint, 1, nowNanos);
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -54,6 +54,9 @@
     /** Retry-after of a full service: about the time until the next slot of an endpoint is free. */
     private static final long BUSY_RETRY_AFTER_MILLIS = 200;
 
+    /** Retry-after of a host that is cut off from those that count requests: another host serves the retry. */
+    private static final long UNKNOWN_QUOTA_RETRY_AFTER_MILLIS = 20;
+
     private final AvailabilityZone zone;
     private final RequestPlacer placer;
     private final Fleet fleet;
@@ -106,6 +109,7 @@
     /** Decides the next action after the coordinator of a group has answered {@link DispatchDecision.AskGroup}. */
     public DispatchDecision placementAnswered(RoutedRequest request, PlacementAnswer answer, long nowNanos) {
         if (answer instanceof PlacementAnswer.Placed placed) {
+            request.admitted();
             Optional<FleetEndpoint> endpoint = fleet.find(placed.endpoint())
                     .filter(found ->
                             found.isUsable(nowNanos) && !request.tried().contains(found.key()));
@@ -115,6 +119,8 @@
         } else if (answer instanceof PlacementAnswer.Overloaded overloaded && request.isRefusable()) {
             return new DispatchDecision.Refuse(
                     overloadRefusal(overloaded.retryAfterMillis()), Optional.of(overloaded.facts()));
+        } else if (answer instanceof PlacementAnswer.OverQuota overQuota) {
+            return new DispatchDecision.Refuse(overQuotaRefusal(request, overQuota.retryAfterMillis()));
         } else if (answer instanceof PlacementAnswer.Elsewhere elsewhere && request.groupAsked(elsewhere.group())) {
             return ask(request, elsewhere.group(), nowNanos);
         }
@@ -186,7 +192,28 @@
         return new DispatchDecision.AskGroup(group, query(request, excluded, connected, nowNanos));
     }
 
+    /**
+     * Decides the next action after {@link DispatchDecision.AskAdmission}.
+     *
+     * @param answer the answer; empty if nobody gave one in time
+     */
+    public DispatchDecision admissionAnswered(RoutedRequest request, Optional<Admission> answer, long nowNanos) {
+        if (answer.isEmpty()) {
+            return new DispatchDecision.Refuse(unknownQuotaRefusal(request));
+        }
+        if (answer.get().retryAfterMillis().isPresent()) {
+            return new DispatchDecision.Refuse(
+                    overQuotaRefusal(request, answer.get().retryAfterMillis().get()));
+        }
+        request.admitted();
+        return placeLocally(request, nowNanos);
+    }
+
     private DispatchDecision placeLocally(RoutedRequest request, long nowNanos) {
+        Optional<String> account = request.quotaAccount();
+        if (account.isPresent()) {
+            return new DispatchDecision.AskAdmission(account.get());
+        }
         List<FleetEndpoint> endpoints = fleet.endpointsOf(request.info().service());
         PlacementQuery query = query(request, request.tried(), connected(endpoints), nowNanos);
         Optional<FleetEndpoint> chosen = placer.choose(endpoints, query, nowNanos);
@@ -300,7 +327,8 @@
                 request.info().route().targetLatencyMillis(),
                 request.remainingMillis(nowNanos),
                 request.isRefusable(),
-                request.isRedirectable());
+                request.isRedirectable(),
+                request.quotaAccount());
     }
 
     private Optional<Refusal> refuseQuarantined(RoutedRequest request, long nowNanos) {
@@ -319,6 +347,20 @@
         return Refusal.notRun(ErrorCode.OVERLOADED, "no slot is likely to be free in time", retryAfterMillis);
     }
 
+    private static Refusal overQuotaRefusal(RoutedRequest request, long retryAfterMillis) {
+        return new Refusal(
+                ErrorCode.LIMITED, request.outcome(), "the account's quota is used up", Optional.of(retryAfterMillis));
+    }
+
+    /** Another host can probably tell, so the caller is to retry soon. */
+    private static Refusal unknownQuotaRefusal(RoutedRequest request) {
+        return new Refusal(
+                ErrorCode.OVERLOADED,
+                request.outcome(),
+                "this host cannot tell whether the account's quota is used up",
+                Optional.of(UNKNOWN_QUOTA_RETRY_AFTER_MILLIS));
+    }
+
     private static Refusal noEndpoint() {
         return Refusal.notRun(
                 ErrorCode.NO_ENDPOINT, "no endpoint of the service can be used", NO_ENDPOINT_RETRY_AFTER_MILLIS);
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
@@ -25,6 +25,14 @@
      */
     record AskGroup(EndpointGroup group, PlacementQuery query) implements DispatchDecision {}
 
+    /**
+     * Asks whether the quota of the request's client account allows it to run, since no coordinator has placed it, then calls
+     * {@link DispatchCore#admissionAnswered}.
+     *
+     * @param account name of the account
+     */
+    record AskAdmission(String account) implements DispatchDecision {}
+
     /**
      * Asks for another decision after a delay: no endpoint can take the request now, but its caller has received a part
      * of the answer, or the request was moved away from an endpoint that was merely silent.
--- a/src/main/java/org/gooseberryhill/decision/dispatch/PlacementAnswer.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/PlacementAnswer.java
@@ -28,6 +28,13 @@
      */
     record Overloaded(long retryAfterMillis, OverloadFacts facts) implements PlacementAnswer {}
 
+    /**
+     * The request is to be refused because its client account has used up its quota.
+     *
+     * @param retryAfterMillis when the caller should retry
+     */
+    record OverQuota(long retryAfterMillis) implements PlacementAnswer {}
+
     /** No endpoint of the group can be used, or the asked host does not coordinate it. */
     record NoEndpoint() implements PlacementAnswer {}
 }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/PlacementQuery.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/PlacementQuery.java
@@ -18,6 +18,7 @@
  * @param remainingMillis time until the deadline of the request
  * @param refusable whether the request may be refused because of load; false once an endpoint may have run it
  * @param redirectable whether the request may be sent to another group
+ * @param account the client account whose quota the request counts against; empty if it counts against none, or was counted
  */
 public record PlacementQuery(
         String service,
@@ -28,4 +29,5 @@
         long targetLatencyMillis,
         long remainingMillis,
         boolean refusable,
-        boolean redirectable) {}
+        boolean redirectable,
+        Optional<String> account) {}
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.account.ClientAccount;
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
@@ -28,6 +29,7 @@
     private Optional<EndpointKey> endpoint = Optional.empty();
     private RequestProgress progress = new RequestProgress(Outcome.NOT_RUN, 0, 0, false);
     private boolean leftSilentEndpoint;
+    private boolean countedAgainstQuota;
     private long attemptStartedNanos;
 
     RoutedRequest(RoutedRequestInfo info) {
@@ -69,6 +71,24 @@
         progress = progress.withAnswerStarted();
     }
 
+    /** Returns whether the request counts against the quota of its client account. */
+    public boolean isCountedAgainstQuota() {
+        return countedAgainstQuota;
+    }
+
+    /** Records that the request counts against the quota of its client account, however often it is sent. */
+    void admitted() {
+        countedAgainstQuota = quotaAccount().isPresent();
+    }
+
+    /** Returns the account whose quota the request has to be counted against; empty if there is none, or it was. */
+    Optional<String> quotaAccount() {
+        return info.caller()
+                .account()
+                .filter(account -> account.quota().isPresent() && !countedAgainstQuota)
+                .map(ClientAccount::name);
+    }
+
     /** Returns the progress; an attempt in progress counts as a send, but not yet as a run. */
     RequestProgress progress() {
         return progress;
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
@@ -67,6 +67,10 @@
             reply.complete(slots.answer(from, request));
             return;
         }
+        if (message instanceof CoordinationMessage.AdmissionRequest request) {
+            reply.complete(slots.admissions().answer(request));
+            return;
+        }
         if (message instanceof CoordinationMessage coordination) {
             slots.handle(from, coordination);
         } else if (message instanceof GatewayMessage.HostHeartbeat leaving) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -339,11 +339,13 @@
         table = new RouteTable(configuration);
         requestRouter.configure(table);
         batchRoutes.configure(table);
+        assignment.exchange().admissions().configure(configuration.accounts());
         traffic.setConfigurationVersion(configuration.version());
         context.timeline()
                 .event(EventKind.CONFIGURATION_IN_FORCE)
                 .with("version", configuration.version())
                 .with("routes", configuration.routes().size())
+                .with("accounts", configuration.accounts().size())
                 .write();
         updateReadiness();
         runner.schedule();
--- a/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
+++ b/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
@@ -96,6 +96,12 @@
         return roster.activeGateways(context.nowNanos());
     }
 
+    /** Returns whether more than half of the gateways, this one included, are known to be alive. */
+    boolean isInTouchWithMost() {
+        int known = gateways().size() + 1;
+        return (activeGateways().size() + 1) * 2 > known;
+    }
+
     /** Returns the other gateways that reach the key-value store. */
     List<Host> gatewaysReachingKeyValueStore() {
         return roster.gatewaysReachingKeyValueStore(context.nowNanos());
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -6,7 +6,9 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
 import org.gooseberryhill.decision.dispatch.OverloadFacts;
@@ -18,11 +20,13 @@
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.http.Exchange;
 import org.gooseberryhill.http.ExchangeOptions;
 import org.gooseberryhill.http.ExchangeRequest;
 import org.gooseberryhill.http.ForwardedHeaders;
 import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.route.RouteKind;
 import org.gooseberryhill.timeline.EventBuilder;
 import org.gooseberryhill.timeline.EventKind;
@@ -60,6 +64,9 @@
     /** Present while an attempt is in progress. */
     private Optional<Exchange> exchange = Optional.empty();
 
+    /** The coordinator that was asked last for an endpoint. */
+    private Optional<HostId> askedHost = Optional.empty();
+
     private boolean finished;
     private long attemptNumber;
 
@@ -115,7 +122,9 @@
             }
             send(send.endpoint(), send.facts(), send.assigned());
         } else if (decision instanceof DispatchDecision.AskGroup ask) {
-            traffic.slots().place(ask.group(), ask.query(), this::placementAnswered);
+            askedHost = Optional.of(traffic.slots().place(ask.group(), ask.query(), this::placementAnswered));
+        } else if (decision instanceof DispatchDecision.AskAdmission ask) {
+            traffic.slots().admissions().ask(ask.account(), this::admissionAnswered);
         } else if (decision instanceof DispatchDecision.Wait wait) {
             context.loop().after(wait.millis(), this::dispatchAfterWait);
         } else if (decision instanceof DispatchDecision.Refuse refuse) {
@@ -138,6 +147,12 @@
         applyDecision(decision);
     }
 
+    private void admissionAnswered(Optional<Admission> answer) {
+        if (!finished) {
+            applyDecision(context.core().admissionAnswered(request, answer, context.nowNanos()));
+        }
+    }
+
     private void returnSlot(EndpointKey endpoint) {
         traffic.slots().onlineEnded(endpoint, AttemptEnd.DROPPED, 0);
     }
@@ -311,9 +326,19 @@
         overload.ifPresent(facts -> event.with("waitMillis", facts.waitMillis())
                 .with("longestWaitMillis", facts.longestWaitMillis())
                 .with("meanRunMillis", facts.meanRunMillis()));
+        if (refusal.outcome() == Outcome.NOT_RUN && request.isCountedAgainstQuota()) {
+            returnAdmission();
+        }
         finish(refusal.code().wireName(), event);
     }
 
+    /** Tells a coordinator that the request did not run, so that it does not count against its account's quota. */
+    private void returnAdmission() {
+        Optional<String> account = request.info().caller().accountName();
+        askedHost.ifPresent(
+                host -> traffic.slots().send(host, new CoordinationMessage.AdmissionReturned(account.orElseThrow())));
+    }
+
     private void callerDisconnected() {
         if (!finished) {
             abandonAttempt();
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -9,6 +9,7 @@
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
+import org.gooseberryhill.decision.quota.CountedSharesQuota;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.directory.EndpointEntry;
@@ -32,8 +33,12 @@
         this.routing = routing;
         // Microseconds since the epoch grow faster than an earlier process can have used numbers.
         long firstReservation = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
-        this.coordinator =
-                new SlotCoordinator(new RequestPlacer(policies), new FluctuationReserve(), order, firstReservation);
+        this.coordinator = new SlotCoordinator(
+                new RequestPlacer(policies),
+                new FluctuationReserve(),
+                new CountedSharesQuota(context.settings().self().id(), context.nowNanos()),
+                order,
+                firstReservation);
         this.exchange = new SlotExchange(context, links, routing, coordinator);
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -1,6 +1,5 @@
 package org.gooseberryhill.gateway;
 
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -47,6 +46,7 @@
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
+    private final AdmissionClient admissions;
     private GrantReceiver grantReceiver;
 
     SlotExchange(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
@@ -55,6 +55,7 @@
         this.routing = routing;
         this.coordinator = coordinator;
         this.reports = new WorkReports(routing);
+        this.admissions = new AdmissionClient(context, links, routing, coordinator);
     }
 
     /** Sets the receiver of grants and of orders to yield. */
@@ -62,15 +63,19 @@
         grantReceiver = receiver;
     }
 
-    /** Asks the coordinator of a group for an endpoint; the receiver gets nothing if there is no answer in time. */
-    void place(EndpointGroup group, PlacementQuery query, Consumer<Optional<PlacementAnswer>> receiver) {
+    /**
+     * Asks the coordinator of a group for an endpoint; the receiver gets nothing if there is no answer in time.
+     *
+     * @return the coordinator
+     */
+    HostId place(EndpointGroup group, PlacementQuery query, Consumer<Optional<PlacementAnswer>> receiver) {
         Host host = routing.coordinator(group);
         if (isSelf(host.id())) {
             PlacementReply reply = coordinator.place(host.id(), group, query, context.nowNanos());
             reports.reservationReceived(host.id(), reply.reservation());
             assignSlots();
             receiver.accept(Optional.of(reply.answer()));
-            return;
+            return host.id();
         }
         PendingPlacement pending = new PendingPlacement(host, receiver);
         context.onLoop(
@@ -82,6 +87,7 @@
                                 ANSWER_TIMEOUT_MILLIS),
                 pending::onReply);
         context.loop().after(placementTimeoutMillis(query), pending::onTimeout);
+        return host.id();
     }
 
     /** Tells the coordinator of an endpoint of a request that was sent there without its knowledge. */
@@ -117,6 +123,11 @@
         }
     }
 
+    /** Returns what asks whether the quotas of client accounts allow requests. */
+    AdmissionClient admissions() {
+        return admissions;
+    }
+
     /** Returns what this host has received from coordinators, and which they are. */
     WorkReports reports() {
         return reports;
@@ -135,6 +146,7 @@
 
     /** Answers a host that asks for an endpoint. */
     PeerMessage answer(HostId from, CoordinationMessage.PlacementRequest request) {
+        coordinator.quotas().contacted(context.nowNanos());
         PlacementReply reply = coordinator.place(from, request.group(), request.query(), context.nowNanos());
         assignSlots();
         return new CoordinationMessage.Placement(reply);
@@ -159,6 +171,10 @@
             coordinator.itemsWaiting(from, waiting.items(), nowNanos);
         } else if (message instanceof CoordinationMessage.GroupLoads loads) {
             coordinator.groupLoads(loads.loads(), nowNanos);
+            coordinator.quotas().record(from, loads.quotaReport(), nowNanos);
+            return;
+        } else if (message instanceof CoordinationMessage.AdmissionReturned returned) {
+            coordinator.quotas().giveBack(returned.account(), nowNanos);
             return;
         } else {
             handleOrder(from, message);
@@ -199,12 +215,14 @@
         if (loads.isEmpty()) {
             return;
         }
-        Set<Host> others = new LinkedHashSet<>();
-        routing.groups().all().stream()
-                .map(routing::coordinator)
-                .filter(host -> !isSelf(host.id()))
-                .forEach(others::add);
-        CoordinationMessage message = new CoordinationMessage.GroupLoads(loads);
+        Set<Host> others = routing.coordinators();
+        others.removeIf(host -> isSelf(host.id()));
+        coordinator
+                .quotas()
+                .updateParticipants(
+                        others.stream().map(Host::id).toList(), links.isInTouchWithMost(), context.nowNanos());
+        CoordinationMessage message =
+                new CoordinationMessage.GroupLoads(loads, coordinator.quotas().takeReport(context.nowNanos()));
         context.peers().postAll(others.stream().map(Host::address).toList(), PeerLane.CONTROL, message);
     }
 
--- a/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
@@ -56,6 +56,7 @@
         BatchCodecs.all().forEach(CompactCodecs::add);
         SubmissionCodecs.all().forEach(CompactCodecs::add);
         StoreCallCodecs.all().forEach(CompactCodecs::add);
+        QuotaCodecs.all().forEach(CompactCodecs::add);
         return true;
     }
 
--- a/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
@@ -67,10 +67,13 @@
                 new CompactCodec<>(
                         36,
                         CoordinationMessage.GroupLoads.class,
-                        (message, packer) ->
-                                CompactFields.writeList(packer, message.loads(), CoordinationCodecs::writeLoad),
+                        (message, packer) -> {
+                            CompactFields.writeList(packer, message.loads(), CoordinationCodecs::writeLoad);
+                            QuotaCodecs.writeReport(packer, message.quotaReport());
+                        },
                         unpacker -> new CoordinationMessage.GroupLoads(
-                                CompactFields.readList(unpacker, CoordinationCodecs::readLoad))));
+                                CompactFields.readList(unpacker, CoordinationCodecs::readLoad),
+                                QuotaCodecs.readReport(unpacker))));
     }
 
     private static List<CompactCodec<?>> itemCodecs() {
@@ -142,6 +145,7 @@
                 .packLong(query.remainingMillis())
                 .packBoolean(query.refusable())
                 .packBoolean(query.redirectable());
+        CompactFields.writeOptional(packer, query.account(), MessagePacker::packString);
     }
 
     private static CoordinationMessage.PlacementRequest readRequest(MessageUnpacker unpacker) throws IOException {
@@ -155,10 +159,18 @@
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
                 unpacker.unpackBoolean(),
-                unpacker.unpackBoolean());
+                unpacker.unpackBoolean(),
+                readAccount(unpacker));
         return new CoordinationMessage.PlacementRequest(group, query);
     }
 
+    /** Reads the account at the end of a message; earlier versions do not write it. */
+    private static Optional<String> readAccount(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext()
+                ? CompactFields.readOptional(unpacker, MessageUnpacker::unpackString)
+                : Optional.empty();
+    }
+
     private static Set<EndpointKey> readKeys(MessageUnpacker unpacker) throws IOException {
         return new HashSet<>(CompactFields.readList(unpacker, CoordinationCodecs::readKey));
     }
--- a/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
@@ -6,8 +6,10 @@
 import org.gooseberryhill.decision.coordination.ItemStart;
 import org.gooseberryhill.decision.coordination.PlacementReply;
 import org.gooseberryhill.decision.coordination.WaitingItems;
+import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
+import org.gooseberryhill.decision.quota.QuotaReport;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 
@@ -47,6 +49,28 @@
      */
     record OnlineEnded(EndpointKey endpoint, AttemptEnd end, long nanos) implements CoordinationMessage {}
 
+    /**
+     * Asks a coordinator whether the quota of a client account allows a request that the sender places itself; the reply is
+     * {@link AdmissionReply}.
+     *
+     * @param account name of the account
+     */
+    record AdmissionRequest(String account) implements CoordinationMessage {}
+
+    /**
+     * Returns whether a request may run.
+     *
+     * @param admission the answer
+     */
+    record AdmissionReply(Admission admission) implements CoordinationMessage {}
+
+    /**
+     * Tells the coordinator that admitted a request that it did not run.
+     *
+     * @param account name of the account
+     */
+    record AdmissionReturned(String account) implements CoordinationMessage {}
+
     /**
      * Tells that the sender has started an item.
      *
@@ -100,9 +124,11 @@
     record ItemsYield(List<Long> runs) implements CoordinationMessage {}
 
     /**
-     * Tells the coordinators of other groups how loaded the sender's groups are.
+     * Tells the coordinators of other groups how loaded the sender's groups are, and which requests of client accounts the sender
+     * was asked to admit.
      *
      * @param loads the loads
+     * @param quotaReport the requests since the last message
      */
-    record GroupLoads(List<GroupLoad> loads) implements CoordinationMessage {}
+    record GroupLoads(List<GroupLoad> loads, QuotaReport quotaReport) implements CoordinationMessage {}
 }
--- a/src/main/java/org/gooseberryhill/peer/PlacementAnswerCodec.java
+++ b/src/main/java/org/gooseberryhill/peer/PlacementAnswerCodec.java
@@ -14,6 +14,7 @@
     private static final int ELSEWHERE = 1;
     private static final int OVERLOADED = 2;
     private static final int NO_ENDPOINT = 3;
+    private static final int OVER_QUOTA = 4;
 
     private PlacementAnswerCodec() {}
 
@@ -36,6 +37,8 @@
                     .packLong(facts.waitMillis())
                     .packLong(facts.longestWaitMillis())
                     .packLong(facts.meanRunMillis());
+        } else if (reply.answer() instanceof PlacementAnswer.OverQuota overQuota) {
+            packer.packInt(OVER_QUOTA).packLong(overQuota.retryAfterMillis());
         } else {
             packer.packInt(NO_ENDPOINT);
         }
@@ -62,6 +65,7 @@
                 new PlacementAnswer.Overloaded(
                         unpacker.unpackLong(),
                         new OverloadFacts(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong()));
+            case OVER_QUOTA -> new PlacementAnswer.OverQuota(unpacker.unpackLong());
             case NO_ENDPOINT -> new PlacementAnswer.NoEndpoint();
             default -> throw new IOException("unknown kind of placement: " + kind);
         };
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -51,6 +51,8 @@
     MEMBERSHIP_CHANGED("membership.changed", Importance.STATE),
     /** No message was received from a host for too long. */
     PEER_SILENT("peer.silent", Importance.STATE),
+    /** No coordinator told in time whether a client account's quota allows a request. */
+    ADMISSION_UNANSWERED("admission.unanswered", Importance.STATE),
     /** The coordinator of a group of endpoints did not answer in time. */
     COORDINATOR_UNANSWERED("coordinator.unanswered", Importance.STATE),
     /** A message was received from a host for the first time, or again after a silence. */
--- a/src/test/java/org/gooseberryhill/decision/coordination/CoordinationFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/CoordinationFixture.java
@@ -11,6 +11,7 @@
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
+import org.gooseberryhill.decision.quota.EqualSharesQuota;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointGroups;
@@ -37,6 +38,7 @@
         coordinator = new SlotCoordinator(
                 new RequestPlacer(DispatchPolicies.defaults(new Random(1))),
                 new FluctuationReserve(),
+                new EqualSharesQuota(),
                 new FeasibleFirstOrder(),
                 0);
         List<EndpointEntry> entries = new ArrayList<>();
@@ -58,7 +60,16 @@
 
     PlacementReply place(HostId host, boolean refusable) {
         PlacementQuery query = new PlacementQuery(
-                SERVICE, ZONE, Optional.empty(), Set.of(), Set.of(), TARGET_MILLIS, 5000, refusable, true);
+                SERVICE,
+                ZONE,
+                Optional.empty(),
+                Set.of(),
+                Set.of(),
+                TARGET_MILLIS,
+                5000,
+                refusable,
+                true,
+                Optional.empty());
         return coordinator.place(host, GROUP, query, nowNanos);
     }
 
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
@@ -89,12 +89,16 @@
     }
 
     RoutedRequest arrive(Route route, Optional<Prompt> prompt) {
+        return arrive(route, prompt, Caller.UNATTRIBUTED);
+    }
+
+    RoutedRequest arrive(Route route, Optional<Prompt> prompt, Caller caller) {
         String id = "q" + requests++;
         return core.newRequest(new RoutedRequestInfo(
                 id,
                 route,
                 SERVICE,
-                Caller.UNATTRIBUTED,
+                caller,
                 prompt,
                 Lazy.of(() -> Fingerprint.of("s", id.getBytes(StandardCharsets.UTF_8))),
                 nowNanos,
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -28,6 +28,7 @@
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
+import org.gooseberryhill.decision.quota.EqualSharesQuota;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
@@ -96,7 +97,11 @@
         routing.updateEndpoints(entries);
         reports = new WorkReports(routing);
         coordinator = new SlotCoordinator(
-                new RequestPlacer(policies.requests(random)), policies.reserve(), policies.order(), 0);
+                new RequestPlacer(policies.requests(random)),
+                policies.reserve(),
+                new EqualSharesQuota(),
+                policies.order(),
+                0);
         coordinator.updateDirectory(routing.groups(), entries);
         core = new DispatchCore(
                 self.zone(),
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -19,6 +19,7 @@
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
+import org.gooseberryhill.decision.quota.EqualSharesQuota;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroups;
 import org.gooseberryhill.directory.EndpointKey;
@@ -83,7 +84,11 @@
         routes.configure(new RouteTable(new RouteConfiguration(1, List.of(route()), Map.of(), ClientLimits.DEFAULT)));
         dispatch = new ItemDispatch(fleet, routes, order);
         coordinator = new SlotCoordinator(
-                new RequestPlacer(DispatchPolicies.defaults(new Random(seed + 1))), new FluctuationReserve(), order, 0);
+                new RequestPlacer(DispatchPolicies.defaults(new Random(seed + 1))),
+                new FluctuationReserve(),
+                new EqualSharesQuota(),
+                order,
+                0);
         coordinator.updateDirectory(EndpointGroups.of(entries), entries);
     }
 
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -19,6 +19,7 @@
 import org.gooseberryhill.decision.coordination.ItemTiming;
 import org.gooseberryhill.decision.coordination.PlacementReply;
 import org.gooseberryhill.decision.coordination.WaitingItems;
+import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.OverloadFacts;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
@@ -28,6 +29,8 @@
 import org.gooseberryhill.decision.job.WorkItem;
 import org.gooseberryhill.decision.membership.HostState;
 import org.gooseberryhill.decision.membership.Rumor;
+import org.gooseberryhill.decision.quota.AccountActivity;
+import org.gooseberryhill.decision.quota.QuotaReport;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
@@ -142,7 +145,8 @@
                                 300,
                                 5000,
                                 true,
-                                false)),
+                                false,
+                                Optional.of("studio"))),
                 new CoordinationMessage.PlacementRequest(
                         group,
                         new PlacementQuery(
@@ -154,7 +158,8 @@
                                 300,
                                 5000,
                                 false,
-                                true)),
+                                true,
+                                Optional.empty())),
                 new CoordinationMessage.Placement(new PlacementReply(5, new PlacementAnswer.Placed(key, facts))),
                 new CoordinationMessage.Placement(new PlacementReply(0, new PlacementAnswer.Elsewhere(group))),
                 new CoordinationMessage.Placement(
@@ -169,7 +174,12 @@
                 new CoordinationMessage.ItemsWaiting(new WaitingItems("s", 8, List.of(timing))),
                 new CoordinationMessage.SlotGrant(8, key, 1.25),
                 new CoordinationMessage.ItemsYield(List.of(9L, 10L)),
-                new CoordinationMessage.GroupLoads(List.of(new GroupLoad(group, 49, 12))));
+                new CoordinationMessage.GroupLoads(
+                        List.of(new GroupLoad(group, 49, 12)),
+                        new QuotaReport(true, Map.of("studio", new AccountActivity(4, 3, -1.5)))),
+                new CoordinationMessage.AdmissionRequest("studio"),
+                new CoordinationMessage.AdmissionReply(new Admission(Optional.of(12L))),
+                new CoordinationMessage.AdmissionReturned("studio"));
     }
 
     @ParameterizedTest
