Let a host admit what is usual while coordinators answer late

Change: what is usual of an account at this host, as coordinators admitted it before, is admitted at once when no coordinator placed the request; only more is asked for.

--- a/src/main/java/org/gooseberryhill/decision/quota/DecayingCount.java
+++ b/src/main/java/org/gooseberryhill/decision/quota/DecayingCount.java
@@ -9,11 +9,16 @@
     private double value;
     private long updatedNanos;
 
-    void add(int count, long nowNanos) {
+    void add(double count, long nowNanos) {
         value = at(nowNanos) + count;
         updatedNanos = nowNanos;
     }
 
+    /** Returns how many events a second there were of late. */
+    double perSecond(long nowNanos) {
+        return at(nowNanos) * Math.log(2) * TimeUnit.SECONDS.toNanos(1) / HALF_LIFE_NANOS;
+    }
+
     double at(long nowNanos) {
         return value * Math.pow(0.5, Math.max(0, nowNanos - updatedNanos) / HALF_LIFE_NANOS);
     }
--- a/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
+++ b/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
@@ -20,7 +20,7 @@
 /**
  * Asks whether the quotas of client accounts allow requests that no coordinator has placed. Confined to the control thread.
  *
- * <p>Invariant: a host that no coordinator answers admits what {@link LocalAllowance} allows, and no more.
+ * <p>Invariant: what {@link LocalAllowance} allows is admitted at once, the rest only if a coordinator says so.
  */
 final class AdmissionClient {
     /** Several round trips between availability zones. */
@@ -30,13 +30,14 @@
     private final PeerLinks links;
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
-    private final LocalAllowance localAllowance = new LocalAllowance();
+    private final LocalAllowance localAllowance;
 
     AdmissionClient(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
         this.context = context;
         this.links = links;
         this.routing = routing;
         this.coordinator = coordinator;
+        this.localAllowance = new LocalAllowance(context.nowNanos());
     }
 
     /** Puts the quotas of a configuration into force. */
@@ -55,19 +56,27 @@
             receiver.accept(Optional.of(coordinator.admit(account, context.nowNanos())));
             return;
         }
+        int hosts = links.gateways().size() + 1;
+        if (localAllowance.admit(account, hosts, context.nowNanos())) {
+            receiver.accept(Optional.of(new Admission(Optional.empty())));
+            return;
+        }
         Optional<Host> host = routing.responsiveCoordinator(context.nowNanos());
         if (host.isEmpty()) {
-            receiver.accept(admitLocally(account, "no coordinator answers"));
+            logUnanswered(account, "no coordinator answers");
+            receiver.accept(Optional.empty());
             return;
         }
         PeerMessage request = new CoordinationMessage.AdmissionRequest(account);
         context.onLoop(links.ask(host.get(), request, TIMEOUT_MILLIS), (reply, failure) -> {
             if (reply instanceof CoordinationMessage.AdmissionReply answer) {
+                recordAnswer(account, answer.admission());
                 receiver.accept(Optional.of(answer.admission()));
                 return;
             }
             routing.markUnresponsive(host.get().id(), context.nowNanos());
-            receiver.accept(admitLocally(account, "no answer of " + host.get().id()));
+            logUnanswered(account, "no answer of " + host.get().id());
+            receiver.accept(Optional.empty());
         });
     }
 
@@ -82,15 +91,25 @@
         return routing.coordinators().stream().anyMatch(host -> host.id().equals(self));
     }
 
-    private Optional<Admission> admitLocally(String account, String reason) {
-        int hosts = links.gateways().size() + 1;
-        boolean admitted = localAllowance.admit(account, hosts, context.nowNanos());
+    /** Records what a coordinator decided on a request of an account, from which follows what this host may admit itself. */
+    void recordAnswer(String account, Admission admission) {
+        if (admission.retryAfterMillis().isPresent()) {
+            localAllowance.recordRejected(account, context.nowNanos());
+        } else {
+            localAllowance.recordAdmitted(account, context.nowNanos());
+        }
+    }
+
+    /** Records that an answer of a coordinator came too late to be used. */
+    void recordLateAnswer() {
+        localAllowance.recordAnswer(context.nowNanos());
+    }
+
+    private void logUnanswered(String account, String reason) {
         context.timeline()
                 .event(EventKind.ADMISSION_UNANSWERED)
                 .with("account", account)
                 .with("reason", reason)
-                .with("admitted", admitted)
                 .write();
-        return admitted ? Optional.of(new Admission(Optional.empty())) : Optional.empty();
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -6,7 +6,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.ErrorCode;
-import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
@@ -20,13 +19,11 @@
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
-import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.http.Exchange;
 import org.gooseberryhill.http.ExchangeOptions;
 import org.gooseberryhill.http.ExchangeRequest;
 import org.gooseberryhill.http.ForwardedHeaders;
 import org.gooseberryhill.http.HttpCall;
-import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.route.RouteKind;
 import org.gooseberryhill.timeline.EventBuilder;
 import org.gooseberryhill.timeline.EventKind;
@@ -60,13 +57,11 @@
     private final byte[] body;
     private final RoutedRequest request;
     private final AnswerRelay relay;
+    private final RequestAdmission admission;
     private final RoutedCallLog log;
     /** Present while an attempt is in progress. */
     private Optional<Exchange> exchange = Optional.empty();
 
-    /** The coordinator that was asked last for an endpoint. */
-    private Optional<HostId> askedHost = Optional.empty();
-
     private boolean finished;
     private long attemptNumber;
 
@@ -84,6 +79,7 @@
         this.body = body;
         this.request = context.core().newRequest(requestInfo);
         this.relay = new AnswerRelay(call, requestInfo.route(), metadata.lastEventId());
+        this.admission = new RequestAdmission(traffic.slots(), request);
         this.log = new RoutedCallLog(context, traffic, request);
     }
 
@@ -122,7 +118,8 @@
             }
             send(send.endpoint(), send.facts(), send.assigned());
         } else if (decision instanceof DispatchDecision.AskGroup ask) {
-            askedHost = Optional.of(traffic.slots().place(ask.group(), ask.query(), this::placementAnswered));
+            admission.asked(traffic.slots().coordinator(ask.group()));
+            traffic.slots().place(ask.group(), ask.query(), this::placementAnswered);
         } else if (decision instanceof DispatchDecision.AskAdmission ask) {
             traffic.slots().admissions().ask(ask.account(), this::admissionAnswered);
         } else if (decision instanceof DispatchDecision.Wait wait) {
@@ -133,6 +130,7 @@
     }
 
     private void placementAnswered(Optional<PlacementAnswer> answer) {
+        answer.ifPresent(admission::answered);
         Optional<EndpointKey> assigned = answer.filter(PlacementAnswer.Placed.class::isInstance)
                 .map(placed -> ((PlacementAnswer.Placed) placed).endpoint());
         if (finished) {
@@ -326,19 +324,10 @@
         overload.ifPresent(facts -> event.with("waitMillis", facts.waitMillis())
                 .with("longestWaitMillis", facts.longestWaitMillis())
                 .with("meanRunMillis", facts.meanRunMillis()));
-        if (refusal.outcome() == Outcome.NOT_RUN && request.isCountedAgainstQuota()) {
-            returnAdmission();
-        }
+        admission.refused(refusal);
         finish(refusal.code().wireName(), event);
     }
 
-    /** Tells a coordinator that the request did not run, so that it does not count against its account's quota. */
-    private void returnAdmission() {
-        Optional<String> account = request.info().caller().accountName();
-        askedHost.ifPresent(
-                host -> traffic.slots().send(host, new CoordinationMessage.AdmissionReturned(account.orElseThrow())));
-    }
-
     private void callerDisconnected() {
         if (!finished) {
             abandonAttempt();
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -63,19 +63,20 @@
         grantReceiver = receiver;
     }
 
-    /**
-     * Asks the coordinator of a group for an endpoint; the receiver gets nothing if there is no answer in time.
-     *
-     * @return the coordinator
-     */
-    HostId place(EndpointGroup group, PlacementQuery query, Consumer<Optional<PlacementAnswer>> receiver) {
+    /** Returns the host that is asked for endpoints of a group. */
+    HostId coordinator(EndpointGroup group) {
+        return routing.coordinator(group).id();
+    }
+
+    /** Asks the coordinator of a group for an endpoint; the receiver gets nothing if there is no answer in time. */
+    void place(EndpointGroup group, PlacementQuery query, Consumer<Optional<PlacementAnswer>> receiver) {
         Host host = routing.coordinator(group);
         if (isSelf(host.id())) {
             PlacementReply reply = coordinator.place(host.id(), group, query, context.nowNanos());
             reports.reservationReceived(host.id(), reply.reservation());
             assignSlots();
             receiver.accept(Optional.of(reply.answer()));
-            return host.id();
+            return;
         }
         PendingPlacement pending = new PendingPlacement(host, receiver);
         context.onLoop(
@@ -87,7 +88,6 @@
                                 ANSWER_TIMEOUT_MILLIS),
                 pending::onReply);
         context.loop().after(placementTimeoutMillis(query), pending::onTimeout);
-        return host.id();
     }
 
     /** Tells the coordinator of an endpoint of a request that was sent there without its knowledge. */
@@ -266,7 +266,10 @@
             if (!answered) {
                 answered = true;
                 receiver.accept(Optional.of(placement.reply().answer()));
-            } else if (placement.reply().answer() instanceof PlacementAnswer.Placed placed) {
+                return;
+            }
+            admissions.recordLateAnswer();
+            if (placement.reply().answer() instanceof PlacementAnswer.Placed placed) {
                 send(host, new CoordinationMessage.OnlineEnded(placed.endpoint(), AttemptEnd.DROPPED, 0));
             }
         }
