Forget that a host was leaving once its next process is listed

Cause: a host that stops tells all others that it is leaving; after its restart it reports to its eight watchers only. All others kept its last words and left it out of the coordinators, while its watchers and itself counted it in: hosts named different coordinators for the same endpoints, and what was announced to one that did not take itself for the coordinator was never granted. Ruled out from the logs: ejected endpoints (no change of health), delayed items (their last runs yielded), lost grants (they expire after 0.5 s).

Change: a leaving report of an earlier process is dropped when the list shows the next one. LargeFleetRosterTest #aHostThatRestartsAfterAPlannedStopIsActiveForAllOthers failed before (38 of 39 hosts active).

--- a/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
@@ -82,7 +82,7 @@
                 .toList();
         knownHosts(nowNanos).forEach((id, entry) -> lapsedHosts.putIfAbsent(id, new LapsedHost(entry, nowNanos)));
         lapsedHosts.keySet().removeAll(others.keySet());
-        others.forEach((id, entry) -> clearNoticesOfEarlierProcess(entry));
+        others.forEach((id, entry) -> forgetEarlierProcess(entry));
         listedHosts = others;
         updateRing(nowNanos);
     }
@@ -270,7 +270,12 @@
         return last != null && last.isFresh(nowNanos);
     }
 
-    private void clearNoticesOfEarlierProcess(ListedHost entry) {
+    /** A restarted host reports to its watchers only, so that the others have to forget here that it was leaving. */
+    private void forgetEarlierProcess(ListedHost entry) {
+        lastReports.computeIfPresent(entry.host().id(), (id, last) -> {
+            boolean sameProcess = last.report.processStart().equals(entry.processStart());
+            return last.report.leaving() && !sameProcess ? null : last;
+        });
         ListedHost earlier = listedHosts.get(entry.host().id());
         if (earlier == null || !earlier.processStart().equals(entry.processStart())) {
             notices.clear(entry.host().id());
--- a/src/test/java/org/gooseberryhill/decision/membership/LargeFleetRosterTest.java
+++ b/src/test/java/org/gooseberryhill/decision/membership/LargeFleetRosterTest.java
@@ -118,6 +118,25 @@
         living().forEach(roster -> assertThat(roster.activeGateways(nowNanos())).hasSize(HOSTS - 1));
     }
 
+    /**
+     * Guards against a restarted host that only its watchers take for active: hosts with different views name different
+     * coordinators, and items that were announced to the wrong one were never started.
+     */
+    @Test
+    void aHostThatRestartsAfterAPlannedStopIsActiveForAllOthers() {
+        HostId stopped = new HostId("host-7");
+        HostReport leaving = new HostReport(stopped.value() + "-start", true, true);
+        rosters.values().forEach(roster -> roster.recordReport(stopped, leaving, nowNanos()));
+        lost.add(stopped);
+        run(2000);
+        rosters.put(stopped, new HostRoster(stopped, stopped.value() + "-start-2"));
+        lost.remove(stopped);
+        list(rosters.keySet(), Map.of(stopped, stopped.value() + "-start-2"));
+        run(5000);
+
+        living().forEach(roster -> assertThat(roster.activeGateways(nowNanos())).hasSize(HOSTS - 1));
+    }
+
     private List<HostRoster> living() {
         List<HostRoster> living = new ArrayList<>();
         rosters.forEach((id, roster) -> {
@@ -129,8 +148,12 @@
     }
 
     private void list(Iterable<HostId> ids) {
+        list(ids, Map.of());
+    }
+
+    private void list(Iterable<HostId> ids, Map<HostId, String> laterStarts) {
         List<ListedHost> entries = new ArrayList<>();
-        ids.forEach(id -> entries.add(new ListedHost(host(id), id.value() + "-start")));
+        ids.forEach(id -> entries.add(new ListedHost(host(id), laterStarts.getOrDefault(id, id.value() + "-start"))));
         rosters.values().forEach(roster -> roster.updateListedHosts(entries, nowNanos()));
     }
 
