--- a/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
@@ -91,11 +91,12 @@
         return all;
     }
 
-    /** Returns a coordinator that is likely to answer, other than this host; empty if there is none. */
-    public Optional<Host> responsiveCoordinator(long nowNanos) {
+    /** Returns a coordinator other than this host, one that is likely to answer first; empty if there is none. */
+    public Optional<Host> otherCoordinator(long nowNanos) {
         return coordinators().stream()
-                .filter(host -> !host.id().equals(self.id()) && isResponsive(host.id(), nowNanos))
-                .max(Comparator.comparingDouble(host -> Ownership.uniform("count/" + host.id(), self)));
+                .filter(host -> !host.id().equals(self.id()))
+                .max(Comparator.comparing((Host host) -> isResponsive(host.id(), nowNanos))
+                        .thenComparing(host -> Ownership.uniform("count/" + host.id(), self)));
     }
 
     /** Returns whether this host coordinates a group. */
--- a/src/main/java/org/gooseberryhill/decision/quota/LocalAllowance.java
+++ b/src/main/java/org/gooseberryhill/decision/quota/LocalAllowance.java
@@ -78,7 +78,7 @@
         if (nowNanos - state.exhaustedUntilNanos < 0) {
             return false;
         }
-        boolean isolated = nowNanos - answeredNanos >= ISOLATED_AFTER_NANOS;
+        boolean isolated = isIsolated(nowNanos);
         double usualPerSecond = state.usual.perSecond(nowNanos);
         double ratePerSecond = (isolated ? ISOLATED_PART_OF_USUAL : PART_OF_USUAL) * usualPerSecond
                 + PART_OF_EQUAL_SHARE * quota.ratePerSecond() / hosts;
@@ -90,6 +90,11 @@
         return true;
     }
 
+    /** Returns whether no host that counts requests has answered this one for long. */
+    public boolean isIsolated(long nowNanos) {
+        return nowNanos - answeredNanos >= ISOLATED_AFTER_NANOS;
+    }
+
     private AccountState state(String account, long nowNanos) {
         return states.computeIfAbsent(account, name -> new AccountState(nowNanos));
     }
--- a/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
+++ b/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
@@ -23,8 +23,8 @@
  * <p>Invariant: what {@link LocalAllowance} allows is admitted at once, the rest only if a coordinator says so.
  */
 final class AdmissionClient {
-    /** Several round trips between availability zones. */
-    private static final long TIMEOUT_MILLIS = 40;
+    /** A request that starts this late is worth more than one that is rejected, and coordinators are late in turn. */
+    private static final long TIMEOUT_MILLIS = 150;
 
     private final GatewayContext context;
     private final PeerLinks links;
@@ -61,9 +61,11 @@
             receiver.accept(Optional.of(new Admission(Optional.empty())));
             return;
         }
-        Optional<Host> host = routing.responsiveCoordinator(context.nowNanos());
+        Optional<Host> host = localAllowance.isIsolated(context.nowNanos())
+                ? Optional.empty()
+                : routing.otherCoordinator(context.nowNanos());
         if (host.isEmpty()) {
-            logUnanswered(account, "no coordinator answers");
+            logUnanswered(account, "no coordinator has answered for a while");
             receiver.accept(Optional.empty());
             return;
         }
