--- a/src/main/java/org/gooseberryhill/account/Caller.java
+++ b/src/main/java/org/gooseberryhill/account/Caller.java
@@ -29,9 +29,4 @@
     public Attribution attribution() {
         return new Attribution(attributed, accountName());
     }
-
-    /** Returns the priority of a request, given that of its route. */
-    public int priorityOr(int routePriority) {
-        return account.flatMap(ClientAccount::priority).orElse(routePriority);
-    }
 }
--- a/src/main/java/org/gooseberryhill/account/ClientAccount.java
+++ b/src/main/java/org/gooseberryhill/account/ClientAccount.java
@@ -8,8 +8,6 @@
  *
  * @param name its name, unique in a configuration; endpoints and logs get it in place of a key
  * @param keys digests of the keys that its clients may use; without any, none of its requests is accepted
- * @param priority priority of its requests, which goes before that of their routes; 0 is the most urgent
  * @param quota how much it may ask for; empty if that is not limited
  */
-public record ClientAccount(
-        String name, Set<KeyDigest> keys, Optional<Integer> priority, Optional<AccountQuota> quota) {}
+public record ClientAccount(String name, Set<KeyDigest> keys, Optional<AccountQuota> quota) {}
--- a/src/main/java/org/gooseberryhill/configuration/ConfigurationReader.java
+++ b/src/main/java/org/gooseberryhill/configuration/ConfigurationReader.java
@@ -22,6 +22,16 @@
 
     private ConfigurationReader() {}
 
+    /** Returns the finding that a configuration defines no service, as that of an empty file; empty if it defines one. */
+    public static Optional<Finding> findEmpty(String file, Configuration configuration) {
+        if (!configuration.services().isEmpty()) {
+            return Optional.empty();
+        }
+        Findings findings = new Findings(file);
+        findings.add(START, ServicesSection.KEY, "services.none");
+        return findings.sorted().stream().findFirst();
+    }
+
     /** Returns the configuration, or all findings in the order of the text. */
     public static Either<List<Finding>, Configuration> read(String file, String text) {
         Findings findings = new Findings(file);
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -57,6 +57,9 @@
     /** Period of work whose time limits are a second or longer, and whose cost grows with the numbers of hosts and endpoints. */
     private static final long SLOW_TICK_PERIOD_MILLIS = 250;
 
+    /** Period of the search for owners of batches that are lost, which count as lost after more than a second. */
+    private static final long TAKEOVER_PERIOD_MILLIS = 500;
+
     private static final long HEARTBEAT_PERIOD_MILLIS = 1000;
 
     /**
@@ -295,6 +298,7 @@
         views.start();
         context.loop().every(TICK_PERIOD_MILLIS, this::tick);
         context.loop().every(SLOW_TICK_PERIOD_MILLIS, this::slowTick);
+        context.loop().every(TAKEOVER_PERIOD_MILLIS, takeover::tick);
         context.loop().every(HEARTBEAT_PERIOD_MILLIS, heartbeats::send);
         context.loop().every(HEARTBEAT_PERIOD_MILLIS, assignment::reportAll);
         context.loop().every(HEARTBEAT_PERIOD_MILLIS, delayLog::measureTraffic);
@@ -315,7 +319,6 @@
     }
 
     private void slowTick() {
-        takeover.tick();
         probes.tick();
         assignment.slowTick();
     }
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -39,7 +39,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     /** Nobody waits for a single event of an item; its end is noticed half of this later on average. */
-    private static final int READ_PERIOD_MILLIS = 150;
+    private static final int READ_PERIOD_MILLIS = 200;
 
     private final GatewayContext context;
     private final BatchRunner runner;
--- a/src/main/java/org/gooseberryhill/program/ConfigCommand.java
+++ b/src/main/java/org/gooseberryhill/program/ConfigCommand.java
@@ -42,6 +42,11 @@
             return Commands.FAILED;
         }
         Configuration configuration = parsed.get();
+        Optional<Finding> empty = ConfigurationReader.findEmpty(file.toString(), configuration);
+        if (empty.isPresent()) {
+            printFindings(List.of(empty.get()), json);
+            return Commands.FAILED;
+        }
         out().printf(
                         "ok: %d services, %d endpoints, %d callers%n",
                         configuration.services().size(),
@@ -60,7 +65,9 @@
             @Parameters(paramLabel = "FILE", description = "The configuration") Path file,
             @Option(names = "--base", description = "Revision that the configuration replaces") Long base,
             @Option(names = "--author", defaultValue = "${env:USER:-operator}", description = "Who applies it")
-                    String author)
+                    String author,
+            @Option(names = "--allow-empty", description = "Applies a configuration without any service too")
+                    boolean allowEmpty)
             throws IOException {
         String text = Files.readString(file);
         Either<List<Finding>, Configuration> parsed = ConfigurationReader.read(file.toString(), text);
@@ -68,6 +75,11 @@
             printFindings(parsed.getLeft(), false);
             return Commands.FAILED;
         }
+        Optional<Finding> empty = ConfigurationReader.findEmpty(file.toString(), parsed.get());
+        if (empty.isPresent() && !allowEmpty) {
+            printFindings(List.of(empty.get()), false);
+            return Commands.FAILED;
+        }
         try (PlatformOptions.Connection connection = platform.connect()) {
             ConfigurationEditor editor = new ConfigurationEditor(connection.keyValue());
             Optional<StoredRecord> current = editor.read();
