Log how an endpoint framed its answer, and what follows the last complete event

Change: request.ended and attempt.failed bear framing, lastEvent and unfinishedBytes. The framing is worked out in one place, BodyFraming, which the client's own check uses too. No decision changes.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.EventSplitter;
 import org.gooseberryhill.http.ExchangeFailure;
 import org.gooseberryhill.http.ExchangeListener;
@@ -106,7 +107,7 @@
                 endStream();
             } else if (passedThrough) {
                 call.endStream();
-                routedCall.attemptSucceeded(attemptNumber, status);
+                attemptSucceeded();
             } else {
                 endBuffered();
             }
@@ -114,7 +115,7 @@
 
         @Override
         public void onFailure(ExchangeFailure failure) {
-            routedCall.attemptFailed(attemptNumber, attemptEnd(failure), failure.detail(), Optional.empty());
+            attemptFailed(attemptEnd(failure), failure.detail(), Optional.empty());
         }
 
         private void endStream() {
@@ -124,7 +125,7 @@
                 call.write(rest);
             }
             call.endStream();
-            routedCall.attemptSucceeded(attemptNumber, status);
+            attemptSucceeded();
         }
 
         private void endBuffered() {
@@ -132,22 +133,35 @@
                     new RoutedCall.CompleteAnswer(status, ForwardedHeaders.ofAnswer(headers), buffer.toByteArray());
             if (routedCall.isNotRun(status, headers)) {
                 AttemptEnd end = status == MISDIRECTED ? AttemptEnd.OTHER_ENDPOINT : AttemptEnd.BUSY;
-                routedCall.attemptFailed(attemptNumber, end, "status " + status, Optional.empty());
+                attemptFailed(end, "status " + status, Optional.empty());
             } else if (!fromEndpoint) {
-                routedCall.attemptFailed(
-                        attemptNumber, AttemptEnd.MALFORMED, "not signed, status " + status, Optional.empty());
+                attemptFailed(AttemptEnd.MALFORMED, "not signed, status " + status, Optional.empty());
             } else if (started) {
                 // The caller has received a part of a stream that this endpoint did not continue.
-                routedCall.attemptFailed(attemptNumber, AttemptEnd.MALFORMED, "status " + status, Optional.empty());
+                attemptFailed(AttemptEnd.MALFORMED, "status " + status, Optional.empty());
             } else if (status >= FIRST_SERVER_ERROR) {
-                routedCall.attemptFailed(
-                        attemptNumber, AttemptEnd.ERROR_ANSWER, "status " + status, Optional.of(answer));
+                attemptFailed(AttemptEnd.ERROR_ANSWER, "status " + status, Optional.of(answer));
             } else {
                 call.reply(answer.status(), answer.headers(), answer.body());
-                routedCall.attemptSucceeded(attemptNumber, status);
+                attemptSucceeded();
             }
         }
 
+        private void attemptSucceeded() {
+            routedCall.attemptSucceeded(attemptNumber, status, progress());
+        }
+
+        private void attemptFailed(AttemptEnd end, String detail, Optional<RoutedCall.CompleteAnswer> answer) {
+            routedCall.attemptFailed(attemptNumber, end, detail, progress(), answer);
+        }
+
+        private AnswerProgress progress() {
+            return new AnswerProgress(
+                    Optional.ofNullable(headers).map(given -> BodyFraming.of(status, given)),
+                    lastEventId,
+                    eventSplitter.remainder().length);
+        }
+
         /** Writes events that arrived together in one call, since each write costs a system call. */
         private void relayEvents(List<StreamEvent> arrived) {
             List<StreamEvent> unseen =
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -237,7 +237,7 @@
     }
 
     /** Handles an attempt whose complete answer was sent to the caller. May be called from any thread. */
-    void attemptSucceeded(long attempt, int status) {
+    void attemptSucceeded(long attempt, int status, AnswerProgress progress) {
         context.loop().execute(() -> {
             if (finished || attempt != attemptNumber) {
                 return;
@@ -246,12 +246,12 @@
             recordAttemptEnd(AttemptEnd.ANSWERED);
             traffic.crashTracking().requestCompleted(request.info());
             context.core().attemptSucceeded(request, context.nowNanos());
-            finish(
-                    ANSWERED,
-                    context.timeline()
-                            .event(EventKind.REQUEST_ENDED)
-                            .with("end", ANSWERED)
-                            .with("status", status));
+            EventBuilder event = context.timeline()
+                    .event(EventKind.REQUEST_ENDED)
+                    .with("end", ANSWERED)
+                    .with("status", status);
+            progress.addTo(event);
+            finish(ANSWERED, event);
         });
     }
 
@@ -267,14 +267,15 @@
      * Handles an attempt that ended without a final answer; if no other attempt follows, the caller gets the endpoint's
      * error answer if there is one. May be called from any thread.
      */
-    void attemptFailed(long attempt, AttemptEnd end, String detail, Optional<CompleteAnswer> answer) {
+    void attemptFailed(
+            long attempt, AttemptEnd end, String detail, AnswerProgress progress, Optional<CompleteAnswer> answer) {
         context.loop().execute(() -> {
             if (finished || attempt != attemptNumber) {
                 return;
             }
             exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
-            log.attemptFailed(endpoint, attempt, end, detail);
+            log.attemptFailed(endpoint, attempt, end, detail, progress);
             recordAttemptEnd(end);
             recordAnswerStart();
             if (!relay.isStarted()) {
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
@@ -44,15 +44,16 @@
                 .write();
     }
 
-    void attemptFailed(String endpoint, long attempt, AttemptEnd end, String detail) {
-        context.timeline()
+    void attemptFailed(String endpoint, long attempt, AttemptEnd end, String detail, AnswerProgress progress) {
+        EventBuilder event = context.timeline()
                 .event(EventKind.ATTEMPT_FAILED)
                 .request(request.info().id())
                 .endpoint(endpoint)
                 .with("attempt", attempt)
                 .with("end", end)
-                .with("detail", detail)
-                .write();
+                .with("detail", detail);
+        progress.addTo(event);
+        event.write();
     }
 
     /**
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -110,9 +109,7 @@
             skippingResponse = true;
             return true;
         }
-        boolean framed = HttpUtil.isTransferEncodingChunked(response)
-                || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                || isBodyless(response);
+        boolean framed = BodyFraming.of(response.status().code(), response.headers()) != BodyFraming.CONNECTION_CLOSE;
         if (!framed && !exchange.acceptsUnframed()) {
             // A response that ends with its connection can't be distinguished from a truncated one,
             // unless the connection is reset.
@@ -124,11 +121,6 @@
         return true;
     }
 
-    private static boolean isBodyless(HttpResponse response) {
-        int code = response.status().code();
-        return code == 204 || code == 304;
-    }
-
     private void failExchange(String detail) {
         ClientExchange current = exchange;
         exchange = null;
