--- a/src/main/java/org/gooseberryhill/http/HttpCall.java
+++ b/src/main/java/org/gooseberryhill/http/HttpCall.java
@@ -25,8 +25,16 @@
     /** Sends a complete response; if a streamed response has already begun, aborts that instead. */
     void reply(int status, Iterable<Map.Entry<String, String>> headers, byte[] body);
 
-    /** Begins a streamed response. */
-    void beginStream(int status, Iterable<Map.Entry<String, String>> headers);
+    /**
+     * Begins a streamed response whose end is marked by the framing. {@link BodyFraming#CONNECTION_CLOSE} closes the
+     * connection after the response.
+     */
+    void beginStream(int status, Iterable<Map.Entry<String, String>> headers, BodyFraming framing);
+
+    /** Begins a streamed response in chunks, or with the length that its headers announce. */
+    default void beginStream(int status, Iterable<Map.Entry<String, String>> headers) {
+        beginStream(status, headers, BodyFraming.CHUNKED);
+    }
 
     /** Sends a complete response with one value per header. */
     default void reply(int status, Map<String, String> headers, byte[] body) {
@@ -44,7 +52,10 @@
     /** Completes a streamed response. */
     void endStream();
 
-    /** Aborts a streamed response: closes the connection without the last chunk, so the caller detects the truncation. */
+    /**
+     * Aborts a streamed response so that the caller detects the truncation: closes the connection without the last chunk, or
+     * resets it if the end of the connection is the end of the response.
+     */
     void abortStream();
 
     /**
--- a/src/main/java/org/gooseberryhill/http/ServerCall.java
+++ b/src/main/java/org/gooseberryhill/http/ServerCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -38,6 +39,7 @@
     private Runnable disconnectCallback;
     private boolean disconnected;
     private boolean responseBegun;
+    private boolean endsWithConnection;
     private boolean ended;
 
     ServerCall(ChannelHandlerContext context, ServerConnectionHandler connection, HttpRequest request) {
@@ -101,7 +103,7 @@
     }
 
     @Override
-    public void beginStream(int status, Iterable<Map.Entry<String, String>> replyHeaders) {
+    public void beginStream(int status, Iterable<Map.Entry<String, String>> replyHeaders, BodyFraming framing) {
         runOnEventLoop(() -> {
             if (ended) {
                 return;
@@ -109,7 +111,8 @@
             responseBegun = true;
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
             MessageHeaders.addAll(response.headers(), replyHeaders);
-            if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            endsWithConnection = framing == BodyFraming.CONNECTION_CLOSE;
+            if (!endsWithConnection && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
                 response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
             setConnectionHeader(response);
@@ -189,6 +192,9 @@
 
     private void abort() {
         ended = true;
+        if (endsWithConnection) {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        }
         context.close();
     }
 
@@ -198,7 +204,7 @@
     }
 
     private void setConnectionHeader(HttpResponse response) {
-        keepAlive = keepAliveRequested && !connection.closesAfterResponse();
+        keepAlive = keepAliveRequested && !endsWithConnection && !connection.closesAfterResponse();
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/test/java/org/gooseberryhill/http/HttpServerTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpServerTest.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -8,7 +9,9 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
@@ -276,6 +279,22 @@
         assertThat(answer).contains("part").doesNotContain("\r\n0\r\n");
     }
 
+    @Test
+    void aStreamWithoutChunksEndsWithItsConnection() throws IOException {
+        String answer = send("GET /unframed HTTP/1.1\r\n\r\n");
+
+        assertThat(answer)
+                .contains("connection: close")
+                .doesNotContain("chunked")
+                .endsWith("\r\n\r\npart");
+    }
+
+    /** Guards against an aborted response that looks complete, since a close is the end of a response without chunks. */
+    @Test
+    void anAbortedStreamWithoutChunksResetsItsConnection() {
+        assertThatThrownBy(() -> send("GET /unframed-abort HTTP/1.1\r\n\r\n")).isInstanceOf(SocketException.class);
+    }
+
     private static HttpLimits limits(int idleMillis) {
         return new HttpLimits(512, 256, idleMillis, 16 * 1024 * 1024, 1000, ConnectionLimits.DEFAULT);
     }
@@ -301,6 +320,12 @@
         if (call.path().equals("/held")) {
             return new BodyCollector(100, body -> heldCalls.add(call), () -> {});
         }
+        if (call.path().startsWith("/unframed")) {
+            boolean aborted = call.path().endsWith("abort");
+            call.beginStream(200, List.of(), BodyFraming.CONNECTION_CLOSE);
+            call.write(RawEndpoint.ascii("part")).thenRun(aborted ? call::abortStream : call::endStream);
+            return new BodyCollector(100, body -> {}, () -> {});
+        }
         if (call.path().equals("/abort")) {
             call.beginStream(200, Map.of());
             call.write(RawEndpoint.ascii("part")).whenComplete((done, failure) -> call.abortStream());
