Treat a stream that ends inside an event as broken off

Callers saw streams with status 200 and a proper end that lacked their last events; by the users' record the endpoint had broken the answer off.

Cause: when an endpoint's answer ended without an error, the relay wrote what followed the last complete event and ended its own answer as complete. An answer with neither a length nor chunks ends with its connection, and the endpoint's loss closes that connection just as its end does. Class: the end of a connection taken for the end of a message.

Change: a stream that ends inside an event has failed, as if its connection had been lost: a stream that may be resumed continues at another endpoint after its last complete event, any other is aborted, so that its caller can tell. The same holds for an endpoint that frames such a stream as complete. A connection that closes before the first event is no end either: an endpoint that is lost then would look like an empty answer.

What it can't tell: a stream without a length whose connection closes just between two events.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -21,7 +21,8 @@
  * otherwise.
  *
  * <p>Invariants: an answer that is not streamed and fits the buffer is relayed only when all of it has arrived; of a
- * stream only complete events are relayed, each once; a stream ends normally only if its endpoint ended it normally.
+ * stream only complete events are relayed, each once; a stream ends normally only if its endpoint ended it normally,
+ * after a complete event.
  */
 final class AnswerRelay {
     private static final int OK = 200;
@@ -71,6 +72,7 @@
         private boolean streamed;
         private boolean passedThrough;
         private boolean fromEndpoint;
+        private boolean hasEvents;
 
         AttemptListener(RoutedCall routedCall, long attemptNumber) {
             this.routedCall = routedCall;
@@ -119,6 +121,16 @@
         }
 
         private void endStream() {
+            if (eventSplitter.isInsideEvent()) {
+                AttemptEnd end = framing() == BodyFraming.CONNECTION_CLOSE ? AttemptEnd.CUT : AttemptEnd.MALFORMED;
+                attemptFailed(end, "the stream ended inside an event", Optional.empty());
+                return;
+            }
+            // A connection that closes before any event proves nothing: the endpoint may have been lost.
+            if (!hasEvents && framing() == BodyFraming.CONNECTION_CLOSE) {
+                attemptFailed(AttemptEnd.CUT, "the connection closed before the first event", Optional.empty());
+                return;
+            }
             byte[] rest = eventSplitter.remainder();
             startAnswer();
             if (rest.length > 0) {
@@ -155,15 +167,20 @@
             routedCall.attemptFailed(attemptNumber, end, detail, progress(), answer);
         }
 
+        private BodyFraming framing() {
+            return BodyFraming.of(status, headers);
+        }
+
         private AnswerProgress progress() {
             return new AnswerProgress(
-                    Optional.ofNullable(headers).map(given -> BodyFraming.of(status, given)),
+                    headers == null ? Optional.empty() : Optional.of(framing()),
                     lastEventId,
                     eventSplitter.remainder().length);
         }
 
         /** Writes events that arrived together in one call, since each write costs a system call. */
         private void relayEvents(List<StreamEvent> arrived) {
+            hasEvents |= !arrived.isEmpty();
             List<StreamEvent> unseen =
                     arrived.stream().filter(this::recordIfNew).toList();
             if (unseen.isEmpty()) {
--- a/src/main/java/org/gooseberryhill/http/EventSplitter.java
+++ b/src/main/java/org/gooseberryhill/http/EventSplitter.java
@@ -40,6 +40,18 @@
         return events;
     }
 
+    /**
+     * Returns whether the stream has begun an event that is not complete. Line terminators between events do not begin one.
+     */
+    public boolean isInsideEvent() {
+        for (byte next : partial) {
+            if (next != '\n' && next != '\r') {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the bytes after the last complete event. */
     public byte[] remainder() {
         return partial.clone();
--- a/src/test/java/org/gooseberryhill/http/EventSplitterProperties.java
+++ b/src/test/java/org/gooseberryhill/http/EventSplitterProperties.java
@@ -15,6 +15,9 @@
 import net.jqwik.api.constraints.IntRange;
 
 class EventSplitterProperties {
+    private static final String EVENT = "id: 7\r\ndata: word\r\n\r\n";
+    private static final int EVENT_BYTES = 21;
+
     /** A stream may be received in pieces cut anywhere, even inside an event or its id; its events must not change. */
     @Property
     void eventsDoNotDependOnHowTheBytesAreSplit(
@@ -55,6 +58,33 @@
                 .allMatch(event -> event.endsWith("\n\n") || event.equals("\n"));
     }
 
+    /** A stream that ends after any of its events is not inside one, wherever line terminators follow. */
+    @Property
+    void aStreamOfCompleteEventsEndsOutsideAnEvent(
+            @ForAll @IntRange(max = 20) int events, @ForAll("lineTerminators") String trailing) {
+        EventSplitter splitter = new EventSplitter();
+
+        splitter.read((EVENT.repeat(events) + trailing).getBytes(StandardCharsets.UTF_8));
+
+        assertThat(splitter.isInsideEvent()).isFalse();
+    }
+
+    /** Guards against a truncated stream that counts as complete, whichever byte of an event it ends after. */
+    @Property
+    void aStreamThatEndsBeforeTheBlankLineOfAnEventEndsInsideIt(
+            @ForAll @IntRange(max = 20) int events, @ForAll @IntRange(min = 1, max = EVENT_BYTES - 1) int bytesOfNext) {
+        EventSplitter splitter = new EventSplitter();
+
+        splitter.read((EVENT.repeat(events) + EVENT.substring(0, bytesOfNext)).getBytes(StandardCharsets.UTF_8));
+
+        assertThat(splitter.isInsideEvent()).isTrue();
+    }
+
+    @Provide
+    Arbitrary<String> lineTerminators() {
+        return Arbitraries.of("\n", "\r\n", "\r").list().ofMaxSize(3).map(list -> String.join("", list));
+    }
+
     @Provide
     Arbitrary<String> streams() {
         Arbitrary<String> parts = Arbitraries.of(
