Send a stream in chunks, whatever length its endpoint announced

Seen in a test while the cause of truncated streams was looked for elsewhere: an endpoint announces a length, sends that many bytes and ends inside an event. The length went on to the caller with the head. When another endpoint continued the stream, the caller took the answer for complete after that many bytes, and the rest came as bytes of no answer.

Cause: the length of one endpoint's part was used for an answer of several parts. Change: a stream's answer has chunks and no length.

GatewayTrafficTest#aResumableStreamThatEndsInsideAnEventContinuesElsewhere, case LENGTH: failed before, passes now.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.gateway;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
@@ -213,7 +214,12 @@
                 return;
             }
             started = true;
-            call.beginStream(status, ForwardedHeaders.ofAnswer(headers));
+            HttpHeaders answerHeaders = ForwardedHeaders.ofAnswer(headers);
+            if (streamed) {
+                // The length of this endpoint's part: another endpoint may have to continue the stream.
+                answerHeaders.remove(HttpHeaderNames.CONTENT_LENGTH);
+            }
+            call.beginStream(status, answerHeaders);
             routedCall.answerStarted();
         }
 
