Do not take the end of this process for the end of an answer without a length

Found while the cause of truncated streams was looked for elsewhere. When the event loops of a process are shut down, they close its connections, and the codec reports the end of an answer that has neither a length nor chunks: the exchange counted it as complete. A connection that this host closes for another reason had the same effect.

Change: such an end counts only if the endpoint closed the connection.

No caller can have seen it in the gateway, by reading: callers' connections are closed before the event loops end, or the process is gone at once.

--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -16,6 +16,7 @@
 final class ClientConnectionHandler extends ChannelDuplexHandler {
     private ClientExchange exchange;
     private boolean closedLocally;
+    private boolean framed;
     private boolean keepAlive;
     private boolean skippingResponse;
     private boolean connectionFailed;
@@ -76,7 +77,7 @@
             if (content.content().isReadable()) {
                 exchange.onBytes(ByteBufUtil.getBytes(content.content()));
             }
-            if (content instanceof LastHttpContent && exchange != null && !connectionFailed) {
+            if (content instanceof LastHttpContent && exchange != null && !isTruncated(context)) {
                 exchange.onEnd(keepAlive);
             }
         }
@@ -92,13 +93,20 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // The codec reports the end of an unframed response whenever its connection ends, even after a reset. This flag
-        // keeps a response that a reset truncated from counting as complete.
         connectionFailed = true;
         failExchange(String.valueOf(cause));
         context.close();
     }
 
+    /**
+     * Returns whether the end of a response is not the endpoint's. The codec reports the end of an unframed response
+     * whenever its connection ends: also after a reset, and when this process closes its connections as it ends.
+     */
+    private boolean isTruncated(ChannelHandlerContext context) {
+        boolean endedHere = closedLocally || context.channel().eventLoop().isShuttingDown();
+        return connectionFailed || !framed && endedHere;
+    }
+
     /** Handles the head of a response; returns false if the exchange failed because of it. */
     private boolean handleHead(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
