Run items at endpoints whose streams end with their connection

Seen: at endpoints that answer with neither a length nor chunks no item was ever done.

Cause: an item's run refused such an answer at its head, since its end can't be told from the loss of the endpoint. That guarded the result but not its coming about.

Change: the events of such an answer count like any others. An end inside an event is a truncation; an end after a complete event is unconfirmed, and the item resumes after that event elsewhere: it is done once a marked end comes or a second run ends after the same event. So a process that is lost just between two events, which closes its connections in order, truncates no result. An end before the first event is none, and such runs are spaced out like other runs without output.

The second run reads the prompt again and generates nothing; it falls away wherever ends are marked.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
@@ -104,11 +104,12 @@
         fleet.attemptEnded(run.endpoint().key(), attemptEnd, nowNanos);
         runTimeEstimator.runEnded(
                 run.newCharacters(), (double) run.elapsedNanos(nowNanos) / TimeUnit.MILLISECONDS.toNanos(1));
-        if (end == RunEnd.COMPLETED) {
-            runTimeEstimator.itemCompleted(run.item().characterCount());
-        }
         int maxAttempts = routes.of(run.batch()).map(Route::maxAttempts).orElse(1);
+        boolean wasDone = run.item().isDone();
         run.batch().runEnded(run.item(), end, maxAttempts, nowNanos);
+        if (!wasDone && run.item().isDone()) {
+            runTimeEstimator.itemCompleted(run.item().characterCount());
+        }
     }
 
     private List<DueItem> startableItems(Collection<OwnedBatch> batches, long nowNanos, long nowMillis) {
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
@@ -19,6 +19,7 @@
     private int errorAnswerCount;
     private int runsWithoutOutput;
     private boolean runHasOutput;
+    private Optional<Long> unconfirmedEndId = Optional.empty();
     private Optional<Long> notBeforeNanos = Optional.empty();
 
     ItemProgress(BatchItem item) {
@@ -67,6 +68,11 @@
         return errorAnswerCount;
     }
 
+    /** Returns whether the output is complete. */
+    public boolean isDone() {
+        return result.map(end -> end.state() == ItemState.DONE).orElse(false);
+    }
+
     /** Returns whether the item was given up. */
     public boolean isGivenUp() {
         return result.map(end -> end.state() == ItemState.GIVEN_UP).orElse(false);
@@ -116,6 +122,16 @@
         return runHasOutput;
     }
 
+    /**
+     * Records that a run ended after a complete event without a mark of the end. Returns whether an earlier run ended like this
+     * after the same event, so that two endpoints have no event beyond it.
+     */
+    boolean confirmEnd() {
+        boolean confirmed = lastEventId.isPresent() && lastEventId.equals(unconfirmedEndId);
+        unconfirmedEndId = lastEventId;
+        return confirmed;
+    }
+
     /** Discards output whose events have no ids: it can't be resumed, so the next run starts from the beginning. */
     void discardOutputUnlessResumable() {
         if (hasOutput && lastEventId.isEmpty()) {
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -168,6 +168,7 @@
         }
         switch (end) {
             case COMPLETED -> uncommitted.add(item.complete());
+            case UNCONFIRMED -> handleUnconfirmedEnd(item, nowNanos);
             case REJECTED -> uncommitted.add(item.giveUp());
             case YIELDED -> item.discardOutputUnlessResumable();
             case NOT_RUN -> item.deferUntil(nowNanos + BUSY_BACKOFF_NANOS);
@@ -255,6 +256,14 @@
                 .map(ItemProgress::item);
     }
 
+    private void handleUnconfirmedEnd(ItemProgress item, long nowNanos) {
+        if (item.confirmEnd()) {
+            uncommitted.add(item.complete());
+        } else {
+            handleCut(item, nowNanos);
+        }
+    }
+
     private void handleCut(ItemProgress item, long nowNanos) {
         item.discardOutputUnlessResumable();
         if (item.runHasOutput()) {
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/RunEnd.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/RunEnd.java
@@ -4,6 +4,11 @@
 public enum RunEnd {
     /** The run delivered the complete output. */
     COMPLETED,
+    /**
+     * The endpoint closed its connection after a complete event of an answer that marks its end by nothing else. The output
+     * may be complete, or the endpoint was lost between two events; the item is to be resumed to find out.
+     */
+    UNCONFIRMED,
     /**
      * The owner cancelled the run in favor of online requests, or because the owner stops; the item is to be resumed.
      */
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -13,6 +13,7 @@
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
 import org.gooseberryhill.dialect.AttemptMetadata;
+import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.EventSplitter;
 import org.gooseberryhill.http.Exchange;
 import org.gooseberryhill.http.ExchangeFailure;
@@ -77,7 +78,7 @@
                 SILENCE_TIMEOUT_MILLIS,
                 CONNECT_TIMEOUT_MILLIS,
                 Integer.MAX_VALUE,
-                false,
+                true,
                 answer -> context.dialects()
                         .traffic()
                         .requestId(answer)
@@ -133,18 +134,24 @@
     @Override
     public void onEnd() {
         boolean notRun = context.dialects().traffic().isNotRun(status, headers);
-        boolean complete = eventSplitter.remainder().length == 0;
+        boolean insideEvent = eventSplitter.isInsideEvent();
+        boolean endIsMarked = BodyFraming.of(status, headers) != BodyFraming.CONNECTION_CLOSE;
         context.loop().execute(() -> {
             if (status == MISDIRECTED) {
                 end(RunEnd.NOT_RUN, AttemptEnd.OTHER_ENDPOINT, "status " + status);
             } else if (notRun) {
                 end(RunEnd.NOT_RUN, AttemptEnd.BUSY, "status " + status);
-            } else if (fromEndpoint && status == OK && complete) {
-                end(RunEnd.COMPLETED, AttemptEnd.ANSWERED, "");
+            } else if (fromEndpoint && status == OK && !insideEvent) {
+                end(endIsMarked ? RunEnd.COMPLETED : RunEnd.UNCONFIRMED, AttemptEnd.ANSWERED, "");
             } else if (status == UNPROCESSABLE) {
                 end(RunEnd.REJECTED, AttemptEnd.ANSWERED, "status " + status);
             } else if (status == SERVER_ERROR) {
                 end(RunEnd.ERROR_ANSWER, AttemptEnd.ERROR_ANSWER, "status " + status);
+            } else if (insideEvent) {
+                end(
+                        RunEnd.CUT,
+                        endIsMarked ? AttemptEnd.MALFORMED : AttemptEnd.CUT,
+                        "the stream ended inside an event");
             } else {
                 end(RunEnd.CUT, AttemptEnd.MALFORMED, "status " + status);
             }
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
@@ -49,6 +49,43 @@
         assertThat(batch.page(0, NO_LIMIT).results().get(0).text()).isEqualTo("w1\nw2\nw3");
     }
 
+    /** Guards against a result that lacks events because an endpoint was lost between two of them. */
+    @Test
+    void anUnmarkedEndIsConfirmedByASecondRunThatEndsAfterTheSameEvent() {
+        ItemProgress item = firstStartableItem();
+        endUnmarked(item, 2);
+        assertThat(batch.startableItems(nowNanos)).contains(item);
+        endUnmarked(item, 1);
+        assertThat(item.isDone()).isFalse();
+
+        endUnmarked(item, 0);
+        commit();
+
+        assertThat(batch.page(0, NO_LIMIT).results().get(0).text()).isEqualTo("w1\nw2\nw3");
+    }
+
+    @Test
+    void aMarkedEndNeedsNoConfirmationAfterAnUnmarkedOne() {
+        ItemProgress item = firstStartableItem();
+        endUnmarked(item, 2);
+
+        BatchFixture.run(batch, item, 0);
+
+        assertThat(item.isDone()).isTrue();
+    }
+
+    /** Guards against an empty result of an item whose endpoints are lost before its first event. */
+    @Test
+    void unmarkedEndsBeforeTheFirstEventAreNoResult() {
+        ItemProgress item = firstStartableItem();
+        for (int i = 0; i < 5; i++) {
+            endUnmarked(item, 0);
+        }
+
+        assertThat(item.result()).isEmpty();
+        assertThat(batch.startableItems(nowNanos)).doesNotContain(item);
+    }
+
     /**
      * Output without event ids can't be resumed: that of an interrupted run is discarded, or it would be in the result
      * twice.
@@ -212,6 +249,13 @@
         assertThat(batch.uncommittedItem("i0")).isEmpty();
     }
 
+    /** Runs an item at an endpoint that closes its connection after a number of further events. */
+    private void endUnmarked(ItemProgress item, int events) {
+        batch.runStarted(item);
+        BatchFixture.events(item, events);
+        batch.runEnded(item, RunEnd.UNCONFIRMED, MAX_ATTEMPTS, nowNanos);
+    }
+
     private ItemProgress firstStartableItem() {
         return batch.startableItems(nowNanos).get(0);
     }
