--- a/src/main/java/org/gooseberryhill/directory/EndpointEntry.java
+++ b/src/main/java/org/gooseberryhill/directory/EndpointEntry.java
@@ -9,6 +9,7 @@
  * @param id the name under which it registered; a restarted endpoint may reuse it
  * @param startedAtMillis when it started, in epoch milliseconds, 0 if unknown; each start counts as another endpoint
  * @param service the service that the endpoint belongs to
+ * @param softwareVersion the version of its software, without an order; what two versions generate does not fit together
  * @param address where it accepts requests; other endpoints may reuse it once this one has left
  * @param zone its availability zone
  * @param slots the maximum number of requests that it runs concurrently
@@ -19,6 +20,7 @@
         String id,
         long startedAtMillis,
         String service,
+        String softwareVersion,
         Address address,
         AvailabilityZone zone,
         int slots,
@@ -38,6 +40,7 @@
         return other instanceof EndpointEntry that
                 && key().equals(that.key())
                 && service.equals(that.service)
+                && softwareVersion.equals(that.softwareVersion)
                 && address.equals(that.address)
                 && zone.equals(that.zone)
                 && slots == that.slots
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -155,6 +155,7 @@
                 .job(placed.batch().id())
                 .with("item", placed.item().item().id())
                 .endpoint(placed.endpoint().id())
+                .with("softwareVersion", placed.endpoint().softwareVersion())
                 .with("afterEvent", placed.item().lastEventId().orElse(0L))
                 .with("slackMillis", placed.timing().slackMillis())
                 .write();
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -51,7 +51,7 @@
     private final ViewUpdater hosts;
     private final RegisteredEndpoints registeredEndpoints;
     private final Map<String, ListedHost> listedHosts = new TreeMap<>();
-    private Map<EndpointKey, Boolean> loggedLeavingByKey = Map.of();
+    private Map<EndpointKey, EndpointEntry> loggedEntries = Map.of();
     private int rank;
     private long rankUpdatedNanos;
 
@@ -161,34 +161,39 @@
     }
 
     private void logDirectoryChanges(Collection<EndpointEntry> entries) {
-        Map<EndpointKey, Boolean> leavingByKey = new HashMap<>();
-        entries.forEach(entry -> leavingByKey.put(entry.key(), entry.leaving()));
-        if (leavingByKey.equals(loggedLeavingByKey)) {
-            return;
-        }
-        Set<EndpointKey> all = new TreeSet<>(leavingByKey.keySet());
-        all.addAll(loggedLeavingByKey.keySet());
+        Map<EndpointKey, EndpointEntry> entriesByKey = new HashMap<>();
+        entries.forEach(entry -> entriesByKey.put(entry.key(), entry));
+        Set<EndpointKey> all = new TreeSet<>(entriesByKey.keySet());
+        all.addAll(loggedEntries.keySet());
         for (EndpointKey key : all) {
-            String before = state(loggedLeavingByKey.get(key));
-            String after = state(leavingByKey.get(key));
-            if (!before.equals(after)) {
-                context.timeline()
-                        .event(EventKind.DIRECTORY_CHANGED)
-                        .endpoint(key.id())
-                        .with("before", before)
-                        .with("after", after)
-                        .with("ageMillis", registrations.ageMillis())
-                        .write();
-            }
+            logDirectoryChange(
+                    key, Optional.ofNullable(loggedEntries.get(key)), Optional.ofNullable(entriesByKey.get(key)));
         }
-        loggedLeavingByKey = leavingByKey;
+        loggedEntries = entriesByKey;
     }
 
-    private static String state(Boolean leaving) {
-        if (leaving == null) {
-            return "absent";
+    private void logDirectoryChange(EndpointKey key, Optional<EndpointEntry> before, Optional<EndpointEntry> after) {
+        boolean sameVersion =
+                before.map(EndpointEntry::softwareVersion).equals(after.map(EndpointEntry::softwareVersion));
+        if (state(before).equals(state(after)) && sameVersion) {
+            return;
         }
-        return leaving ? "leaving" : "ready";
+        context.timeline()
+                .event(EventKind.DIRECTORY_CHANGED)
+                .endpoint(key.id())
+                .with("before", state(before))
+                .with("after", state(after))
+                .with(
+                        "softwareVersion",
+                        after.or(() -> before)
+                                .map(EndpointEntry::softwareVersion)
+                                .orElse(""))
+                .with("ageMillis", registrations.ageMillis())
+                .write();
+    }
+
+    private static String state(Optional<EndpointEntry> entry) {
+        return entry.map(listed -> listed.leaving() ? "leaving" : "ready").orElse("absent");
     }
 
     private void operatorEntriesChanged(List<KeyChange> changes) {
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -80,7 +80,7 @@
         this.request = context.core().newRequest(requestInfo);
         this.relay = new AnswerRelay(call, requestInfo.route(), metadata.lastEventId());
         this.admission = new RequestAdmission(traffic.slots(), request);
-        this.log = new RoutedCallLog(context, traffic, request);
+        this.log = new RoutedCallLog(context, traffic, request, metadata.firstRequestId());
     }
 
     /** Starts the request; may be called from any thread. */
@@ -163,7 +163,7 @@
 
     private void send(EndpointEntry endpoint, PlacementFacts facts, boolean assigned) {
         attemptNumber++;
-        log.attemptSent(endpoint, attemptNumber, facts, assigned);
+        log.attemptSent(endpoint, attemptNumber, relay.lastEventId(), facts, assigned);
         HttpHeaders headers = ForwardedHeaders.ofRequest(call.headers());
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.info().deadlineNanos() - context.nowNanos());
         context.dialects()
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.PlacementFacts;
@@ -14,11 +15,19 @@
     private final GatewayContext context;
     private final GatewayTraffic traffic;
     private final RoutedRequest request;
+    private final Optional<String> firstRequestId;
 
-    RoutedCallLog(GatewayContext context, GatewayTraffic traffic, RoutedRequest request) {
+    /**
+     * Creates the log of a request.
+     *
+     * @param firstRequestId id of the client attempt that brought the first event of the stream, if the request resumes one
+     */
+    RoutedCallLog(
+            GatewayContext context, GatewayTraffic traffic, RoutedRequest request, Optional<String> firstRequestId) {
         this.context = context;
         this.traffic = traffic;
         this.request = request;
+        this.firstRequestId = firstRequestId;
     }
 
     /** Returns the time that the request may take from its arrival at this host. */
@@ -27,13 +36,22 @@
                 request.info().deadlineNanos() - request.info().arrivedNanos());
     }
 
-    void attemptSent(EndpointEntry endpoint, long attempt, PlacementFacts facts, boolean assigned) {
-        context.timeline()
+    /**
+     * Writes that an attempt is sent.
+     *
+     * @param lastEventId id of the event after which the endpoint continues the stream
+     */
+    void attemptSent(
+            EndpointEntry endpoint, long attempt, Optional<Long> lastEventId, PlacementFacts facts, boolean assigned) {
+        EventBuilder event = context.timeline()
                 .event(EventKind.ATTEMPT_SENT)
                 .request(request.info().id())
                 .endpoint(endpoint.id())
-                .with("attempt", attempt)
-                .with("usable", facts.usable())
+                .with("softwareVersion", endpoint.softwareVersion())
+                .with("attempt", attempt);
+        lastEventId.ifPresent(id -> event.with("afterEvent", id));
+        firstRequestId.ifPresent(id -> event.with("firstRequest", id));
+        event.with("usable", facts.usable())
                 .with("online", facts.online())
                 .with("batch", facts.batch())
                 .with("slots", facts.slots())
--- a/src/test/java/org/gooseberryhill/decision/coordination/CoordinationFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/CoordinationFixture.java
@@ -43,8 +43,8 @@
                 0);
         List<EndpointEntry> entries = new ArrayList<>();
         for (int i = 0; i < endpoints; i++) {
-            entries.add(
-                    new EndpointEntry("e" + i, 1, SERVICE, new Address("10.0.0.1", 8000 + i), ZONE, slots, false, 0));
+            entries.add(new EndpointEntry(
+                    "e" + i, 1, SERVICE, "v1", new Address("10.0.0.1", 8000 + i), ZONE, slots, false, 0));
         }
         groups = EndpointGroups.of(entries);
         coordinator.updateDirectory(groups, entries);
--- a/src/test/java/org/gooseberryhill/decision/coordination/GroupRoutingTest.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/GroupRoutingTest.java
@@ -109,7 +109,8 @@
     private static List<EndpointEntry> entries(int count) {
         List<EndpointEntry> entries = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            entries.add(new EndpointEntry("e" + i, 1, "s", new Address("10.0.0.1", 8000 + i), zone(i), 7, false, 0));
+            entries.add(
+                    new EndpointEntry("e" + i, 1, "s", "v1", new Address("10.0.0.1", 8000 + i), zone(i), 7, false, 0));
         }
         return entries;
     }
--- a/src/test/java/org/gooseberryhill/decision/coordination/WorkReportsTest.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/WorkReportsTest.java
@@ -25,7 +25,7 @@
     WorkReportsTest() {
         List<EndpointEntry> entries = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
-            entries.add(new EndpointEntry("e" + i, 1, "s", new Address("10.0.0.1", 8000 + i), ZONE, 4, false, 0));
+            entries.add(new EndpointEntry("e" + i, 1, "s", "v1", new Address("10.0.0.1", 8000 + i), ZONE, 4, false, 0));
         }
         routing.updateEndpoints(entries);
         routing.updateHosts(List.of(host("a"), host("b"), host("c"), host("d")));
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
@@ -58,7 +58,7 @@
     }
 
     static EndpointEntry entry(String id, long startedAtMillis, boolean leaving) {
-        return new EndpointEntry(id, startedAtMillis, SERVICE, address(id), ZONE, SLOTS, leaving, 0);
+        return new EndpointEntry(id, startedAtMillis, SERVICE, "v1", address(id), ZONE, SLOTS, leaving, 0);
     }
 
     static Address address(String id) {
--- a/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
@@ -67,7 +67,7 @@
         random = new Random(seed);
         for (int i = 0; i < size.endpoints(); i++) {
             EndpointEntry entry = new EndpointEntry(
-                    "e" + i, 1, SERVICE, new Address("10.0.0.1", 8000 + i), zone(i), size.slots(), false, 0);
+                    "e" + i, 1, SERVICE, "v1", new Address("10.0.0.1", 8000 + i), zone(i), size.slots(), false, 0);
             endpoints.put(entry.key(), new ReplayEndpoint(clock, entry, size.tokensPerEvent(), counts));
         }
         ReplayNetwork network = new ReplayNetwork(clock, counts, new Random(seed));
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -75,7 +75,15 @@
         List<EndpointEntry> entries = new ArrayList<>();
         for (int i = 0; i < ENDPOINTS; i++) {
             EndpointEntry entry = new EndpointEntry(
-                    "e" + i, 1, "s", new Address("10.0.0.1", 8000 + i), new AvailabilityZone("a"), SLOTS, false, 0);
+                    "e" + i,
+                    1,
+                    "s",
+                    "v1",
+                    new Address("10.0.0.1", 8000 + i),
+                    new AvailabilityZone("a"),
+                    SLOTS,
+                    false,
+                    0);
             entries.add(entry);
             endpoints.add(entry.key());
         }
--- a/src/test/java/org/gooseberryhill/directory/EndpointGroupsTest.java
+++ b/src/test/java/org/gooseberryhill/directory/EndpointGroupsTest.java
@@ -61,7 +61,7 @@
         leaving.set(
                 0,
                 new EndpointEntry(
-                        first.id(), 1, first.service(), first.address(), first.zone(), first.slots(), true, 0));
+                        first.id(), 1, first.service(), "v1", first.address(), first.zone(), first.slots(), true, 0));
 
         assertThat(EndpointGroups.of(leaving).hasSameGroups(EndpointGroups.of(entries)))
                 .isTrue();
@@ -76,6 +76,7 @@
                     "e" + i,
                     1,
                     "s",
+                    "v1",
                     new Address("10.0.0.1", 8000 + i),
                     new AvailabilityZone("z" + i % zones),
                     7,
