Continue a stream only at endpoints of the version that began it

Cause: when an attempt fails inside a stream, the rest is sent to any usable endpoint of the service that was not tried; the choice did not know what began the stream.

Change: a request holds the version of the endpoint that sent the first part of its answer. Endpoints of another version are excluded like those that were tried: from the question to a coordinator, from its answer, from the host's own choice, and from the check whether a silent stream could move. Groups without an endpoint of the version are not asked. The coordinator's message does not change: what it excludes is named there already. When none is left, the answer is aborted at once, so that the caller can tell; while one is only ejected or busy, the stream waits for it up to a second, since it can't go to others.

--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Outcome;
@@ -21,12 +22,10 @@
  *
  * <p>Invariants: each accepted request is finished exactly once; the call that gives a request up also returns its
  * refusal, never a later call; a request that may not be repeated is sent again only while it has certainly not run;
- * the number of endpoints that may have run a request does not exceed the limit of its route.
+ * the number of endpoints that may have run a request does not exceed the limit of its route; a stream that has begun
+ * continues only at endpoints of the version that began it.
  */
 public final class DispatchCore {
-    /** Retry-after when no endpoint is usable: registrations return within about two seconds. */
-    private static final long NO_ENDPOINT_RETRY_AFTER_MILLIS = 1000;
-
     /**
      * Maximum sends of one request, including those that endpoints refuse.
      *
@@ -48,15 +47,12 @@
      */
     private static final long FULL_SERVICE_WAIT_MILLIS = 50;
 
+    /** Longest wait for an endpoint of the version that began a stream: one that has crashed is back later. */
+    private static final long MAX_VERSION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
+
     /** Shortest time in which an endpoint can answer: a round trip and the shortest run. */
     private static final long MIN_REMAINING_MILLIS = 20;
 
-    /** Retry-after of a full service: about the time until the next slot of an endpoint is free. */
-    private static final long BUSY_RETRY_AFTER_MILLIS = 200;
-
-    /** Retry-after of a host that is cut off from those that count requests: another host serves the retry. */
-    private static final long UNKNOWN_QUOTA_RETRY_AFTER_MILLIS = 20;
-
     private final AvailabilityZone zone;
     private final RequestPlacer placer;
     private final Fleet fleet;
@@ -100,7 +96,7 @@
             return new DispatchDecision.Refuse(quarantined.get());
         }
         if (request.remainingMillis(nowNanos) < MIN_REMAINING_MILLIS) {
-            return new DispatchDecision.Refuse(refusal(
+            return new DispatchDecision.Refuse(DispatchRefusals.of(
                     request, ErrorCode.DEADLINE_EXCEEDED, "the request's time was over before it could be sent"));
         }
         return place(request, nowNanos);
@@ -111,16 +107,15 @@
         if (answer instanceof PlacementAnswer.Placed placed) {
             request.admitted();
             Optional<FleetEndpoint> endpoint = fleet.find(placed.endpoint())
-                    .filter(found ->
-                            found.isUsable(nowNanos) && !request.tried().contains(found.key()));
+                    .filter(found -> found.isUsable(nowNanos) && request.maySendTo(found.entry()));
             if (endpoint.isPresent()) {
                 return send(request, endpoint.get(), placed.facts(), true, nowNanos);
             }
         } else if (answer instanceof PlacementAnswer.Overloaded overloaded && request.isRefusable()) {
             return new DispatchDecision.Refuse(
-                    overloadRefusal(overloaded.retryAfterMillis()), Optional.of(overloaded.facts()));
+                    DispatchRefusals.overloaded(overloaded.retryAfterMillis()), Optional.of(overloaded.facts()));
         } else if (answer instanceof PlacementAnswer.OverQuota overQuota) {
-            return new DispatchDecision.Refuse(overQuotaRefusal(request, overQuota.retryAfterMillis()));
+            return new DispatchDecision.Refuse(DispatchRefusals.overQuota(request, overQuota.retryAfterMillis()));
         } else if (answer instanceof PlacementAnswer.Elsewhere elsewhere && request.groupAsked(elsewhere.group())) {
             return ask(request, elsewhere.group(), nowNanos);
         }
@@ -132,7 +127,7 @@
      * an endpoint by what it knows itself.
      */
     public DispatchDecision placeWithoutAnswer(RoutedRequest request, long nowNanos) {
-        Optional<EndpointGroup> next = groups.next(request.info().service(), request.askedGroups(), nowNanos);
+        Optional<EndpointGroup> next = nextGroup(request, nowNanos);
         if (next.isPresent() && request.groupAsked(next.get())) {
             return ask(request, next.get(), nowNanos);
         }
@@ -166,8 +161,8 @@
     /** Decides the next action after the delay of a {@link DispatchDecision.Wait} has passed. */
     public DispatchDecision dispatchAfterWait(RoutedRequest request, long nowNanos) {
         if (request.remainingMillis(nowNanos) < MIN_REMAINING_MILLIS) {
-            return new DispatchDecision.Refuse(
-                    refusal(request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for the rest of the answer"));
+            return new DispatchDecision.Refuse(DispatchRefusals.of(
+                    request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for the rest of the answer"));
         }
         return place(request, nowNanos);
     }
@@ -177,12 +172,25 @@
         return placeWithoutAnswer(request, nowNanos);
     }
 
+    /** Returns the group to ask next; for a stream that has begun, one with an endpoint of the version that began it. */
+    private Optional<EndpointGroup> nextGroup(RoutedRequest request, long nowNanos) {
+        Set<EndpointGroup> passedOver = new HashSet<>(request.askedGroups());
+        Optional<EndpointGroup> next = groups.next(request.info().service(), passedOver, nowNanos);
+        while (next.isPresent()
+                && request.beganAt().isPresent()
+                && groups.members(next.get()).stream().noneMatch(request::maySendTo)) {
+            passedOver.add(next.get());
+            next = groups.next(request.info().service(), passedOver, nowNanos);
+        }
+        return next;
+    }
+
     private DispatchDecision ask(RoutedRequest request, EndpointGroup group, long nowNanos) {
         Set<EndpointKey> excluded = new HashSet<>(request.tried());
         Set<EndpointKey> connected = new HashSet<>();
         for (EndpointEntry member : groups.members(group)) {
             if (fleet.find(member.key())
-                    .filter(found -> found.isUsable(nowNanos))
+                    .filter(found -> found.isUsable(nowNanos) && request.maySendTo(found.entry()))
                     .isEmpty()) {
                 excluded.add(member.key());
             } else if (connections.test(member)) {
@@ -199,11 +207,11 @@
      */
     public DispatchDecision admissionAnswered(RoutedRequest request, Optional<Admission> answer, long nowNanos) {
         if (answer.isEmpty()) {
-            return new DispatchDecision.Refuse(unknownQuotaRefusal(request));
+            return new DispatchDecision.Refuse(DispatchRefusals.unknownQuota(request));
         }
         if (answer.get().retryAfterMillis().isPresent()) {
-            return new DispatchDecision.Refuse(
-                    overQuotaRefusal(request, answer.get().retryAfterMillis().get()));
+            return new DispatchDecision.Refuse(DispatchRefusals.overQuota(
+                    request, answer.get().retryAfterMillis().get()));
         }
         request.admitted();
         return placeLocally(request, nowNanos);
@@ -214,32 +222,54 @@
         if (account.isPresent()) {
             return new DispatchDecision.AskAdmission(account.get());
         }
-        List<FleetEndpoint> endpoints = fleet.endpointsOf(request.info().service());
+        List<FleetEndpoint> endpoints = fleet.endpointsOf(request.info().service()).stream()
+                .filter(endpoint -> request.maySendTo(endpoint.entry()))
+                .toList();
         PlacementQuery query = query(request, request.tried(), connected(endpoints), nowNanos);
         Optional<FleetEndpoint> chosen = placer.choose(endpoints, query, nowNanos);
         if (chosen.isEmpty()) {
-            return refuseOrWait(request);
+            return refuseOrWait(request, nowNanos);
         }
-        List<FleetEndpoint> usable = fleet.usableEndpoints(request.info().service(), nowNanos);
+        List<FleetEndpoint> usable = endpoints.stream()
+                .filter(endpoint -> endpoint.isUsable(nowNanos))
+                .toList();
         if (request.isRefusable()) {
             Optional<PlacementAnswer.Overloaded> overloaded =
                     placer.refuseOverloaded(chosen.get(), usable, fleet.hostCount(), query, nowNanos);
             if (overloaded.isPresent()) {
                 return new DispatchDecision.Refuse(
-                        overloadRefusal(overloaded.get().retryAfterMillis()),
+                        DispatchRefusals.overloaded(overloaded.get().retryAfterMillis()),
                         Optional.of(overloaded.get().facts()));
             }
         }
         return send(request, chosen.get(), placer.facts(chosen.get(), usable.size()), false, nowNanos);
     }
 
-    private DispatchDecision refuseOrWait(RoutedRequest request) {
+    private DispatchDecision refuseOrWait(RoutedRequest request, long nowNanos) {
+        if (mayRegainEndpoint(request, nowNanos)) {
+            return new DispatchDecision.Wait(FULL_SERVICE_WAIT_MILLIS);
+        }
         if (request.isRefusable()) {
-            return new DispatchDecision.Refuse(noEndpoint());
+            return new DispatchDecision.Refuse(
+                    request.beganAt().isPresent()
+                            ? DispatchRefusals.noEndpointOfVersion()
+                            : DispatchRefusals.noEndpoint());
         }
         return request.mayWaitForEndpoint()
                 ? new DispatchDecision.Wait(FULL_SERVICE_WAIT_MILLIS)
-                : new DispatchDecision.Refuse(noOtherEndpoint(request));
+                : new DispatchDecision.Refuse(DispatchRefusals.noOtherEndpoint(request));
+    }
+
+    /**
+     * Returns whether a stream that has begun waits for an endpoint of its version that is ejected or busy: unlike a new
+     * request it can't go to the other endpoints.
+     */
+    private boolean mayRegainEndpoint(RoutedRequest request, long nowNanos) {
+        return request.beganAt().isPresent()
+                && fleet.endpointsOf(request.info().service()).stream()
+                        .anyMatch(endpoint -> request.maySendTo(endpoint.entry())
+                                && !endpoint.entry().leaving())
+                && request.waitForVersion(nowNanos) <= MAX_VERSION_WAIT_NANOS;
     }
 
     /** Records that an attempt returned the whole answer. */
@@ -280,13 +310,15 @@
             return Optional.of(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the answer was cut"));
         }
         if (request.remainingMillis(nowNanos) < MIN_REMAINING_MILLIS) {
-            return Optional.of(refusal(request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for another attempt"));
+            return Optional.of(
+                    DispatchRefusals.of(request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for another attempt"));
         }
         if (progress.possibleRuns() >= route.maxAttempts()) {
-            return Optional.of(refusal(request, ErrorCode.ENDPOINT_FAILED, "all attempts failed, the last: " + end));
+            return Optional.of(
+                    DispatchRefusals.of(request, ErrorCode.ENDPOINT_FAILED, "all attempts failed, the last: " + end));
         }
         if (progress.sends() >= (progress.answerStarted() ? MAX_SENDS_AFTER_ANSWER_START : MAX_SENDS)) {
-            return Optional.of(refusal(request, ErrorCode.OVERLOADED, "the endpoints are full"));
+            return Optional.of(DispatchRefusals.of(request, ErrorCode.OVERLOADED, "the endpoints are full"));
         }
         return refuseQuarantined(request, nowNanos);
     }
@@ -295,7 +327,7 @@
             RoutedRequest request, FleetEndpoint endpoint, PlacementFacts facts, boolean assigned, long nowNanos) {
         EndpointEntry entry = endpoint.entry();
         fleet.onlineStarted(entry.key());
-        request.attemptStarted(entry.key(), nowNanos);
+        request.attemptStarted(entry, nowNanos);
         request.info().prompt().ifPresent(prompt -> placer.requestPlaced(entry.key(), prompt));
         return new DispatchDecision.Send(entry, facts, assigned);
     }
@@ -303,9 +335,8 @@
     /** Returns whether some endpoint neither has the request now nor was tried before. */
     private boolean hasUntriedEndpoint(RoutedRequest request, long nowNanos) {
         return fleet.usableEndpoints(request.info().service(), nowNanos).stream()
-                .map(FleetEndpoint::key)
-                .anyMatch(key ->
-                        !request.tried().contains(key) && !request.endpoint().equals(Optional.of(key)));
+                .anyMatch(endpoint -> request.maySendTo(endpoint.entry())
+                        && !request.endpoint().equals(Optional.of(endpoint.key())));
     }
 
     private Set<EndpointKey> connected(List<FleetEndpoint> endpoints) {
@@ -342,35 +373,4 @@
                 "the same request crashed endpoints; it is held apart",
                 Optional.of(millis)));
     }
-
-    private static Refusal overloadRefusal(long retryAfterMillis) {
-        return Refusal.notRun(ErrorCode.OVERLOADED, "no slot is likely to be free in time", retryAfterMillis);
-    }
-
-    private static Refusal overQuotaRefusal(RoutedRequest request, long retryAfterMillis) {
-        return new Refusal(
-                ErrorCode.LIMITED, request.outcome(), "the account's quota is used up", Optional.of(retryAfterMillis));
-    }
-
-    /** Another host can probably tell, so the caller is to retry soon. */
-    private static Refusal unknownQuotaRefusal(RoutedRequest request) {
-        return new Refusal(
-                ErrorCode.OVERLOADED,
-                request.outcome(),
-                "this host cannot tell whether the account's quota is used up",
-                Optional.of(UNKNOWN_QUOTA_RETRY_AFTER_MILLIS));
-    }
-
-    private static Refusal noEndpoint() {
-        return Refusal.notRun(
-                ErrorCode.NO_ENDPOINT, "no endpoint of the service can be used", NO_ENDPOINT_RETRY_AFTER_MILLIS);
-    }
-
-    private static Refusal noOtherEndpoint(RoutedRequest request) {
-        return refusal(request, ErrorCode.OVERLOADED, "no other endpoint of the service can be used");
-    }
-
-    private static Refusal refusal(RoutedRequest request, ErrorCode code, String message) {
-        return new Refusal(code, request.outcome(), message, Optional.of(BUSY_RETRY_AFTER_MILLIS));
-    }
 }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -8,14 +8,17 @@
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.account.ClientAccount;
 import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.directory.ServiceVersion;
 
 /**
  * A routed request in progress. Not thread-safe; modified by {@link DispatchCore} only, except for {@link
  * #answerStarted}.
  *
- * <p>Invariant: once an attempt may have run, the request may have run, whatever the results of later attempts.
+ * <p>Invariants: once an attempt may have run, the request may have run, whatever the results of later attempts; once the caller
+ * has received a part of a stream, the version that began it does not change.
  */
 public final class RoutedRequest {
     /** Each costs a round trip; the load of groups that were passed over hardly changes meanwhile. */
@@ -26,14 +29,17 @@
     private final Set<EndpointKey> refusedBy = new HashSet<>();
     private final Set<EndpointGroup> askedGroups = new HashSet<>();
     private final List<PastAttempt> pastAttempts = new ArrayList<>();
-    private Optional<EndpointKey> endpoint = Optional.empty();
+    private Optional<EndpointEntry> endpoint = Optional.empty();
+    private Optional<ServiceVersion> beganAt;
     private RequestProgress progress = new RequestProgress(Outcome.NOT_RUN, 0, 0, false);
     private boolean leftSilentEndpoint;
     private boolean countedAgainstQuota;
     private long attemptStartedNanos;
+    private Optional<Long> waitingForVersionSinceNanos = Optional.empty();
 
     RoutedRequest(RoutedRequestInfo info) {
         this.info = info;
+        this.beganAt = info.beganAt();
     }
 
     /** Returns the data that was known when the request arrived. */
@@ -43,7 +49,7 @@
 
     /** Returns the endpoint that has the request now; empty between attempts. */
     public Optional<EndpointKey> endpoint() {
-        return endpoint;
+        return endpoint.map(EndpointEntry::key);
     }
 
     /** Returns what is known about the effect of the request so far. */
@@ -66,9 +72,21 @@
         return List.copyOf(pastAttempts);
     }
 
-    /** Records that the caller has received a part of the answer. */
+    /** Records that the caller has received a part of the answer; called before the end of the attempt that sent it. */
     public void answerStarted() {
         progress = progress.withAnswerStarted();
+        beganAt = beganAt.or(() -> endpoint.map(EndpointEntry::serviceVersion));
+    }
+
+    /** Returns the version that began the stream, if the caller has received a part of it. */
+    public Optional<ServiceVersion> beganAt() {
+        return beganAt;
+    }
+
+    /** Returns whether an endpoint may get the next attempt by what is known of the request, usable or not. */
+    boolean maySendTo(EndpointEntry candidate) {
+        return !tried.contains(candidate.key())
+                && (beganAt.isEmpty() || beganAt.get().equals(candidate.serviceVersion()));
     }
 
     /** Returns whether the request counts against the quota of its client account. */
@@ -128,6 +146,12 @@
         return leftSilentEndpoint || (progress.answerStarted() && !refusedBy.isEmpty());
     }
 
+    /** Returns for how long the request has waited for an endpoint of the version that began it, in nanoseconds. */
+    long waitForVersion(long nowNanos) {
+        waitingForVersionSinceNanos = waitingForVersionSinceNanos.or(() -> Optional.of(nowNanos));
+        return nowNanos - waitingForVersionSinceNanos.get();
+    }
+
     long remainingMillis(long nowNanos) {
         return TimeUnit.NANOSECONDS.toMillis(info.deadlineNanos() - nowNanos);
     }
@@ -137,14 +161,15 @@
         return nowNanos - attemptStartedNanos;
     }
 
-    void attemptStarted(EndpointKey key, long nowNanos) {
-        endpoint = Optional.of(key);
+    void attemptStarted(EndpointEntry entry, long nowNanos) {
+        endpoint = Optional.of(entry);
+        waitingForVersionSinceNanos = Optional.empty();
         progress = progress.withSend();
         attemptStartedNanos = nowNanos;
     }
 
     void attemptEnded(AttemptEnd end, long nowNanos) {
-        endpoint.ifPresent(key -> {
+        endpoint().ifPresent(key -> {
             if (end == AttemptEnd.BUSY && (progress.answerStarted() || leftSilentEndpoint)) {
                 // The request may wait and be sent to this endpoint again, so the endpoint is not excluded.
                 refusedBy.add(key);
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequestInfo.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequestInfo.java
@@ -5,6 +5,7 @@
 import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.contract.Prompt;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.route.Route;
 
 /**
@@ -15,6 +16,7 @@
  * @param service the service that was selected for it among the targets of the route
  * @param caller on whose behalf it is sent
  * @param prompt the prompt; present for a token generation request
+ * @param beganAt the version that began the stream; present if the request takes up a stream that has begun
  * @param lazyFingerprint equal for equal requests; computed only once some request has crashed endpoints, as it takes a
  *     digest of the whole body
  * @param arrivedNanos the time of arrival, in nanoseconds
@@ -27,6 +29,7 @@
         String service,
         Caller caller,
         Optional<Prompt> prompt,
+        Optional<ServiceVersion> beganAt,
         Lazy<Fingerprint> lazyFingerprint,
         long arrivedNanos,
         long deadlineNanos) {
--- a/src/main/java/org/gooseberryhill/directory/EndpointEntry.java
+++ b/src/main/java/org/gooseberryhill/directory/EndpointEntry.java
@@ -33,6 +33,11 @@
         return new EndpointKey(id, startedAtMillis);
     }
 
+    /** Returns the service and the version of the endpoint's software. */
+    public ServiceVersion serviceVersion() {
+        return new ServiceVersion(service, softwareVersion);
+    }
+
     // Implemented by hand: the generated methods of a record are linked at their first use, which adds about 10 ms to
     // the start of a host.
     @Override
--- a/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
@@ -140,6 +140,7 @@
                 chooseService(route.get()),
                 caller.get(),
                 metadata.prompt(),
+                Optional.empty(),
                 Lazy.of(() -> Fingerprint.of(call.method() + " " + host(call) + call.target(), body)),
                 arrivedNanos,
                 arrivedNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis(metadata, route.get())));
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
@@ -16,6 +16,7 @@
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.route.Route;
@@ -58,7 +59,11 @@
     }
 
     static EndpointEntry entry(String id, long startedAtMillis, boolean leaving) {
-        return new EndpointEntry(id, startedAtMillis, SERVICE, "v1", address(id), ZONE, SLOTS, leaving, 0);
+        return entry(id, startedAtMillis, leaving, "v1");
+    }
+
+    static EndpointEntry entry(String id, long startedAtMillis, boolean leaving, String softwareVersion) {
+        return new EndpointEntry(id, startedAtMillis, SERVICE, softwareVersion, address(id), ZONE, SLOTS, leaving, 0);
     }
 
     static Address address(String id) {
@@ -92,7 +97,17 @@
         return arrive(route, prompt, Caller.UNATTRIBUTED);
     }
 
+    /** A request that takes up a stream. */
+    RoutedRequest arrive(Route route, ServiceVersion beganAt) {
+        return arrive(route, Optional.empty(), Caller.UNATTRIBUTED, Optional.of(beganAt));
+    }
+
     RoutedRequest arrive(Route route, Optional<Prompt> prompt, Caller caller) {
+        return arrive(route, prompt, caller, Optional.empty());
+    }
+
+    private RoutedRequest arrive(
+            Route route, Optional<Prompt> prompt, Caller caller, Optional<ServiceVersion> beganAt) {
         String id = "q" + requests++;
         return core.newRequest(new RoutedRequestInfo(
                 id,
@@ -100,6 +115,7 @@
                 SERVICE,
                 caller,
                 prompt,
+                beganAt,
                 Lazy.of(() -> Fingerprint.of("s", id.getBytes(StandardCharsets.UTF_8))),
                 nowNanos,
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(5000)));
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -135,6 +135,7 @@
                 ServingReplay.SERVICE,
                 Caller.UNATTRIBUTED,
                 Optional.empty(),
+                Optional.empty(),
                 Lazy.of(() -> Fingerprint.of(name, new byte[0])),
                 clock.nowNanos(),
                 deadlineNanos));
@@ -339,11 +340,10 @@
         ItemRun(PlacedItem placed) {
             this.placed = placed;
             this.endpoint = endpoints.get(placed.endpoint().key());
-            int totalEvents = eventsByItem.get(
-                    placed.batch().id() + "/" + placed.item().item().id());
-            int remainingEvents =
-                    totalEvents - placed.item().lastEventId().orElse(0L).intValue();
-            this.run = new ReplayEndpoint.Run(ITEM_PROMPT_TOKENS, remainingEvents, this);
+            String itemId = placed.item().item().id();
+            int totalEvents = eventsByItem.get(placed.batch().id() + "/" + itemId);
+            int generatedEvents = placed.item().lastEventId().orElse(0L).intValue();
+            this.run = new ReplayEndpoint.Run(ITEM_PROMPT_TOKENS, totalEvents - generatedEvents, this);
         }
 
         void start() {
