Continue a stream that its caller takes up at the version that began it

Cause: the host that gets such a request knew nothing of the stream but the id of its last event, and chose any endpoint of any service of the route.

Change: the caller names the request that brought the first event. Each host remembers at which version the streams began that it relays, and tells three others, in several zones, while more than one version of the service is registered or was so in the last 30 s; when a second one appears, it tells them of the streams of that time. A host that gets a stream to take up asks the hosts that were told. Without a record it continues the stream only if there was one version for all that time, as most of the asked hosts confirm; else it refuses at once, as not run. The stream also stays at the service that began it where a route leads to several. Hosts register which messages they understand, so that those of the last version get none that would end their connections.

Ruled out: a record in the key-value store for each stream (a call each, none while the store is out); a version derived from the id by hashing (hosts with different views of the registrations disagree just while a version comes or goes); records at all hosts (bytes grow with hosts times streams).

--- a/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
@@ -189,6 +189,18 @@
         return heardGateways(report -> !report.leaving(), nowNanos);
     }
 
+    /**
+     * Returns the other gateways that understand a set of messages and are neither silent nor stopping as far as this host knows;
+     * a gateway that has just been listed counts before its first report.
+     */
+    public List<Host> gatewaysThatUnderstand(int messageSet, long nowNanos) {
+        return knownHosts(nowNanos).values().stream()
+                .filter(entry -> entry.host().role() == Role.GATEWAY && entry.messageSet() >= messageSet)
+                .map(ListedHost::host)
+                .filter(host -> !isKnownSilentOrLeaving(host.id(), nowNanos))
+                .toList();
+    }
+
     /**
      * Returns the other gateways that may call the key-value store on behalf of this host: those that reach it, or all
      * listed gateways while none has been heard. The fallback serves a host that starts while it cannot reach the
@@ -302,6 +314,13 @@
         return nowNanos - lastReports.get(id).heardAtNanos >= LOST_AFTER_NANOS;
     }
 
+    private boolean isKnownSilentOrLeaving(HostId id, long nowNanos) {
+        LastReport last = lastReports.get(id);
+        boolean leaving = last != null && last.report.leaving();
+        boolean silent = isJudged(id) ? !last.isFresh(nowNanos) : notices.isSilent(id, nowNanos);
+        return leaving || silent;
+    }
+
     private boolean isHeard(HostId id, Predicate<HostReport> condition, long nowNanos) {
         LastReport last = lastReports.get(id);
         if (isJudged(id)) {
--- a/src/main/java/org/gooseberryhill/decision/membership/ListedHost.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/ListedHost.java
@@ -7,5 +7,20 @@
  *
  * @param host the host
  * @param processStart distinguishes the host's process from earlier processes on it
+ * @param messageSet the newest set of messages that the process understands; a message of a newer one would end the connection
  */
-public record ListedHost(Host host, String processStart) {}
+public record ListedHost(Host host, String processStart, int messageSet) {
+    /** The messages of all versions that did not register a set. */
+    public static final int FIRST_MESSAGE_SET = 1;
+
+    /** The first set with messages on the origins of streams. */
+    public static final int STREAM_ORIGINS_MESSAGE_SET = 2;
+
+    /** The newest set that this version understands. */
+    public static final int CURRENT_MESSAGE_SET = STREAM_ORIGINS_MESSAGE_SET;
+
+    /** Creates the entry of a process of this version. */
+    public ListedHost(Host host, String processStart) {
+        this(host, processStart, CURRENT_MESSAGE_SET);
+    }
+}
--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.EventSplitter;
 import org.gooseberryhill.http.ExchangeFailure;
@@ -57,15 +58,16 @@
         return lastEventId;
     }
 
-    /** Creates a listener for the answer of an attempt. */
-    AttemptListener newAttemptListener(RoutedCall routedCall, long attemptNumber) {
-        return new AttemptListener(routedCall, attemptNumber);
+    /** Creates a listener for the answer of an attempt at an endpoint of the given version. */
+    AttemptListener newAttemptListener(RoutedCall routedCall, long attemptNumber, ServiceVersion version) {
+        return new AttemptListener(routedCall, attemptNumber, version);
     }
 
     /** Relays the answer of one attempt. */
     final class AttemptListener implements ExchangeListener {
         private final RoutedCall routedCall;
         private final long attemptNumber;
+        private final ServiceVersion version;
         private final EventSplitter eventSplitter = new EventSplitter();
         private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
         private int status;
@@ -75,9 +77,10 @@
         private boolean fromEndpoint;
         private boolean hasEvents;
 
-        AttemptListener(RoutedCall routedCall, long attemptNumber) {
+        AttemptListener(RoutedCall routedCall, long attemptNumber, ServiceVersion version) {
             this.routedCall = routedCall;
             this.attemptNumber = attemptNumber;
+            this.version = version;
         }
 
         @Override
@@ -220,7 +223,7 @@
                 answerHeaders.remove(HttpHeaderNames.CONTENT_LENGTH);
             }
             call.beginStream(status, answerHeaders);
-            routedCall.answerStarted();
+            routedCall.answerStarted(version);
         }
 
         private boolean isFinal() {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
@@ -19,10 +19,8 @@
     private final SlotExchange slots;
     private final GatewayViews views;
     private final CrashTracking crashTracking;
-    private final BatchRegistry registry;
-    private final BatchApiHandler batchApiHandler;
-    private final BatchEnder ender;
-    private final BatchTakeover takeover;
+    private final StreamOrigins streamOrigins;
+    private final BatchMessageHandler batches;
     private final RelayingKeyValueStore store;
 
     /** Creates a handler that dispatches messages to the given objects. */
@@ -32,20 +30,16 @@
             SlotExchange slots,
             GatewayViews views,
             CrashTracking crashTracking,
-            BatchRegistry registry,
-            BatchApiHandler batchApiHandler,
-            BatchEnder ender,
-            BatchTakeover takeover,
+            StreamOrigins streamOrigins,
+            BatchMessageHandler batches,
             RelayingKeyValueStore store) {
         this.context = context;
         this.heartbeats = heartbeats;
         this.slots = slots;
         this.views = views;
         this.crashTracking = crashTracking;
-        this.registry = registry;
-        this.batchApiHandler = batchApiHandler;
-        this.ender = ender;
-        this.takeover = takeover;
+        this.streamOrigins = streamOrigins;
+        this.batches = batches;
         this.store = store;
     }
 
@@ -71,11 +65,17 @@
             reply.complete(slots.admissions().answer(request));
             return;
         }
+        if (message instanceof GatewayMessage.StreamOriginRequest request) {
+            reply.complete(streamOrigins.answer(request));
+            return;
+        }
         if (message instanceof CoordinationMessage coordination) {
             slots.handle(from, coordination);
         } else if (message instanceof GatewayMessage.HostHeartbeat leaving) {
             heartbeats.receive(from, leaving);
             heartbeats.processReceived();
+        } else if (message instanceof GatewayMessage.StreamOriginNotice notice) {
+            streamOrigins.handle(notice);
         } else if (message instanceof GatewayMessage.WatchEnd) {
             heartbeats.onWatchEnd(from);
         } else if (message instanceof GatewayMessage.SilenceNotice notice) {
@@ -86,27 +86,7 @@
             crashTracking.onCrashNotice(notice);
         } else if (message instanceof PeerMessage.SuspectRelease release) {
             crashTracking.onSuspectRelease(release);
-        } else if (message instanceof GatewayMessage.BatchNotice notice) {
-            registry.setOwner(notice.batch(), from);
-        } else if (message instanceof GatewayMessage.ResultsRequest request) {
-            batchApiHandler.readOwnedResults(
-                    request.batch(),
-                    request.after(),
-                    request.waitMillis(),
-                    request.access(),
-                    page -> reply.complete(new GatewayMessage.Results(page)));
-            return;
-        } else if (message instanceof GatewayMessage.ItemBodyRequest request) {
-            boolean owned = registry.find(request.batch()).isPresent();
-            reply.complete(new GatewayMessage.ItemBody(
-                    owned, batchApiHandler.findOwnedItemBody(request.batch(), request.item(), request.access())));
-            return;
-        } else if (message instanceof GatewayMessage.BatchEndRequest request) {
-            ender.endOwned(
-                    request.batch(), request.access(), ended -> reply.complete(new GatewayMessage.BatchEnded(ended)));
-            return;
-        } else if (message instanceof GatewayMessage.BatchHandOver handedOver) {
-            takeover.takeOver(handedOver, taken -> reply.complete(new GatewayMessage.BatchEnded(taken)));
+        } else if (batches.handle(from, message, reply)) {
             return;
         } else if (message instanceof GatewayMessage.StoreCall call) {
             store.callForPeer(call).thenAccept(reply::complete);
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -149,12 +149,8 @@
         SlotExchange slots = assignment.exchange();
         this.heartbeats = new HostHeartbeats(context, links, storeReachability, slots);
         this.crashTracking = new CrashTracking(context, links, suspects);
-        this.traffic = new GatewayTraffic(context, crashTracking, slots, this::directoryAgeMillis);
-        this.registration = new HostRegistration(
-                context.loop(),
-                context.store(),
-                context.timeline(),
-                () -> new ListedHost(this.settings.self(), context.processStart()));
+        this.traffic = new GatewayTraffic(context, links, crashTracking, slots, this::directoryAgeMillis);
+        this.registration = new HostRegistration(context.loop(), context.store(), context.timeline(), this::listedSelf);
         this.probes = new EndpointProbes(context);
         BatchStore batchStore = new BatchStore(context.store(), dialects.batches());
         this.runner = assignment.createRunner(registry, batchRoutes);
@@ -176,8 +172,9 @@
         this.rejectedConnectionsLog = new RejectedConnectionsLog(context);
         this.stop = new StopSequence(
                 context, traffic, runner, handOver, registration, this::callersServer, this::stopRequested);
+        BatchMessageHandler batches = new BatchMessageHandler(registry, batchApiHandler, ender, takeover);
         this.messageHandler = new GatewayMessageHandler(
-                context, heartbeats, slots, views, crashTracking, registry, batchApiHandler, ender, takeover, store);
+                context, heartbeats, slots, views, crashTracking, traffic.streamOrigins(), batches, store);
         this.requestRouter = new RequestRouter(context, traffic, submissionHandler, batchApiHandler, gate, random);
     }
 
@@ -191,6 +188,10 @@
                 suspects);
     }
 
+    private ListedHost listedSelf() {
+        return new ListedHost(settings.self(), context.processStart());
+    }
+
     /** Starts serving at the addresses in the settings. */
     public void start() {
         start(ListeningSocket.open(settings.callersAddress()));
@@ -330,6 +331,7 @@
 
     private void endpointsChanged(Collection<EndpointEntry> entries) {
         context.fleet().updateDirectory(entries);
+        traffic.streamOrigins().endpointsChanged(entries);
         assignment.endpointsChanged(entries);
         updateReadiness();
         runner.schedule();
--- a/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
@@ -27,6 +27,7 @@
     private final GatewayContext context;
     private final CrashTracking crashTracking;
     private final SlotExchange slots;
+    private final StreamOrigins streamOrigins;
     private final LongSupplier directoryAgeMillis;
     private int inProgress;
     private long configurationVersion;
@@ -39,10 +40,15 @@
      *     to date, in milliseconds
      */
     GatewayTraffic(
-            GatewayContext context, CrashTracking crashTracking, SlotExchange slots, LongSupplier directoryAgeMillis) {
+            GatewayContext context,
+            PeerLinks links,
+            CrashTracking crashTracking,
+            SlotExchange slots,
+            LongSupplier directoryAgeMillis) {
         this.context = context;
         this.crashTracking = crashTracking;
         this.slots = slots;
+        this.streamOrigins = new StreamOrigins(context, links);
         this.directoryAgeMillis = directoryAgeMillis;
     }
 
@@ -83,6 +89,11 @@
         return slots;
     }
 
+    /** Returns what finds out which versions began streams. */
+    StreamOrigins streamOrigins() {
+        return streamOrigins;
+    }
+
     /** Sends a refusal to a caller; may be called from any thread. */
     void refuse(HttpCall call, String requestId, Refusal refusal) {
         Map<String, String> headers = new HashMap<>();
--- a/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
+++ b/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
@@ -96,6 +96,11 @@
         return roster.activeGateways(context.nowNanos());
     }
 
+    /** Returns the other gateways that understand messages on the origins of streams and are not known to be lost. */
+    List<Host> gatewaysWithStreamOrigins() {
+        return roster.gatewaysThatUnderstand(ListedHost.STREAM_ORIGINS_MESSAGE_SET, context.nowNanos());
+    }
+
     /** Returns whether more than half of the gateways, this one included, are known to be alive. */
     boolean isInTouchWithMost() {
         int known = gateways().size() + 1;
--- a/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.vavr.Lazy;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,7 @@
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
 import org.gooseberryhill.dialect.BatchApiCall;
 import org.gooseberryhill.dialect.RequestMetadata;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.http.BodyCollector;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.http.RequestBodyHandler;
@@ -32,6 +34,14 @@
     private static final Refusal NO_CONFIGURATION_REFUSAL =
             Refusal.notRun(ErrorCode.NO_ENDPOINT, "no configuration is known yet", NO_CONFIGURATION_RETRY_AFTER_MILLIS);
 
+    /** Another host may be able to tell; most inquiries end within this time. */
+    private static final long UNKNOWN_ORIGIN_RETRY_AFTER_MILLIS = 50;
+
+    private static final Refusal UNKNOWN_ORIGIN_REFUSAL = Refusal.notRun(
+            ErrorCode.NO_ENDPOINT,
+            "it is not certain which version began the stream",
+            UNKNOWN_ORIGIN_RETRY_AFTER_MILLIS);
+
     /** Deadline of a request whose caller sets none, on a route without a timeout. */
     private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
 
@@ -134,17 +144,41 @@
             submissionHandler.submit(call, id, route.get(), caller.get(), body, arrivedNanos);
             return;
         }
+        Arrival arrival = new Arrival(call, id, metadata, route.get(), caller.get(), body, arrivedNanos);
+        if (arrival.resumesStream()) {
+            context.loop().execute(() -> resumeStream(arrival));
+        } else {
+            start(arrival, chooseService(route.get()), Optional.empty());
+        }
+    }
+
+    /** Continues a stream at the service and the version that began it, once these are certain. */
+    private void resumeStream(Arrival arrival) {
+        List<String> services = arrival.route.services();
+        Optional<String> onlyService = services.size() == 1 ? Optional.of(services.get(0)) : Optional.empty();
+        traffic.streamOrigins().find(arrival.metadata.firstRequestId(), onlyService, found -> {
+            Optional<ServiceVersion> beganAt = found.filter(version -> services.contains(version.service()));
+            if (beganAt.isEmpty()) {
+                refuse(arrival.call, arrival.id, UNKNOWN_ORIGIN_REFUSAL);
+                return;
+            }
+            start(arrival, beganAt.get().service(), beganAt);
+        });
+    }
+
+    private void start(Arrival arrival, String service, Optional<ServiceVersion> beganAt) {
+        HttpCall call = arrival.call;
         RoutedRequestInfo requestInfo = new RoutedRequestInfo(
-                id,
-                route.get(),
-                chooseService(route.get()),
-                caller.get(),
-                metadata.prompt(),
-                Optional.empty(),
-                Lazy.of(() -> Fingerprint.of(call.method() + " " + host(call) + call.target(), body)),
-                arrivedNanos,
-                arrivedNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis(metadata, route.get())));
-        new RoutedCall(context, traffic, call, metadata, requestInfo, body).start();
+                arrival.id,
+                arrival.route,
+                service,
+                arrival.caller,
+                arrival.metadata.prompt(),
+                beganAt,
+                Lazy.of(() -> Fingerprint.of(call.method() + " " + host(call) + call.target(), arrival.body)),
+                arrival.arrivedNanos,
+                arrival.arrivedNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis(arrival.metadata, arrival.route)));
+        new RoutedCall(context, traffic, call, arrival.metadata, requestInfo, arrival.body).start();
     }
 
     private String chooseService(Route route) {
@@ -196,4 +230,18 @@
         long timeoutMillis = route.timeoutMillis() > 0 ? route.timeoutMillis() : DEFAULT_DEADLINE_MILLIS;
         return Math.max(0, Math.min(metadata.deadlineMillis().orElse(timeoutMillis), timeoutMillis));
     }
+
+    /** A complete request of a caller on one of the routes for single requests. */
+    private record Arrival(
+            HttpCall call,
+            String id,
+            RequestMetadata metadata,
+            Route route,
+            Caller caller,
+            byte[] body,
+            long arrivedNanos) {
+        boolean resumesStream() {
+            return route.kind() == RouteKind.STREAM && metadata.lastEventId().orElse(0L) > 0;
+        }
+    }
 }
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.continuation.StreamOrigin;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
@@ -19,6 +20,7 @@
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.http.Exchange;
 import org.gooseberryhill.http.ExchangeOptions;
 import org.gooseberryhill.http.ExchangeRequest;
@@ -178,7 +180,8 @@
                                 request.info().caller().attribution()));
         ExchangeRequest exchangeRequest = new ExchangeRequest(
                 endpoint.address(), call.method(), call.target(), headers, body, options(remainingMillis));
-        Exchange started = context.http().start(exchangeRequest, relay.newAttemptListener(this, attemptNumber));
+        Exchange started = context.http()
+                .start(exchangeRequest, relay.newAttemptListener(this, attemptNumber, endpoint.serviceVersion()));
         exchange = Optional.of(started);
         if (request.info().route().kind() == RouteKind.STREAM) {
             scheduleSilenceCheck(started, SILENCE_TIMEOUT_MILLIS);
@@ -255,14 +258,30 @@
         });
     }
 
-    /** Records that the first part of the answer is sent to the caller. May be called from any thread. */
-    void answerStarted() {
+    /**
+     * Records that the first part of the answer is sent to the caller. May be called from any thread.
+     *
+     * @param version the version of the endpoint that sent it
+     */
+    void answerStarted(ServiceVersion version) {
+        if (request.info().route().kind() == RouteKind.STREAM) {
+            StreamOrigin origin = new StreamOrigin(firstRequestId(), version);
+            boolean ambiguousService = request.info().route().services().size() > 1;
+            context.loop().execute(() -> traffic.streamOrigins().streamBegan(origin, ambiguousService));
+        }
         context.metrics()
                 .firstByteSent(
                         request.info().route().name(),
                         seconds(context.nowNanos() - request.info().arrivedNanos()));
     }
 
+    /** Returns the id of the client attempt that brings the first event of the stream: this one, unless it resumes a stream. */
+    private String firstRequestId() {
+        return metadata.firstRequestId()
+                .filter(id -> request.info().beganAt().isPresent())
+                .orElse(request.info().id());
+    }
+
     /**
      * Handles an attempt that ended without a final answer; if no other attempt follows, the caller gets the endpoint's
      * error answer if there is one. May be called from any thread.
--- a/src/main/java/org/gooseberryhill/peer/GatewayMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/GatewayMessage.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.gooseberryhill.decision.access.BatchAccess;
+import org.gooseberryhill.decision.continuation.OriginReport;
+import org.gooseberryhill.decision.continuation.StreamOrigin;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
@@ -132,6 +134,28 @@
     record BatchHandOver(String batch, long revision, BatchRecord record, List<ItemCheckpoint> progress)
             implements GatewayMessage {}
 
+    /**
+     * Tells at which versions streams began. Sent without a reply.
+     *
+     * @param origins the streams
+     */
+    record StreamOriginNotice(List<StreamOrigin> origins) implements GatewayMessage {}
+
+    /**
+     * Asks what the receiver knows of the version that began a stream; the reply is {@link StreamOriginReply}.
+     *
+     * @param firstRequestId id of the client attempt that brought the first event; empty if the client does not name it
+     * @param service the service that the stream must have begun at; empty if there are several
+     */
+    record StreamOriginRequest(Optional<String> firstRequestId, Optional<String> service) implements GatewayMessage {}
+
+    /**
+     * Returns what a host knows of the version that began a stream.
+     *
+     * @param report what it knows
+     */
+    record StreamOriginReply(OriginReport report) implements GatewayMessage {}
+
     /**
      * Asks the receiver to call the key-value store on behalf of a host that the store rejects; the reply is
      * {@link StoreAnswer}. One of the optional components is present.
--- a/src/main/java/org/gooseberryhill/route/Route.java
+++ b/src/main/java/org/gooseberryhill/route/Route.java
@@ -38,6 +38,15 @@
         long completionTargetMillis,
         long retentionMillis,
         boolean anonymous) {
+    /** Returns the services that get requests of the route. */
+    public List<String> services() {
+        return targets.stream()
+                .filter(target -> target.weight() > 0)
+                .map(RouteTarget::service)
+                .distinct()
+                .toList();
+    }
+
     /** Returns whether a request may run more than once, from its beginning or from an event on. */
     public boolean isRepeatable() {
         return kind == RouteKind.SAFE || kind == RouteKind.BATCH || (kind == RouteKind.STREAM && resumable);
--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -30,7 +30,8 @@
 
     /** Encodes the entry of a live host. */
     public static byte[] write(ListedHost listed) {
-        ObjectNode json = Json.object().put("processStart", listed.processStart());
+        ObjectNode json =
+                Json.object().put("processStart", listed.processStart()).put("messageSet", listed.messageSet());
         json.putObject("host")
                 .put("id", listed.host().id().value())
                 .put("role", listed.host().role().name())
@@ -51,7 +52,8 @@
                             new AvailabilityZone(host.required("zone").textValue()),
                             Address.of(host.required("address").textValue()),
                             host.required("leaving").booleanValue()),
-                    json.required("processStart").textValue());
+                    json.required("processStart").textValue(),
+                    json.path("messageSet").asInt(ListedHost.FIRST_MESSAGE_SET));
         });
     }
 
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -55,6 +55,8 @@
     ADMISSION_UNANSWERED("admission.unanswered", Importance.STATE),
     /** The coordinator of a group of endpoints did not answer in time. */
     COORDINATOR_UNANSWERED("coordinator.unanswered", Importance.STATE),
+    /** The version that began a stream is not certain, so that the host does not continue it. */
+    STREAM_ORIGIN_UNKNOWN("stream.origin-unknown", Importance.FAILURE),
     /** A message was received from a host for the first time, or again after a silence. */
     PEER_HEARD("peer.heard", Importance.STATE),
     /** A configuration took effect. */
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/decision/continuation/VersionHistoryTest.java
@@ -0,0 +1,64 @@
+package org.gooseberryhill.decision.continuation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.link.Address;
+import org.gooseberryhill.zone.AvailabilityZone;
+import org.junit.jupiter.api.Test;
+
+class VersionHistoryTest {
+    private static final long WHOLE_TIME_NANOS = VersionHistory.MAX_STREAM_AGE_NANOS;
+
+    private final VersionHistory history = new VersionHistory();
+
+    @Test
+    void aServiceHasSeveralVersionsFromTheMomentThatASecondIsRegistered() {
+        assertThat(history.update(List.of(entry("e0", "v1")), 0)).isEmpty();
+        assertThat(history.isMixed("s", 1)).isFalse();
+
+        assertThat(history.update(List.of(entry("e0", "v1"), entry("e1", "v2")), 2))
+                .containsOnly("s");
+        assertThat(history.update(List.of(entry("e0", "v1"), entry("e1", "v2")), 3))
+                .isEmpty();
+        assertThat(history.isMixed("s", 3)).isTrue();
+    }
+
+    /** Guards against a stream of a version that has just gone, which would go on at the one that is left. */
+    @Test
+    void aVersionThatHasGoneCountsForAsLongAsItsStreamsMayBeTakenUp() {
+        history.update(List.of(entry("e0", "v1"), entry("e1", "v2")), 0);
+        history.update(List.of(entry("e1", "v2")), 100);
+
+        assertThat(history.registeredOf("s", 100 + WHOLE_TIME_NANOS).versions()).containsOnly("v1", "v2");
+        assertThat(history.registeredOf("s", 101 + WHOLE_TIME_NANOS).versions()).containsOnly("v2");
+        assertThat(history.isMixed("s", 101 + WHOLE_TIME_NANOS)).isFalse();
+    }
+
+    /** Guards against a host that has just started and takes the versions that it finds for all that there were. */
+    @Test
+    void theHistoryIsCompleteOnlyAfterTheWholeTime() {
+        assertThat(history.registeredOf("s", 0)).isEqualTo(RegisteredVersions.NONE);
+
+        history.update(List.of(entry("e0", "v1")), 0);
+
+        assertThat(history.registeredOf("s", WHOLE_TIME_NANOS - 1))
+                .isEqualTo(new RegisteredVersions(Set.of("v1"), false));
+        assertThat(history.registeredOf("s", WHOLE_TIME_NANOS)).isEqualTo(new RegisteredVersions(Set.of("v1"), true));
+    }
+
+    /** Guards against an endpoint that comes back under its id: what it began before was at its earlier version. */
+    @Test
+    void anEndpointThatReturnsWithAnotherVersionMakesTwoVersions() {
+        history.update(List.of(entry("e0", "v1")), 0);
+
+        assertThat(history.update(List.of(entry("e0", "v2")), 1)).containsOnly("s");
+    }
+
+    private static EndpointEntry entry(String id, String version) {
+        return new EndpointEntry(
+                id, 0, "s", version, new Address("10.0.0.1", 8000), new AvailabilityZone("a"), 8, false, 0);
+    }
+}
--- a/src/test/java/org/gooseberryhill/decision/membership/HostRosterTest.java
+++ b/src/test/java/org/gooseberryhill/decision/membership/HostRosterTest.java
@@ -166,6 +166,29 @@
         assertThat(roster.activeGateways(at(6000))).extracting(Host::id).containsExactly(A);
     }
 
+    /** Guards against streams that nobody remembers since no host has reported to a host that has just started. */
+    @Test
+    void aGatewayUnderstandsTheMessagesThatItRegisteredUntilItIsSilentOrStops() {
+        ListedHost earlierVersion = new ListedHost(host("a"), "a1", ListedHost.FIRST_MESSAGE_SET);
+        roster.updateListedHosts(List.of(earlierVersion, new ListedHost(host("b"), "b1")), at(0));
+
+        assertThat(understanding(ListedHost.FIRST_MESSAGE_SET, 0)).containsExactlyInAnyOrder(A, B);
+        assertThat(understanding(ListedHost.STREAM_ORIGINS_MESSAGE_SET, 0)).containsExactly(B);
+
+        recordReport(B, 0);
+        assertThat(understanding(ListedHost.STREAM_ORIGINS_MESSAGE_SET, 1000)).containsExactly(B);
+        assertThat(understanding(ListedHost.STREAM_ORIGINS_MESSAGE_SET, 6000)).isEmpty();
+
+        roster.recordReport(B, new HostReport("b1", true, true), at(6000));
+        assertThat(understanding(ListedHost.STREAM_ORIGINS_MESSAGE_SET, 6000)).isEmpty();
+    }
+
+    private List<HostId> understanding(int messageSet, long millis) {
+        return roster.gatewaysThatUnderstand(messageSet, at(millis)).stream()
+                .map(Host::id)
+                .toList();
+    }
+
     private void recordReport(HostId host, long millis) {
         roster.recordReport(host, new HostReport(host.value() + "1", false, true), at(millis));
     }
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -13,6 +13,9 @@
 import org.gooseberryhill.contract.PromptPart;
 import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.configuration.TextChange;
+import org.gooseberryhill.decision.continuation.OriginReport;
+import org.gooseberryhill.decision.continuation.RegisteredVersions;
+import org.gooseberryhill.decision.continuation.StreamOrigin;
 import org.gooseberryhill.decision.coordination.GroupLoad;
 import org.gooseberryhill.decision.coordination.HostWork;
 import org.gooseberryhill.decision.coordination.ItemStart;
@@ -38,6 +41,7 @@
 import org.gooseberryhill.decision.requestbatch.ItemState;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.external.KeyChange;
 import org.gooseberryhill.external.KeyValueStore;
@@ -110,6 +114,12 @@
                         new BatchRecord(
                                 "h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(0, 4), 6, Optional.empty()),
                         List.of(new ItemCheckpoint("i", 3, "so far"))),
+                new GatewayMessage.StreamOriginNotice(List.of(new StreamOrigin("r", new ServiceVersion("s", "v1")))),
+                new GatewayMessage.StreamOriginRequest(Optional.of("r"), Optional.empty()),
+                new GatewayMessage.StreamOriginRequest(Optional.empty(), Optional.of("s")),
+                new GatewayMessage.StreamOriginReply(new OriginReport(
+                        Set.of(new ServiceVersion("s", "v1"), new ServiceVersion("s", "v2")),
+                        new RegisteredVersions(Set.of("v1", "v2"), true))),
                 new OutboxMessage.Stored(true),
                 new OutboxMessage.Drop(
                         "b",
--- a/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
+++ b/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
@@ -42,6 +42,18 @@
                 .isEqualTo(checkpoints);
     }
 
+    /** Guards against messages that a host of an earlier version does not understand: it did not register a set. */
+    @Test
+    void aHostThatRegisteredNoMessageSetUnderstandsTheFirst() {
+        ListedHost listed = new ListedHost(
+                new Host(new HostId("h"), Role.GATEWAY, new AvailabilityZone("z"), new Address("10.0.0.1", 80), false),
+                "start");
+        String json = new String(StoredValueCodec.write(listed), StandardCharsets.UTF_8);
+        byte[] earlier = json.replaceAll(",?\"messageSet\":\\d+", "").getBytes(StandardCharsets.UTF_8);
+
+        assertThat(StoredValueCodec.readHost(earlier).get().messageSet()).isEqualTo(ListedHost.FIRST_MESSAGE_SET);
+    }
+
     /** A later version of the system may write additional fields; this version reads those that it knows. */
     @Test
     void anUnknownFieldIsIgnored() {
