--- a/src/main/java/org/gooseberryhill/decision/continuation/StreamOriginLog.java
+++ b/src/main/java/org/gooseberryhill/decision/continuation/StreamOriginLog.java
@@ -40,11 +40,11 @@
         return entry == null ? Set.of() : Set.copyOf(entry.versions);
     }
 
-    /** Returns the origins at a service that were recorded so lately that callers may take these streams up again. */
-    public Set<StreamOrigin> recent(String service, long nowNanos) {
+    /** Returns the origins at a service that were recorded at most the given time ago. */
+    public Set<StreamOrigin> recent(String service, long maxAgeNanos, long nowNanos) {
         Set<StreamOrigin> recent = new HashSet<>();
         recordings.stream()
-                .filter(recording -> nowNanos - recording.nanos <= VersionHistory.MAX_STREAM_AGE_NANOS)
+                .filter(recording -> nowNanos - recording.nanos <= maxAgeNanos)
                 .filter(recording -> recording.origin.beganAt().service().equals(service))
                 .forEach(recording -> recent.add(recording.origin));
         return recent;
--- a/src/main/java/org/gooseberryhill/decision/continuation/VersionHistory.java
+++ b/src/main/java/org/gooseberryhill/decision/continuation/VersionHistory.java
@@ -3,12 +3,15 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.ServiceVersion;
+import org.gooseberryhill.route.Route;
+import org.gooseberryhill.route.RouteKind;
 
 /**
  * Tracks which software versions of each service were registered in the time in which a stream may be taken up again. Not
@@ -17,12 +20,34 @@
  * <p>Invariant: a version that was registered at any moment of that time is known, from the first directory of this host on.
  */
 public final class VersionHistory {
-    /** Longest time between the first event of a stream and the moment at which its caller takes it up again. */
-    static final long MAX_STREAM_AGE_NANOS = TimeUnit.SECONDS.toNanos(30);
+    /** Time between the first event of a stream and its last resumption at most, while no route sets a timeout. */
+    static final long DEFAULT_STREAM_AGE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    /** The caller's own time and the time of the attempt that it still makes at its end. */
+    private static final int ROUTE_TIMEOUTS = 2;
 
     private final Map<ServiceVersion, Long> lastSeenNanos = new HashMap<>();
     private Set<ServiceVersion> registered = Set.of();
     private long firstDirectoryNanos = Long.MIN_VALUE;
+    private long maxStreamAgeNanos = DEFAULT_STREAM_AGE_NANOS;
+
+    /** Derives from the timeouts of the routes for how long a stream may be taken up again. */
+    public void configure(Collection<Route> routes) {
+        List<Route> streams = routes.stream()
+                .filter(route -> route.kind() == RouteKind.STREAM)
+                .toList();
+        boolean allHaveTimeouts = streams.stream().allMatch(route -> route.timeoutMillis() > 0);
+        long longestMillis =
+                streams.stream().mapToLong(Route::timeoutMillis).max().orElse(0);
+        maxStreamAgeNanos = allHaveTimeouts && longestMillis > 0
+                ? ROUTE_TIMEOUTS * TimeUnit.MILLISECONDS.toNanos(longestMillis)
+                : DEFAULT_STREAM_AGE_NANOS;
+    }
+
+    /** Returns the time after its first event in which a stream may be taken up again, in nanoseconds. */
+    public long maxStreamAgeNanos() {
+        return maxStreamAgeNanos;
+    }
 
     /** Replaces the directory; returns the services that have more than one version from now on. */
     public Set<String> update(Collection<EndpointEntry> entries, long nowNanos) {
@@ -33,7 +58,8 @@
         registered.forEach(version -> lastSeenNanos.put(version, nowNanos));
         registered = entries.stream().map(EndpointEntry::serviceVersion).collect(Collectors.toSet());
         registered.forEach(version -> lastSeenNanos.put(version, nowNanos));
-        lastSeenNanos.values().removeIf(seenNanos -> nowNanos - seenNanos > MAX_STREAM_AGE_NANOS);
+        long keptNanos = Math.max(DEFAULT_STREAM_AGE_NANOS, maxStreamAgeNanos);
+        lastSeenNanos.values().removeIf(seenNanos -> nowNanos - seenNanos > keptNanos);
         Set<String> mixed = mixedServices(nowNanos);
         mixed.removeAll(mixedBefore);
         return mixed;
@@ -46,8 +72,7 @@
 
     /** Returns the versions of a service that were registered lately. */
     public RegisteredVersions registeredOf(String service, long nowNanos) {
-        boolean complete =
-                firstDirectoryNanos != Long.MIN_VALUE && nowNanos - firstDirectoryNanos >= MAX_STREAM_AGE_NANOS;
+        boolean complete = firstDirectoryNanos != Long.MIN_VALUE && nowNanos - firstDirectoryNanos >= maxStreamAgeNanos;
         return new RegisteredVersions(versionsOf(service, nowNanos), complete);
     }
 
@@ -62,7 +87,7 @@
         return lastSeenNanos.entrySet().stream()
                 .filter(entry -> entry.getKey().service().equals(service))
                 .filter(entry ->
-                        registered.contains(entry.getKey()) || nowNanos - entry.getValue() <= MAX_STREAM_AGE_NANOS)
+                        registered.contains(entry.getKey()) || nowNanos - entry.getValue() <= maxStreamAgeNanos)
                 .map(entry -> entry.getKey().softwareVersion())
                 .collect(Collectors.toSet());
     }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -344,6 +344,7 @@
         table = new RouteTable(configuration);
         requestRouter.configure(table);
         batchRoutes.configure(table);
+        traffic.streamOrigins().configure(configuration);
         assignment.exchange().admissions().configure(configuration.accounts());
         traffic.setConfigurationVersion(configuration.version());
         context.timeline()
--- a/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
+++ b/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
@@ -22,6 +22,7 @@
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerLane;
+import org.gooseberryhill.route.RouteConfiguration;
 import org.gooseberryhill.timeline.EventKind;
 
 /**
@@ -55,10 +56,15 @@
         this.keepersUpdatedNanos = context.nowNanos() - KEEPERS_PERIOD_NANOS;
     }
 
+    /** Applies a new configuration. */
+    void configure(RouteConfiguration configuration) {
+        history.configure(configuration.routes());
+    }
+
     /** Applies a new directory: streams that have begun are made known before their service has several versions for long. */
     void endpointsChanged(Collection<EndpointEntry> entries) {
         Set<String> mixed = history.update(entries, context.nowNanos());
-        mixed.forEach(service -> tell(log.recent(service, context.nowNanos())));
+        mixed.forEach(service -> tell(log.recent(service, history.maxStreamAgeNanos(), context.nowNanos())));
     }
 
     /**
--- a/src/test/java/org/gooseberryhill/decision/continuation/StreamOriginLogTest.java
+++ b/src/test/java/org/gooseberryhill/decision/continuation/StreamOriginLogTest.java
@@ -58,12 +58,13 @@
 
     @Test
     void onlyStreamsOfAServiceThatMayBeTakenUpAreListed() {
-        long nowNanos = VersionHistory.MAX_STREAM_AGE_NANOS + TimeUnit.SECONDS.toNanos(1);
+        long maxAgeNanos = TimeUnit.SECONDS.toNanos(10);
+        long nowNanos = maxAgeNanos + 1;
         StreamOrigin recent = new StreamOrigin("b", V1);
         log.record(new StreamOrigin("a", V1), 0);
         log.record(recent, nowNanos - 1);
         log.record(new StreamOrigin("c", OTHER_SERVICE), nowNanos - 1);
 
-        assertThat(log.recent("s", nowNanos)).containsOnly(recent);
+        assertThat(log.recent("s", maxAgeNanos, nowNanos)).containsOnly(recent);
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/continuation/VersionHistoryTest.java
+++ b/src/test/java/org/gooseberryhill/decision/continuation/VersionHistoryTest.java
@@ -4,13 +4,17 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.link.Address;
+import org.gooseberryhill.route.Route;
+import org.gooseberryhill.route.RouteKind;
+import org.gooseberryhill.route.RouteTarget;
 import org.gooseberryhill.zone.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 class VersionHistoryTest {
-    private static final long WHOLE_TIME_NANOS = VersionHistory.MAX_STREAM_AGE_NANOS;
+    private static final long WHOLE_TIME_NANOS = VersionHistory.DEFAULT_STREAM_AGE_NANOS;
 
     private final VersionHistory history = new VersionHistory();
 
@@ -49,6 +53,36 @@
         assertThat(history.registeredOf("s", WHOLE_TIME_NANOS)).isEqualTo(new RegisteredVersions(Set.of("v1"), true));
     }
 
+    /** Guards against refusals long after the last caller that may take up a stream has given up. */
+    @Test
+    void theTimeFollowsFromTheLongestTimeoutOfAStream() {
+        history.configure(
+                List.of(route(RouteKind.STREAM, 3000), route(RouteKind.STREAM, 5000), route(RouteKind.BATCH, 90_000)));
+        assertThat(history.maxStreamAgeNanos()).isEqualTo(TimeUnit.MILLISECONDS.toNanos(10_000));
+
+        history.configure(List.of(route(RouteKind.STREAM, 3000), route(RouteKind.STREAM, 0)));
+        assertThat(history.maxStreamAgeNanos()).isEqualTo(VersionHistory.DEFAULT_STREAM_AGE_NANOS);
+    }
+
+    private static Route route(RouteKind kind, long timeoutMillis) {
+        return new Route(
+                "r",
+                "h",
+                "/p/",
+                kind,
+                List.of(new RouteTarget("s", 1)),
+                timeoutMillis,
+                300,
+                2,
+                0,
+                true,
+                true,
+                200,
+                0,
+                0,
+                false);
+    }
+
     /** Guards against an endpoint that comes back under its id: what it began before was at its earlier version. */
     @Test
     void anEndpointThatReturnsWithAnotherVersionMakesTwoVersions() {
