Keep a record of the registered versions for hosts that start

Change: one host writes down which versions are registered and which were lately, whenever one comes or goes. The record stands beside the list of hosts, which each host lists and follows anyway, so that it costs no read. A host that starts adds it to what it sees itself; versions in the record that are not registered any more count from its start on, and clocks may differ by three seconds.

Ruled out: a shorter time after a start (a guess), versions in each host's own registration (a write of each host for each change).

--- a/src/main/java/org/gooseberryhill/decision/continuation/VersionHistory.java
+++ b/src/main/java/org/gooseberryhill/decision/continuation/VersionHistory.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -17,7 +18,8 @@
  * Tracks which software versions of each service were registered in the time in which a stream may be taken up again. Not
  * thread-safe.
  *
- * <p>Invariant: a version that was registered at any moment of that time is known, from the first directory of this host on.
+ * <p>Invariant: a version that was registered at any moment of that time is known, from the first directory of this host on, or from
+ * the time on that the record of the hosts before it covers.
  */
 public final class VersionHistory {
     /** Time between the first event of a stream and its last resumption at most, while no route sets a timeout. */
@@ -26,9 +28,11 @@
     /** The caller's own time and the time of the attempt that it still makes at its end. */
     private static final int ROUTE_TIMEOUTS = 2;
 
+    private static final long CLOCK_TOLERANCE_MILLIS = 3000;
+
     private final Map<ServiceVersion, Long> lastSeenNanos = new HashMap<>();
     private Set<ServiceVersion> registered = Set.of();
-    private long firstDirectoryNanos = Long.MIN_VALUE;
+    private Optional<Long> knownSinceNanos = Optional.empty();
     private long maxStreamAgeNanos = DEFAULT_STREAM_AGE_NANOS;
 
     /** Derives from the timeouts of the routes for how long a stream may be taken up again. */
@@ -52,8 +56,8 @@
     /** Replaces the directory; returns the services that have more than one version from now on. */
     public Set<String> update(Collection<EndpointEntry> entries, long nowNanos) {
         Set<String> mixedBefore = mixedServices(nowNanos);
-        if (firstDirectoryNanos == Long.MIN_VALUE && !entries.isEmpty()) {
-            firstDirectoryNanos = nowNanos;
+        if (knownSinceNanos.isEmpty() && !entries.isEmpty()) {
+            knownSinceNanos = Optional.of(nowNanos);
         }
         registered.forEach(version -> lastSeenNanos.put(version, nowNanos));
         registered = entries.stream().map(EndpointEntry::serviceVersion).collect(Collectors.toSet());
@@ -72,10 +76,43 @@
 
     /** Returns the versions of a service that were registered lately. */
     public RegisteredVersions registeredOf(String service, long nowNanos) {
-        boolean complete = firstDirectoryNanos != Long.MIN_VALUE && nowNanos - firstDirectoryNanos >= maxStreamAgeNanos;
+        boolean complete = knownSinceNanos
+                .map(sinceNanos -> nowNanos - sinceNanos >= maxStreamAgeNanos)
+                .orElse(false);
         return new RegisteredVersions(versionsOf(service, nowNanos), complete);
     }
 
+    /** Returns the record to write for hosts that start; empty before the first directory. */
+    public Optional<VersionRecord> toRecord(long nowMillis, long nowNanos) {
+        Map<ServiceVersion, Long> gone = new HashMap<>();
+        lastSeenNanos.forEach((version, seenNanos) -> {
+            if (!registered.contains(version) && nowNanos - seenNanos <= maxStreamAgeNanos) {
+                gone.put(version, nowMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos - seenNanos));
+            }
+        });
+        return knownSinceNanos.map(sinceNanos ->
+                new VersionRecord(nowMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos), registered, gone));
+    }
+
+    /** Returns whether a record names other versions as registered than the directory has. */
+    public boolean differsFrom(VersionRecord record) {
+        return !record.registered().equals(registered);
+    }
+
+    /** Adds what the hosts have seen before this one started; the clocks of two hosts may differ by some seconds. */
+    public void restore(VersionRecord record, long nowMillis, long nowNanos) {
+        long knownMillis = nowMillis - record.sinceMillis() - CLOCK_TOLERANCE_MILLIS;
+        if (knownMillis > 0) {
+            long sinceNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(knownMillis);
+            knownSinceNanos = Optional.of(Math.min(knownSinceNanos.orElse(sinceNanos), sinceNanos));
+        }
+        record.registered().forEach(version -> lastSeenNanos.put(version, nowNanos));
+        record.goneAtMillis().forEach((version, goneMillis) -> {
+            long ageMillis = Math.max(0, nowMillis - goneMillis - CLOCK_TOLERANCE_MILLIS);
+            lastSeenNanos.merge(version, nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis), Math::max);
+        });
+    }
+
     private Set<String> mixedServices(long nowNanos) {
         return lastSeenNanos.keySet().stream()
                 .map(ServiceVersion::service)
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -166,7 +166,8 @@
         this.takeover = new BatchTakeover(
                 context, links, registry, batchStore, runner::schedule, committer::onRecordChanged, cleanup::onListed);
         this.handOver = new BatchHandOver(context, links, registry, committer);
-        this.views = new GatewayViews(context, links, this::configure, this::endpointsChanged);
+        this.views = new GatewayViews(
+                context, links, this::configure, this::endpointsChanged, traffic.streamOrigins()::versionRecordRead);
         StartGate gate = new StartGate(context.nowNanos());
         this.readiness = new Readiness(context, gate);
         this.rejectedConnectionsLog = new RejectedConnectionsLog(context);
@@ -322,6 +323,7 @@
     private void slowTick() {
         probes.tick();
         assignment.slowTick();
+        traffic.streamOrigins().tick();
     }
 
     private void updateReadiness() {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -45,6 +45,7 @@
     private final PeerLinks links;
     private final Consumer<RouteConfiguration> onConfiguration;
     private final Consumer<Collection<EndpointEntry>> onEndpointsChanged;
+    private final Consumer<KeyChange> onVersionRecord;
     private final EvacuationReporter evacuationReporter;
     private final ViewUpdater registrations;
     private final ViewUpdater operators;
@@ -59,11 +60,13 @@
             GatewayContext context,
             PeerLinks links,
             Consumer<RouteConfiguration> onConfiguration,
-            Consumer<Collection<EndpointEntry>> onEndpointsChanged) {
+            Consumer<Collection<EndpointEntry>> onEndpointsChanged,
+            Consumer<KeyChange> onVersionRecord) {
         this.context = context;
         this.links = links;
         this.onConfiguration = onConfiguration;
         this.onEndpointsChanged = onEndpointsChanged;
+        this.onVersionRecord = onVersionRecord;
         this.rankUpdatedNanos = context.nowNanos() - RANK_UPDATE_PERIOD_NANOS;
         this.evacuationReporter = new EvacuationReporter(context, links);
         this.registeredEndpoints = new RegisteredEndpoints(context.dialects().directory(), context.timeline());
@@ -216,6 +219,10 @@
 
     private void hostsChanged(List<KeyChange> changes) {
         for (KeyChange entry : changes) {
+            if (entry.key().equals(StoredKeys.VERSIONS)) {
+                onVersionRecord.accept(entry);
+                continue;
+            }
             listedHosts.remove(entry.key());
             entry.value()
                     .flatMap(value -> StoredValueCodec.readHost(value).toJavaOptional())
--- a/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
+++ b/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
@@ -19,6 +19,7 @@
 import org.gooseberryhill.decision.continuation.VersionHistory;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.ServiceVersion;
+import org.gooseberryhill.external.KeyChange;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerLane;
@@ -48,14 +49,26 @@
     private final StreamOriginLog log = new StreamOriginLog();
     private final VersionHistory history = new VersionHistory();
     private final OriginKeepers keepers = new OriginKeepers();
+    private final VersionRecordWriter recordWriter;
     private long keepersUpdatedNanos;
 
     StreamOrigins(GatewayContext context, PeerLinks links) {
         this.context = context;
         this.links = links;
+        this.recordWriter = new VersionRecordWriter(context, links, history);
         this.keepersUpdatedNanos = context.nowNanos() - KEEPERS_PERIOD_NANOS;
     }
 
+    /** Applies the record of software versions as read from the key-value store. */
+    void versionRecordRead(KeyChange entry) {
+        recordWriter.recordRead(entry);
+    }
+
+    /** Keeps the record of software versions up to date; called periodically. */
+    void tick() {
+        recordWriter.tick();
+    }
+
     /** Applies a new configuration. */
     void configure(RouteConfiguration configuration) {
         history.configure(configuration.routes());
--- a/src/main/java/org/gooseberryhill/stored/StoredKeys.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredKeys.java
@@ -5,6 +5,9 @@
     /** Prefix of the live hosts' keys; each key is bound to its host's lease. */
     public static final String HOSTS = "/gooseberry/gateways/";
 
+    /** Key of the record of software versions. It is read and followed with the list of hosts, so it costs no call of its own. */
+    public static final String VERSIONS = HOSTS + "~versions";
+
     /** Prefix of the request batches' records. */
     public static final String BATCHES = "/gooseberry/batches/";
 
--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -5,13 +5,19 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Try;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.gooseberryhill.decision.continuation.VersionRecord;
 import org.gooseberryhill.decision.membership.ListedHost;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.ItemState;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.host.Role;
@@ -57,6 +63,39 @@
         });
     }
 
+    /** Encodes the record of software versions. */
+    public static byte[] write(VersionRecord record) {
+        ObjectNode json = Json.object().put("sinceMillis", record.sinceMillis());
+        ArrayNode registered = json.putArray("registered");
+        record.registered().forEach(version -> addVersion(registered, version));
+        ArrayNode gone = json.putArray("gone");
+        record.goneAtMillis()
+                .forEach((version, millis) -> addVersion(gone, version).put("atMillis", millis));
+        return Json.bytes(json);
+    }
+
+    /** Decodes the record of software versions. */
+    public static Try<VersionRecord> readVersions(byte[] value) {
+        return Json.tree(value).mapTry(json -> {
+            Set<ServiceVersion> registered = new HashSet<>();
+            json.required("registered").forEach(version -> registered.add(readVersion(version)));
+            Map<ServiceVersion, Long> gone = new HashMap<>();
+            json.required("gone")
+                    .forEach(version -> gone.put(
+                            readVersion(version), version.required("atMillis").longValue()));
+            return new VersionRecord(json.required("sinceMillis").longValue(), registered, gone);
+        });
+    }
+
+    private static ObjectNode addVersion(ArrayNode list, ServiceVersion version) {
+        return list.addObject().put("service", version.service()).put("version", version.softwareVersion());
+    }
+
+    private static ServiceVersion readVersion(JsonNode json) {
+        return new ServiceVersion(
+                json.required("service").textValue(), json.required("version").textValue());
+    }
+
     /** Encodes a batch's record. */
     public static byte[] write(BatchRecord record) {
         ObjectNode json = Json.object()
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -55,6 +55,10 @@
     ADMISSION_UNANSWERED("admission.unanswered", Importance.STATE),
     /** The coordinator of a group of endpoints did not answer in time. */
     COORDINATOR_UNANSWERED("coordinator.unanswered", Importance.STATE),
+    /** The record of software versions was not written; the host tries again. */
+    VERSION_RECORD_UNWRITTEN("version-record.unwritten", Importance.STATE),
+    /** The record of software versions in the key-value store can't be decoded. */
+    VERSION_RECORD_INVALID("version-record.invalid", Importance.FAILURE),
     /** The version that began a stream is not certain, so that the host does not continue it. */
     STREAM_ORIGIN_UNKNOWN("stream.origin-unknown", Importance.FAILURE),
     /** A message was received from a host for the first time, or again after a silence. */
--- a/src/test/java/org/gooseberryhill/decision/continuation/VersionHistoryTest.java
+++ b/src/test/java/org/gooseberryhill/decision/continuation/VersionHistoryTest.java
@@ -16,6 +16,9 @@
 class VersionHistoryTest {
     private static final long WHOLE_TIME_NANOS = VersionHistory.DEFAULT_STREAM_AGE_NANOS;
 
+    private static final long TOLERANT_TIME_NANOS = WHOLE_TIME_NANOS + TimeUnit.SECONDS.toNanos(3);
+    private static final long START_MILLIS = 1_000_000;
+
     private final VersionHistory history = new VersionHistory();
 
     @Test
@@ -53,6 +56,64 @@
         assertThat(history.registeredOf("s", WHOLE_TIME_NANOS)).isEqualTo(new RegisteredVersions(Set.of("v1"), true));
     }
 
+    /** Guards against streams that are refused since all hosts have started anew, although there was one version all along. */
+    @Test
+    void aHostThatStartsKnowsTheVersionsThatOthersWroteDown() {
+        history.update(List.of(entry("e0", "v1")), 0);
+        VersionRecord record =
+                history.toRecord(START_MILLIS, TOLERANT_TIME_NANOS).orElseThrow();
+
+        VersionHistory started = started(record, START_MILLIS);
+
+        assertThat(started.registeredOf("s", 0)).isEqualTo(new RegisteredVersions(Set.of("v1"), true));
+    }
+
+    /** Guards against a stream of a version that went shortly before all hosts were lost. */
+    @Test
+    void aVersionThatWasWrittenDownAsGoneCountsForTheRestOfItsTime() {
+        history.update(List.of(entry("e0", "v1"), entry("e1", "v2")), 0);
+        history.update(List.of(entry("e0", "v1")), TOLERANT_TIME_NANOS);
+        VersionRecord record =
+                history.toRecord(START_MILLIS, TOLERANT_TIME_NANOS).orElseThrow();
+
+        VersionHistory started = started(record, START_MILLIS + 1000);
+
+        assertThat(started.isMixed("s", WHOLE_TIME_NANOS)).isTrue();
+        assertThat(started.isMixed("s", WHOLE_TIME_NANOS + 1)).isFalse();
+    }
+
+    /** Guards against a version that went while no host ran: it is in the record and not in the directory. */
+    @Test
+    void aVersionThatWentWhileNoHostRanCountsFromTheStartOn() {
+        history.update(List.of(entry("e0", "v1"), entry("e1", "v2")), 0);
+        VersionRecord record =
+                history.toRecord(START_MILLIS, TOLERANT_TIME_NANOS).orElseThrow();
+
+        assertThat(started(record, START_MILLIS)
+                        .registeredOf("s", WHOLE_TIME_NANOS)
+                        .versions())
+                .containsOnly("v1", "v2");
+    }
+
+    @Test
+    void theRecordIsOutdatedWhenAVersionComesOrGoes() {
+        history.update(List.of(entry("e0", "v1")), 0);
+        VersionRecord record = history.toRecord(START_MILLIS, 0).orElseThrow();
+
+        history.update(List.of(entry("e0", "v1"), entry("e1", "v1")), 1);
+        assertThat(history.differsFrom(record)).isFalse();
+        history.update(List.of(entry("e0", "v1"), entry("e1", "v2")), 2);
+        assertThat(history.differsFrom(record)).isTrue();
+    }
+
+    /** A host that reads the record at its start, and then the directory with the first version only. */
+    private static VersionHistory started(VersionRecord record, long nowMillis) {
+        VersionHistory started = new VersionHistory();
+        started.restore(record, nowMillis, 0);
+        started.update(List.of(entry("e0", "v1")), 0);
+        return started;
+    }
+
     /** Guards against refusals long after the last caller that may take up a stream has given up. */
     @Test
     void theTimeFollowsFromTheLongestTimeoutOfAStream() {
--- a/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
+++ b/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
@@ -4,12 +4,16 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.gooseberryhill.decision.continuation.VersionRecord;
 import org.gooseberryhill.decision.membership.ListedHost;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.ItemState;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.host.Role;
@@ -30,8 +34,16 @@
                 new ItemResult("i", ItemState.DONE, "a\nb \u00e4 \"c\""), new ItemResult("j", ItemState.GIVEN_UP, ""));
         List<ItemCheckpoint> checkpoints = List.of(new ItemCheckpoint("i", 1L << 33, "so far"));
 
+        VersionRecord versions = new VersionRecord(
+                1L << 40,
+                Set.of(new ServiceVersion("s", "v1"), new ServiceVersion("t", "v1")),
+                Map.of(new ServiceVersion("s", "v0"), 1L << 41));
+
         assertThat(StoredValueCodec.readHost(StoredValueCodec.write(listed)).get())
                 .isEqualTo(listed);
+        assertThat(StoredValueCodec.readVersions(StoredValueCodec.write(versions))
+                        .get())
+                .isEqualTo(versions);
         assertThat(StoredValueCodec.readRecord(StoredValueCodec.write(RECORD)).get())
                 .isEqualTo(RECORD);
         assertThat(StoredValueCodec.readResults(StoredValueCodec.writeResults(results))
