Continue an item only at the version that generated its output

Cause: an item that had yielded, or whose endpoint or owner was lost, went on after its last event at whatever endpoint had a free slot; neither the item nor its checkpoint knew the version.

Change: an item knows the version that generated its output, and so do its checkpoints, in the store and in a hand-over. A run at another version starts from the beginning. An item waits for a slot of its version, at most for as long as its output took to generate, counted from the first slot of another version that it passed over, and not once no endpoint of the version stays. A checkpoint without a version, which the last landed version of the system writes, is not continued. That version ignores the new fields.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
@@ -14,13 +14,19 @@
 import org.gooseberryhill.decision.coordination.ItemTiming;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.Fleet;
+import org.gooseberryhill.decision.dispatch.FleetEndpoint;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.route.Route;
 import org.gooseberryhill.route.RouteTarget;
 
 /**
  * Decides which items of a host's batches use the slots that coordinators grant, and keeps the runs. Not thread-safe.
  *
+ * <p>Load pattern: endpoints of two software versions serve while one replaces the other, and items yield several times. Output
+ * goes on only at the version that generated it, so an item waits for a slot there, but no longer than it would take to generate
+ * the output again, and not once no endpoint of the version stays.
+ *
  * <p>Invariants: an item has at most one run at a time; each run that is started here is also ended here, so the count
  * of runs in flight stays correct.
  */
@@ -59,18 +65,35 @@
 
     /**
      * Starts a run of the first waiting item that may run at an endpoint and returns it, already counted as in flight;
-     * empty if no item waits.
+     * empty if no item waits, or all that do wait for endpoints of other versions.
      *
      * @param pressure the pressure that the coordinator of the endpoint has measured
      */
     public Optional<PlacedItem> startAt(
             EndpointEntry endpoint, double pressure, Collection<OwnedBatch> batches, long nowNanos, long nowMillis) {
         lastPressure = pressure;
-        List<DueItem> items = startableItems(batches, nowNanos, nowMillis).stream()
+        return startableItems(batches, nowNanos, nowMillis).stream()
                 .filter(item -> targets(item.batch()).stream()
                         .anyMatch(target -> target.service().equals(endpoint.service())))
-                .toList();
-        return items.stream().findFirst().map(item -> start(endpoint, item, nowNanos));
+                .filter(item -> mayStartAt(endpoint.serviceVersion(), item, nowNanos))
+                .findFirst()
+                .map(item -> start(endpoint, item, nowNanos));
+    }
+
+    private boolean mayStartAt(ServiceVersion version, DueItem item, long nowNanos) {
+        Optional<ServiceVersion> generatedBy = item.item().generatedBy();
+        if (generatedBy.isEmpty() || generatedBy.get().equals(version) || !isServed(generatedBy.get())) {
+            return true;
+        }
+        long generatedMillis = item.timing().runMillis() - item.timing().remainingMillis();
+        return item.item().passOver(nowNanos) >= TimeUnit.MILLISECONDS.toNanos(generatedMillis);
+    }
+
+    /** Returns whether an endpoint of a version is registered that stays. */
+    private boolean isServed(ServiceVersion version) {
+        return fleet.endpointsOf(version.service()).stream()
+                .map(FleetEndpoint::entry)
+                .anyMatch(entry -> entry.serviceVersion().equals(version) && !entry.leaving());
     }
 
     /** Returns a run that has not ended. */
@@ -143,7 +166,7 @@
         PlacedItem run = new PlacedItem(++lastRunNumber, item, endpoint, item.timing(), nowNanos);
         runs.put(run.number(), run);
         fleet.batchStarted(endpoint.key());
-        item.batch().runStarted(item.item());
+        item.batch().runStarted(item.item(), endpoint.serviceVersion());
         return run;
     }
 }
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
@@ -1,17 +1,20 @@
 package org.gooseberryhill.decision.requestbatch;
 
 import java.util.Optional;
+import org.gooseberryhill.directory.ServiceVersion;
 
 /**
  * Tracks the progress of one item of an owned batch. Not thread-safe.
  *
  * <p>Invariant: an item gets exactly one result. When a run is interrupted, its output is kept, and the next run
- * resumes after the last event; output without event ids is discarded instead.
+ * resumes after the last event; output without event ids is discarded instead. The output comes from one version of one
+ * service: a run at another one starts from the beginning.
  */
 public final class ItemProgress {
     private final BatchItem item;
     private final StringBuilder text = new StringBuilder();
     private Optional<Long> lastEventId = Optional.empty();
+    private Optional<ServiceVersion> generatedBy = Optional.empty();
     private Optional<ItemResult> result = Optional.empty();
     private boolean running;
     private boolean hasOutput;
@@ -21,6 +24,7 @@
     private boolean runHasOutput;
     private Optional<Long> unconfirmedEndId = Optional.empty();
     private Optional<Long> notBeforeNanos = Optional.empty();
+    private Optional<Long> passedOverSinceNanos = Optional.empty();
 
     ItemProgress(BatchItem item) {
         this.item = item;
@@ -41,6 +45,11 @@
         return hasOutput;
     }
 
+    /** Returns the version that generated the output; empty if there is no output. */
+    public Optional<ServiceVersion> generatedBy() {
+        return hasOutput ? generatedBy : Optional.empty();
+    }
+
     /** Appends an event of the current run; an event that was received before is ignored. */
     public void appendEvent(Optional<Long> id, String data) {
         if (id.isPresent() && lastEventId.isPresent() && id.get() <= lastEventId.get()) {
@@ -96,11 +105,23 @@
         return !running && result.isEmpty() && delayElapsed;
     }
 
-    void runStarted() {
+    /** Starts a run; output of another version is discarded. */
+    void runStarted(ServiceVersion version) {
+        if (generatedBy().map(before -> !before.equals(version)).orElse(false)) {
+            discardOutput();
+        }
+        generatedBy = Optional.of(version);
+        passedOverSinceNanos = Optional.empty();
         runHasOutput = false;
         running = true;
     }
 
+    /** Records that a slot of another version was passed over, and returns for how long that has happened, in nanoseconds. */
+    long passOver(long nowNanos) {
+        passedOverSinceNanos = passedOverSinceNanos.or(() -> Optional.of(nowNanos));
+        return nowNanos - passedOverSinceNanos.get();
+    }
+
     void runStopped() {
         running = false;
     }
@@ -135,27 +156,42 @@
     /** Discards output whose events have no ids: it can't be resumed, so the next run starts from the beginning. */
     void discardOutputUnlessResumable() {
         if (hasOutput && lastEventId.isEmpty()) {
-            text.setLength(0);
-            hasOutput = false;
+            discardOutput();
         }
     }
 
+    private void discardOutput() {
+        text.setLength(0);
+        lastEventId = Optional.empty();
+        unconfirmedEndId = Optional.empty();
+        hasOutput = false;
+    }
+
     /** Returns the output generated so far, if another run can resume after it. */
     Optional<ItemCheckpoint> checkpoint() {
         if (result.isPresent() || !hasOutput || lastEventId.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(new ItemCheckpoint(item.id(), lastEventId.get(), text.toString()));
+        return Optional.of(new ItemCheckpoint(item.id(), lastEventId.get(), text.toString(), generatedBy));
     }
 
-    /** Restores output that an earlier owner generated, unless at least as much is already present. */
+    /**
+     * Restores output that an earlier owner generated, unless at least as much is already present, or its version is unknown or
+     * not that of the current run.
+     */
     void restore(ItemCheckpoint checkpoint) {
+        boolean continuable = checkpoint.generatedBy().isPresent()
+                && (!running || checkpoint.generatedBy().equals(generatedBy));
+        if (!continuable) {
+            return;
+        }
         if (result.isPresent() || lastEventId.orElse(0L) >= checkpoint.lastEventId()) {
             return;
         }
         text.setLength(0);
         text.append(checkpoint.text());
         lastEventId = Optional.of(checkpoint.lastEventId());
+        generatedBy = checkpoint.generatedBy();
         hasOutput = true;
     }
 
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.directory.ServiceVersion;
 
 /**
  * The state of a batch on the host that owns and runs it. Not thread-safe.
@@ -151,9 +152,9 @@
         ending = true;
     }
 
-    /** Records the start of a run of an item. */
-    public void runStarted(ItemProgress item) {
-        item.runStarted();
+    /** Records the start of a run of an item at an endpoint of a version. */
+    public void runStarted(ItemProgress item, ServiceVersion version) {
+        item.runStarted(version);
     }
 
     /**
--- a/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
+++ b/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
@@ -34,8 +34,11 @@
  * there is only one, a stream of which no host knows can't have begun at another.
  */
 final class StreamOrigins {
-    /** Several round trips between availability zones; a caller waits for this in addition to the run. */
-    private static final long INQUIRY_TIMEOUT_MILLIS = 150;
+    /** Several round trips between availability zones: after this time the answers of most hosts are enough. */
+    private static final long MAJORITY_DELAY_MILLIS = 100;
+
+    /** Hosts answer this late while they start, and without answers the caller loses what it has of the stream. */
+    private static final long INQUIRY_TIMEOUT_MILLIS = 500;
 
     /** Hosts that are asked at the same time. */
     private static final int ASKED_AT_ONCE = 3;
@@ -147,6 +150,7 @@
         private final Consumer<Optional<ServiceVersion>> receiver;
         private final OriginInquiry inquiry;
         private final Iterator<Host> candidates;
+        private boolean majorityIsEnough;
         private boolean finished;
 
         Inquiry(
@@ -171,6 +175,7 @@
             }
             finishIfDecided();
             if (!finished) {
+                context.loop().after(MAJORITY_DELAY_MILLIS, this::acceptMajority);
                 context.loop().after(INQUIRY_TIMEOUT_MILLIS, this::finish);
             }
         }
@@ -195,8 +200,13 @@
             });
         }
 
+        private void acceptMajority() {
+            majorityIsEnough = true;
+            finishIfDecided();
+        }
+
         private void finishIfDecided() {
-            if (inquiry.isDecided()) {
+            if (inquiry.isDecided() || (majorityIsEnough && inquiry.beganAt().isPresent())) {
                 finish();
             }
         }
--- a/src/main/java/org/gooseberryhill/peer/BatchCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/BatchCodecs.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.peer;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.gooseberryhill.decision.access.BatchAccess;
@@ -97,6 +98,7 @@
         writeRecord(packer, handOver.record());
         CompactFields.writeList(packer, handOver.progress(), BatchCodecs::writeCheckpoint);
         writeAccount(packer, handOver.record());
+        writeVersions(packer, handOver.progress());
     }
 
     private static GatewayMessage.BatchHandOver readHandOver(MessageUnpacker unpacker) throws IOException {
@@ -104,7 +106,8 @@
         long revision = unpacker.unpackLong();
         BatchRecord record = readRecord(unpacker);
         List<ItemCheckpoint> progress = CompactFields.readList(unpacker, BatchCodecs::readCheckpoint);
-        return new GatewayMessage.BatchHandOver(batch, revision, readAccount(unpacker, record), progress);
+        BatchRecord recordWithAccount = readAccount(unpacker, record);
+        return new GatewayMessage.BatchHandOver(batch, revision, recordWithAccount, readVersions(unpacker, progress));
     }
 
     private static void writeCheckpoint(MessagePacker packer, ItemCheckpoint checkpoint) throws IOException {
@@ -112,7 +115,32 @@
     }
 
     private static ItemCheckpoint readCheckpoint(MessageUnpacker unpacker) throws IOException {
-        return new ItemCheckpoint(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString());
+        return new ItemCheckpoint(
+                unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(), Optional.empty());
+    }
+
+    /** Writes the versions of checkpoints at the end of a message, where earlier versions do not look for them. */
+    private static void writeVersions(MessagePacker packer, List<ItemCheckpoint> checkpoints) throws IOException {
+        for (ItemCheckpoint checkpoint : checkpoints) {
+            CompactFields.writeOptional(packer, checkpoint.generatedBy(), StreamOriginCodecs::writeVersion);
+        }
+    }
+
+    /** Reads the versions of checkpoints at the end of a message; earlier versions do not write them. */
+    private static List<ItemCheckpoint> readVersions(MessageUnpacker unpacker, List<ItemCheckpoint> checkpoints)
+            throws IOException {
+        if (!unpacker.hasNext()) {
+            return checkpoints;
+        }
+        List<ItemCheckpoint> complete = new ArrayList<>();
+        for (ItemCheckpoint checkpoint : checkpoints) {
+            complete.add(new ItemCheckpoint(
+                    checkpoint.id(),
+                    checkpoint.lastEventId(),
+                    checkpoint.text(),
+                    CompactFields.readOptional(unpacker, StreamOriginCodecs::readVersion)));
+        }
+        return complete;
     }
 
     /** Writes the account of a record at the end of a message, where earlier versions do not look for it. */
--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -67,10 +67,11 @@
     public static byte[] write(VersionRecord record) {
         ObjectNode json = Json.object().put("sinceMillis", record.sinceMillis());
         ArrayNode registered = json.putArray("registered");
-        record.registered().forEach(version -> addVersion(registered, version));
+        record.registered().forEach(version -> putVersion(registered.addObject(), version));
         ArrayNode gone = json.putArray("gone");
         record.goneAtMillis()
-                .forEach((version, millis) -> addVersion(gone, version).put("atMillis", millis));
+                .forEach((version, millis) ->
+                        putVersion(gone.addObject(), version).put("atMillis", millis));
         return Json.bytes(json);
     }
 
@@ -87,8 +88,8 @@
         });
     }
 
-    private static ObjectNode addVersion(ArrayNode list, ServiceVersion version) {
-        return list.addObject().put("service", version.service()).put("version", version.softwareVersion());
+    private static ObjectNode putVersion(ObjectNode json, ServiceVersion version) {
+        return json.put("service", version.service()).put("version", version.softwareVersion());
     }
 
     private static ServiceVersion readVersion(JsonNode json) {
@@ -163,10 +164,13 @@
     /** Encodes the checkpoints of a batch's open items. */
     public static byte[] writeCheckpoints(List<ItemCheckpoint> checkpoints) {
         ArrayNode json = Json.array();
-        checkpoints.forEach(checkpoint -> json.addObject()
-                .put("id", checkpoint.id())
-                .put("lastEventId", checkpoint.lastEventId())
-                .put("text", checkpoint.text()));
+        for (ItemCheckpoint checkpoint : checkpoints) {
+            ObjectNode entry = json.addObject()
+                    .put("id", checkpoint.id())
+                    .put("lastEventId", checkpoint.lastEventId())
+                    .put("text", checkpoint.text());
+            checkpoint.generatedBy().ifPresent(version -> putVersion(entry, version));
+        }
         return Json.bytes(json);
     }
 
@@ -178,7 +182,8 @@
                 checkpoints.add(new ItemCheckpoint(
                         checkpoint.required("id").textValue(),
                         checkpoint.required("lastEventId").longValue(),
-                        checkpoint.required("text").textValue()));
+                        checkpoint.required("text").textValue(),
+                        checkpoint.has("service") ? Optional.of(readVersion(checkpoint)) : Optional.empty()));
             }
             return checkpoints;
         });
