Weigh when an item gives up its output for a slot of another version

Decision: an item whose version has no free slot waits, or starts anew at another version. The standing way (wait for as long as the output took to generate, counted from the first slot that was passed over) became a policy, with two baselines beside it.

Conclusion: equal wait stays. The comparison is a test: the standing policy has all items done, as many in time as with one version, and generates less than starting at once.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
@@ -24,8 +24,8 @@
  * Decides which items of a host's batches use the slots that coordinators grant, and keeps the runs. Not thread-safe.
  *
  * <p>Load pattern: endpoints of two software versions serve while one replaces the other, and items yield several times. Output
- * goes on only at the version that generated it, so an item waits for a slot there, but no longer than it would take to generate
- * the output again, and not once no endpoint of the version stays.
+ * goes on only at the version that generated it, so an item waits for a slot there, while an endpoint of the version stays and as
+ * long as the {@link RestartPolicy} says.
  *
  * <p>Invariants: an item has at most one run at a time; each run that is started here is also ended here, so the count
  * of runs in flight stays correct.
@@ -34,16 +34,18 @@
     private final Fleet fleet;
     private final BatchRoutes routes;
     private final ItemOrder order;
+    private final RestartPolicy restartPolicy;
     private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
     private final Map<Long, PlacedItem> runs = new LinkedHashMap<>();
     private long lastRunNumber;
     private double lastPressure;
 
     /** Creates a dispatch of the items of one host to the endpoints that this host knows. */
-    public ItemDispatch(Fleet fleet, BatchRoutes routes, ItemOrder order) {
+    public ItemDispatch(Fleet fleet, BatchRoutes routes, ItemOrder order, RestartPolicy restartPolicy) {
         this.fleet = fleet;
         this.routes = routes;
         this.order = order;
+        this.restartPolicy = restartPolicy;
     }
 
     /** Returns the number of running items. */
@@ -86,7 +88,8 @@
             return true;
         }
         long generatedMillis = item.timing().runMillis() - item.timing().remainingMillis();
-        return item.item().passOver(nowNanos) >= TimeUnit.MILLISECONDS.toNanos(generatedMillis);
+        long passedOverMillis = TimeUnit.NANOSECONDS.toMillis(item.item().passOver(nowNanos));
+        return restartPolicy.startsAnew(passedOverMillis, generatedMillis);
     }
 
     /** Returns whether an endpoint of a version is registered that stays. */
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -12,6 +12,7 @@
 import org.gooseberryhill.decision.quota.CountedSharesQuota;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
+import org.gooseberryhill.decision.requestbatch.RestartAfterEqualWait;
 import org.gooseberryhill.directory.EndpointEntry;
 
 /**
@@ -49,7 +50,7 @@
 
     /** Creates what runs the items of this host's batches in the slots that coordinators grant; called once. */
     BatchRunner createRunner(BatchRegistry registry, BatchRoutes routes) {
-        ItemDispatch items = new ItemDispatch(context.fleet(), routes, order);
+        ItemDispatch items = new ItemDispatch(context.fleet(), routes, order, new RestartAfterEqualWait());
         announcer = new WorkAnnouncer(context, links, routing, exchange, items, registry::openBatches);
         BatchRunner runner = new BatchRunner(context, registry, routes, items, exchange, announcer);
         exchange.setGrantReceiver(runner);
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -112,7 +112,7 @@
                 new CrashSuspects(SUSPECT_MILLIS, 100));
         BatchRoutes batchRoutes = new BatchRoutes();
         batchRoutes.configure(routes);
-        items = new ItemDispatch(fleet, batchRoutes, policies.order());
+        items = policies.items(fleet, batchRoutes);
         every(TICK_MILLIS, this::announceItems);
         every(REPORT_MILLIS, this::reportWork);
         every(LOADS_MILLIS, this::sendLoads);
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -8,7 +8,11 @@
 import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.gooseberryhill.decision.coordination.SlotReserve;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
+import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.dispatch.GroupSelector;
+import org.gooseberryhill.decision.requestbatch.BatchRoutes;
+import org.gooseberryhill.decision.requestbatch.ItemDispatch;
+import org.gooseberryhill.decision.requestbatch.RestartNever;
 
 /**
  * The policies of all hosts in a replay. Immutable.
@@ -33,6 +37,11 @@
         return requestPolicies.apply(random);
     }
 
+    /** All endpoints of a replay have the same software version, so no item ever starts anew. */
+    ItemDispatch items(Fleet fleet, BatchRoutes routes) {
+        return new ItemDispatch(fleet, routes, order, new RestartNever());
+    }
+
     GroupSelector selector(GroupRouting routing) {
         return coordinated ? routing : GroupSelector.NONE;
     }
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -69,8 +69,15 @@
     private int onTimeItems;
     private int doneItems;
     private int submittedItems;
+    private long generatedEvents;
+    private long neededEvents;
 
     BatchLoadReplay(ItemOrder order, long seed) {
+        this(order, new RestartAfterEqualWait(), 1, seed);
+    }
+
+    /** Replays a fleet whose endpoints have the given number of software versions, as many endpoints each. */
+    BatchLoadReplay(ItemOrder order, RestartPolicy restartPolicy, int versions, long seed) {
         random = new Random(seed);
         List<EndpointEntry> entries = new ArrayList<>();
         for (int i = 0; i < ENDPOINTS; i++) {
@@ -78,7 +85,7 @@
                     "e" + i,
                     1,
                     "s",
-                    "v1",
+                    "v" + i % versions,
                     new Address("10.0.0.1", 8000 + i),
                     new AvailabilityZone("a"),
                     SLOTS,
@@ -90,7 +97,7 @@
         fleet.updateDirectory(entries);
         BatchRoutes routes = new BatchRoutes();
         routes.configure(new RouteTable(new RouteConfiguration(1, List.of(route()), Map.of(), ClientLimits.DEFAULT)));
-        dispatch = new ItemDispatch(fleet, routes, order);
+        dispatch = new ItemDispatch(fleet, routes, order, restartPolicy);
         coordinator = new SlotCoordinator(
                 new RequestPlacer(DispatchPolicies.defaults(new Random(seed + 1))),
                 new FluctuationReserve(),
@@ -144,6 +151,11 @@
         return (double) onTimeItems / submittedItems;
     }
 
+    /** Returns the number of events that endpoints generated, as a multiple of those that the items needed. */
+    double generatedShare() {
+        return (double) generatedEvents / neededEvents;
+    }
+
     private void submit(int items) {
         String id = "b" + batches.size();
         BatchRecord record = new BatchRecord(
@@ -151,7 +163,9 @@
         OwnedBatch batch = new OwnedBatch(id, record, 1, BatchFixture.items(items), List.of());
         batches.add(batch);
         for (int item = 0; item < items; item++) {
-            eventsByItem.put(id + "/i" + item, 130 + random.nextInt(87));
+            int events = 130 + random.nextInt(87);
+            eventsByItem.put(id + "/i" + item, events);
+            neededEvents += events;
         }
         submittedItems += items;
     }
@@ -210,13 +224,14 @@
         if (command instanceof CoordinatorCommand.Yield yield) {
             yield.runs().forEach(run -> dispatch.find(run).ifPresent(placed -> end(placed, RunEnd.YIELDED)));
         } else if (command instanceof CoordinatorCommand.Grant grant) {
-            PlacedItem run = dispatch.startAt(
-                            fleet.find(grant.endpoint()).orElseThrow().entry(),
-                            grant.pressure(),
-                            open,
-                            nowNanos(),
-                            nowMillis)
-                    .orElseThrow();
+            Optional<PlacedItem> started = dispatch.startAt(
+                    fleet.find(grant.endpoint()).orElseThrow().entry(), grant.pressure(), open, nowNanos(), nowMillis);
+            if (started.isEmpty()) {
+                coordinator.grantReturned(OWNER, grant.reservation(), nowNanos());
+                return;
+            }
+            PlacedItem run = started.get();
+            generatedEvents -= run.item().lastEventId().orElse(0L);
             eventFractions.put(run, 0.0);
             coordinator.itemStarted(
                     OWNER,
@@ -253,6 +268,7 @@
 
     private void end(PlacedItem run, RunEnd end) {
         eventFractions.remove(run);
+        generatedEvents += run.item().lastEventId().orElse(0L);
         dispatch.runEnded(run, end, AttemptEnd.ABANDONED, nowNanos());
         coordinator.itemEnded(OWNER, run.number(), AttemptEnd.ABANDONED, nowNanos());
     }
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplayTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplayTest.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.decision.requestbatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.function.Supplier;
 import java.util.stream.LongStream;
@@ -8,6 +9,8 @@
 import org.gooseberryhill.decision.coordination.FeasibleFirstOrder;
 import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests the share of items done in time under the load patterns that item scheduling is designed for, against
@@ -17,6 +20,7 @@
     private static final double BATCHES_PER_SECOND = 0.72;
     private static final double ONLINE_SLOTS = 45;
     private static final int SEEDS = 5;
+    private static final double ROUNDING = 1e-9;
 
     @Test
     void nearlyAllItemsAreDoneInTimeUnderNormalLoad() {
@@ -48,6 +52,50 @@
         assertThat(feasibleFirst).isGreaterThan(earliestDueFirst + 0.02);
     }
 
+    /**
+     * Endpoints of two and three software versions serve side by side. Items that yield keep their output if a slot of their version
+     * is soon free again; those that never wait lose
+     * more, and those that wait for ever may not be done.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3})
+    void itemsThatWaitForAsLongAsTheirOutputTookLoseLittleWhileSeveralVersionsServe(int versions) {
+        Outcome oneVersion = outcome(new RestartAfterEqualWait(), 1);
+        Outcome waiting = outcome(new RestartAfterEqualWait(), versions);
+        Outcome atOnce = outcome(new RestartAtOnce(), versions);
+        Outcome never = outcome(new RestartNever(), versions);
+        System.out.printf(
+                "%d versions: one version %s, equal wait %s, at once %s, never %s%n",
+                versions, oneVersion, waiting, atOnce, never);
+
+        assertThat(waiting.doneShare).isEqualTo(1, within(ROUNDING));
+        assertThat(waiting.onTimeShare).isGreaterThan(oneVersion.onTimeShare - 0.02);
+        assertThat(waiting.generatedShare).isLessThan(atOnce.generatedShare);
+    }
+
+    private static Outcome outcome(RestartPolicy policy, int versions) {
+        double doneShare = 0;
+        double onTimeShare = 0;
+        double generatedShare = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            BatchLoadReplay replay = new BatchLoadReplay(new FeasibleFirstOrder(), policy, versions, seed);
+            replay.load(60_000, BATCHES_PER_SECOND, ONLINE_SLOTS);
+            replay.finish();
+            doneShare += (double) replay.doneItems() / replay.submittedItems() / SEEDS;
+            onTimeShare += replay.onTimeShare() / SEEDS;
+            generatedShare += replay.generatedShare() / SEEDS;
+        }
+        return new Outcome(doneShare, onTimeShare, generatedShare);
+    }
+
+    /** Means over the seeds: items done, items done in time, and events generated for each event needed. */
+    private record Outcome(double doneShare, double onTimeShare, double generatedShare) {
+        @Override
+        public String toString() {
+            return String.format("%.3f done, %.3f on time, %.3f generated", doneShare, onTimeShare, generatedShare);
+        }
+    }
+
     private static void lossOfAllHosts(BatchLoadReplay replay, boolean saved) {
         replay.load(10_000, BATCHES_PER_SECOND, ONLINE_SLOTS);
         replay.load(3_000, 4 * BATCHES_PER_SECOND, ONLINE_SLOTS);
