Forward registrations that return unchanged after their end

Cause: a host that reads the store leaves out of what it forwards the registrations that only show that their endpoint is alive: those equal to what it knew before the whole batch. The end of a lapsed registration and its return came in one batch, so that the end was forwarded and the return was not. Each later one was equal to what the reading host knew by then, and left out as well. Class: a change judged by the state before the batch instead of the state before the change.

Ruled out: endpoints that did not register again (the reading host had them all), lost messages (a gap in revisions is noticed and listed).

--- a/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
+++ b/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.gateway;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
@@ -40,13 +41,26 @@
     }
 
     /**
-     * Returns the changes without registrations that were written only to show that their endpoint is alive.
+     * Returns the changes without registrations that were written only to show that their endpoint is alive: those equal to the
+     * registration before, which may be among the changes.
      *
      * <p>Load pattern: a large fleet of endpoints writes dozens of registrations a second, and each host would parse all of
      * them although next to none changes anything.
      */
     List<KeyChange> withoutHeartbeats(List<KeyChange> changes) {
-        return changes.stream().filter(change -> !isHeartbeat(change)).toList();
+        Map<String, Optional<EndpointEntry>> entries = new HashMap<>();
+        List<KeyChange> effective = new ArrayList<>();
+        for (KeyChange change : changes) {
+            Optional<EndpointEntry> before =
+                    entries.getOrDefault(change.key(), Optional.ofNullable(byKey.get(change.key())));
+            Optional<EndpointEntry> after = change.value()
+                    .flatMap(value -> dialect.parseRegistration(change).toJavaOptional());
+            if (after.isEmpty() || !after.equals(before)) {
+                effective.add(change);
+            }
+            entries.put(change.key(), after);
+        }
+        return effective;
     }
 
     /** Returns all endpoints, ordered by the keys of their registrations. */
@@ -54,13 +68,6 @@
         return List.copyOf(byKey.values());
     }
 
-    private boolean isHeartbeat(KeyChange change) {
-        EndpointEntry known = byKey.get(change.key());
-        return known != null
-                && change.value().isPresent()
-                && dialect.parseRegistration(change).map(known::equals).getOrElse(false);
-    }
-
     private boolean apply(KeyChange registration) {
         if (registration.value().isEmpty()) {
             loggedInvalidValues.remove(registration.key());
--- a/src/test/java/org/gooseberryhill/gateway/RegisteredEndpointsTest.java
+++ b/src/test/java/org/gooseberryhill/gateway/RegisteredEndpointsTest.java
@@ -10,9 +10,11 @@
 import org.gooseberryhill.dialect.DirectoryDialect;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.external.KeyChange;
+import org.gooseberryhill.link.Address;
 import org.gooseberryhill.link.HybridClock;
 import org.gooseberryhill.timeline.Timeline;
 import org.gooseberryhill.timeline.TimelineEvent;
+import org.gooseberryhill.zone.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 class RegisteredEndpointsTest {
@@ -37,10 +39,56 @@
         assertThat(events).hasSize(3);
     }
 
+    @Test
+    void registrationsThatOnlyShowThatTheirEndpointIsAliveAreLeftOut() {
+        RegisteredEndpoints readable = readable();
+        readable.apply(List.of(written(KEY, 1)));
+
+        assertThat(readable.withoutHeartbeats(List.of(written(KEY, 2), written("endpoint-2", 3))))
+                .extracting(KeyChange::key)
+                .containsExactly("endpoint-2");
+    }
+
+    /**
+     * Guards against endpoints that stay unknown to other hosts: their registrations lapsed in an outage of the store and came
+     * back unchanged, and a host that read both at once forwarded only the end of the first ones.
+     */
+    @Test
+    void aRegistrationThatReturnsUnchangedAfterItsDeletionIsNotLeftOut() {
+        RegisteredEndpoints readable = readable();
+        readable.apply(List.of(written(KEY, 1)));
+        List<KeyChange> changes = List.of(KeyChange.deleted(KEY, 2), written(KEY, 3), written(KEY, 4));
+
+        assertThat(readable.withoutHeartbeats(changes)).containsExactly(changes.get(0), changes.get(1));
+    }
+
+    private RegisteredEndpoints readable() {
+        return new RegisteredEndpoints(
+                new ReadableDirectory(), new Timeline("host", new HybridClock(() -> 0), events::add));
+    }
+
+    private static KeyChange written(String key, long revision) {
+        return KeyChange.written(key, new byte[] {1}, revision);
+    }
+
     private void apply(Optional<String> value) {
         endpoints.apply(List.of(new KeyChange(KEY, value.map(text -> text.getBytes(StandardCharsets.UTF_8)), 1)));
     }
 
+    /** A directory whose registrations all name the same endpoint, except for its id. */
+    private static final class ReadableDirectory implements DirectoryDialect {
+        @Override
+        public String prefix() {
+            return "";
+        }
+
+        @Override
+        public Either<String, EndpointEntry> parseRegistration(KeyChange entry) {
+            return Either.right(new EndpointEntry(
+                    entry.key(), 1, "s", "v1", new Address("10.0.0.1", 80), new AvailabilityZone("z"), 1, false, 0));
+        }
+    }
+
     /** A directory whose registrations are all invalid. */
     private static final class UnreadableDirectory implements DirectoryDialect {
         @Override
