--- a/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
@@ -76,7 +76,7 @@
 
     /** Returns the host that coordinates a group. */
     public Host coordinator(EndpointGroup group) {
-        return coordinators.computeIfAbsent(group, this::chooseCoordinator);
+        return coordinators.computeIfAbsent(group, missing -> chooseCoordinator(missing, hosts));
     }
 
     /** Returns the host that coordinates the group of an endpoint; empty if the endpoint is not in the directory. */
@@ -84,6 +84,15 @@
         return groups.groupOf(endpoint).map(this::coordinator);
     }
 
+    /** Returns the hosts that would coordinate a group if the given other hosts were alive, each once. */
+    public Set<Host> coordinatorsAmong(Collection<Host> others) {
+        List<Host> candidates = new ArrayList<>(others);
+        candidates.add(self);
+        Set<Host> all = new LinkedHashSet<>();
+        groups.all().forEach(group -> all.add(chooseCoordinator(group, candidates)));
+        return all;
+    }
+
     /** Returns the hosts that coordinate a group, each once. */
     public Set<Host> coordinators() {
         Set<Host> all = new LinkedHashSet<>();
@@ -132,9 +141,9 @@
         return untilNanos == null || nowNanos - untilNanos >= 0;
     }
 
-    private Host chooseCoordinator(EndpointGroup group) {
+    private Host chooseCoordinator(EndpointGroup group, List<Host> candidates) {
         Optional<AvailabilityZone> zone = mainZone(group);
-        return Ownership.owner("group/" + group.key(), zone, hosts).orElse(self);
+        return Ownership.owner("group/" + group.key(), zone, candidates).orElse(self);
     }
 
     private Optional<AvailabilityZone> mainZone(EndpointGroup group) {
--- a/src/main/java/org/gooseberryhill/decision/quota/EqualSharesQuota.java
+++ b/src/main/java/org/gooseberryhill/decision/quota/EqualSharesQuota.java
@@ -1,6 +1,5 @@
 package org.gooseberryhill.decision.quota;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -24,21 +23,26 @@
     }
 
     @Override
-    public void updateParticipants(Collection<HostId> others, boolean majority, long nowNanos) {
-        hosts = others.size() + 1;
+    public void updateFleet(FleetView view, long nowNanos) {
+        hosts = view.admitting().size() + 1;
     }
 
     @Override
-    public Optional<Long> admit(String account, long nowNanos) {
+    public void hostEnded(HostId host, long nowNanos) {
+        // The host stays among the others until they are replaced.
+    }
+
+    @Override
+    public QuotaDecision admit(String account, long nowNanos) {
         AccountQuota quota = quotas.get(account);
         if (quota == null) {
-            return Optional.empty();
+            return new QuotaDecision.Admitted();
         }
         TokenBucket bucket = buckets.computeIfAbsent(account, name -> new TokenBucket(0, nowNanos));
         bucket.resize(quota.ratePerSecond() / hosts, quota.burst() / hosts + 1, nowNanos);
         return bucket.take(nowNanos)
-                ? Optional.empty()
-                : Optional.of(TimeUnit.NANOSECONDS.toMillis(bucket.nanosUntilToken(nowNanos)) + 1);
+                ? new QuotaDecision.Admitted()
+                : new QuotaDecision.Rejected(TimeUnit.NANOSECONDS.toMillis(bucket.nanosUntilToken(nowNanos)) + 1);
     }
 
     @Override
@@ -46,11 +50,6 @@
         Optional.ofNullable(buckets.get(account)).ifPresent(bucket -> bucket.giveBack(nowNanos));
     }
 
-    @Override
-    public void contacted(long nowNanos) {
-        // Shares do not depend on other hosts.
-    }
-
     @Override
     public QuotaReport takeReport(long nowNanos) {
         return QuotaReport.EMPTY;
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.gooseberryhill.decision.coordination.FeasibleFirstOrder;
 import org.gooseberryhill.decision.coordination.FluctuationReserve;
 import org.gooseberryhill.decision.coordination.GroupRouting;
@@ -28,7 +29,17 @@
     private final SlotExchange exchange;
     private WorkAnnouncer announcer;
 
-    SlotAssignment(GatewayContext context, PeerLinks links, GroupRouting routing, DispatchPolicies policies) {
+    /**
+     * Creates the parts of a host.
+     *
+     * @param registered whether this host is certainly registered
+     */
+    SlotAssignment(
+            GatewayContext context,
+            PeerLinks links,
+            GroupRouting routing,
+            DispatchPolicies policies,
+            BooleanSupplier registered) {
         this.context = context;
         this.links = links;
         this.routing = routing;
@@ -40,7 +51,7 @@
                 new CountedSharesQuota(context.settings().self().id(), context.nowNanos()),
                 order,
                 firstReservation);
-        this.exchange = new SlotExchange(context, links, routing, coordinator);
+        this.exchange = new SlotExchange(context, links, routing, coordinator, registered);
     }
 
     /** Returns the exchange of messages with coordinators. */
