--- a/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
@@ -76,7 +76,7 @@
 
     /** Returns the host that coordinates a group. */
     public Host coordinator(EndpointGroup group) {
-        return coordinators.computeIfAbsent(group, missing -> chooseCoordinator(missing, hosts));
+        return coordinators.computeIfAbsent(group, this::chooseCoordinator);
     }
 
     /** Returns the host that coordinates the group of an endpoint; empty if the endpoint is not in the directory. */
@@ -84,15 +84,6 @@
         return groups.groupOf(endpoint).map(this::coordinator);
     }
 
-    /** Returns the hosts that would coordinate a group if the given other hosts were alive, each once. */
-    public Set<Host> coordinatorsAmong(Collection<Host> others) {
-        List<Host> candidates = new ArrayList<>(others);
-        candidates.add(self);
-        Set<Host> all = new LinkedHashSet<>();
-        groups.all().forEach(group -> all.add(chooseCoordinator(group, candidates)));
-        return all;
-    }
-
     /** Returns the hosts that coordinate a group, each once. */
     public Set<Host> coordinators() {
         Set<Host> all = new LinkedHashSet<>();
@@ -141,9 +132,9 @@
         return untilNanos == null || nowNanos - untilNanos >= 0;
     }
 
-    private Host chooseCoordinator(EndpointGroup group, List<Host> candidates) {
+    private Host chooseCoordinator(EndpointGroup group) {
         Optional<AvailabilityZone> zone = mainZone(group);
-        return Ownership.owner("group/" + group.key(), zone, candidates).orElse(self);
+        return Ownership.owner("group/" + group.key(), zone, hosts).orElse(self);
     }
 
     private Optional<AvailabilityZone> mainZone(EndpointGroup group) {
--- a/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
@@ -17,7 +17,6 @@
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
-import org.gooseberryhill.decision.quota.QuotaDecision;
 import org.gooseberryhill.decision.quota.QuotaPolicy;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
@@ -101,13 +100,9 @@
                 return PlacementReply.of(overloaded.get());
             }
         }
-        Optional<QuotaDecision> quota = query.account().map(account -> quotas.admit(account, nowNanos));
-        if (quota.isPresent() && quota.get() instanceof QuotaDecision.Rejected rejected) {
-            return PlacementReply.of(new PlacementAnswer.OverQuota(rejected.retryAfterMillis()));
-        }
-        if (quota.isPresent() && quota.get() instanceof QuotaDecision.Unknown) {
-            // The host asks the coordinator of another group.
-            return PlacementReply.of(new PlacementAnswer.NoEndpoint());
+        Optional<Long> overQuota = query.account().flatMap(account -> quotas.admit(account, nowNanos));
+        if (overQuota.isPresent()) {
+            return PlacementReply.of(new PlacementAnswer.OverQuota(overQuota.get()));
         }
         PlacementAnswer answer = new PlacementAnswer.Placed(endpoint.key(), placer.facts(endpoint, usable.size()));
         query.prompt().ifPresent(prompt -> placer.requestPlaced(endpoint.key(), prompt));
@@ -116,16 +111,9 @@
         return new PlacementReply(reservations.add(host, endpoint.key(), false, nowNanos), answer);
     }
 
-    /** Decides whether a request may run that a host places itself, and counts it if so; empty if this host can't tell. */
-    public Optional<Admission> admit(String account, long nowNanos) {
-        QuotaDecision decision = quotas.admit(account, nowNanos);
-        if (decision instanceof QuotaDecision.Unknown) {
-            return Optional.empty();
-        }
-        return Optional.of(new Admission(
-                decision instanceof QuotaDecision.Rejected rejected
-                        ? Optional.of(rejected.retryAfterMillis())
-                        : Optional.empty()));
+    /** Decides whether a request may run that a host places itself, and counts it if so. */
+    public Admission admit(String account, long nowNanos) {
+        return new Admission(quotas.admit(account, nowNanos));
     }
 
     /** Returns what decides whether the quota of a client account allows a request. */
--- a/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
@@ -179,11 +179,6 @@
         return gateways;
     }
 
-    /** Returns the other gateways that are listed, or were listed and are still heard, but for those known to be stopping. */
-    public List<Host> stayingGateways(long nowNanos) {
-        return gateways(nowNanos).stream().filter(host -> !isLeaving(host.id())).toList();
-    }
-
     /** Returns the listed hosts with a disk. */
     public List<Host> diskHosts() {
         return diskHosts;
@@ -206,15 +201,6 @@
                 .toList();
     }
 
-    /**
-     * Returns whether more than half of the gateways, this one included, are known to be alive. In a large fleet the watched
-     * gateways, of which each host has others, stand for all: of the rest it is not known whether this host hears them.
-     */
-    public boolean isInTouchWithMost(long nowNanos) {
-        int known = gateways(nowNanos).size() + 1;
-        return (activeGateways(nowNanos).size() + 1) * 2 > known && isMajorityHeard(nowNanos);
-    }
-
     /**
      * Returns the other gateways that may call the key-value store on behalf of this host: those that reach it, or all
      * listed gateways while none has been heard. The fallback serves a host that starts while it cannot reach the
@@ -291,11 +277,6 @@
         }
     }
 
-    private boolean isLeaving(HostId id) {
-        LastReport last = lastReports.get(id);
-        return last != null && last.report.leaving();
-    }
-
     private boolean isFresh(HostId id, long nowNanos) {
         LastReport last = lastReports.get(id);
         return last != null && last.isFresh(nowNanos);
--- a/src/main/java/org/gooseberryhill/decision/quota/CountedSharesQuota.java
+++ b/src/main/java/org/gooseberryhill/decision/quota/CountedSharesQuota.java
@@ -1,7 +1,11 @@
 package org.gooseberryhill.decision.quota;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.account.AccountQuota;
 import org.gooseberryhill.host.HostId;
@@ -17,13 +21,14 @@
  * <p>Invariants:
  *
  * <ul>
- *   <li>A request is admitted only if the count of all hosts and the share of this one both allow it. The shares bound what runs
- *       before the counts agree.
+ *   <li>A request is admitted only if the count of all hosts and the share of this one both allow it. The shares of all hosts add
+ *       up to little more than the quota; they bound what runs before the counts agree.
  *   <li>Shares are computed from what the hosts have told each other, not from what one of them knows better, so that they add
  *       up as intended, but for messages in transit.
- *   <li>While a host is silent, shares have no excess and add up to the quota on all sides of a cut ({@link QuotaParts}).
- *   <li>A host that begins to admit requests does not know what ran before: its count begins without a burst, unless a host
- *       that has admitted requests for longer tells it.
+ *   <li>A host that no other host contacts any more uses a small part of its share, before the others take the share over, and
+ *       soon admits nothing.
+ *   <li>A host that has just started does not know what ran before: its count begins without a burst, unless a host that
+ *       has run for longer tells it.
  * </ul>
  */
 public final class CountedSharesQuota implements QuotaPolicy {
@@ -36,14 +41,29 @@
     /** How much greater than its part of the quota a host's share is, since the demand at a host fluctuates. */
     private static final double SHARE_EXCESS = 2;
 
+    /** Part of a quota that is divided equally, so that a host without demand can admit the first requests. */
+    private static final double EQUAL_PART = 0.05;
+
+    /** Part of its share that a host uses while no other host contacts it. */
+    private static final double ISOLATED_PART = 0.1;
+
     /** Time for whose requests a share has room while the common count rejects requests. */
     private static final double EXHAUSTED_ROOM_SECONDS = 0.2;
 
     /** Time for which an account counts as exhausted after the common count has rejected one of its requests. */
     private static final long EXHAUSTED_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
 
-    /** A host that was not told the participants for this time does not admit requests any more. */
-    private static final long PARTICIPATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
+    /** Reports come ten times a second. */
+    private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    /** Time after which the others take over the share of a host that they do not hear; it has noticed that it is cut off. */
+    private static final long TAKEN_OVER_NANOS = TimeUnit.MILLISECONDS.toNanos(450);
+
+    /** Time for which a host that is cut off admits some requests. */
+    private static final long ISOLATED_NANOS = TimeUnit.MILLISECONDS.toNanos(3000);
+
+    /** A host that starts learns of others within this time. */
+    private static final long ALONE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
 
     /** What ran before this time does not count any more in the windows of quotas. */
     private static final long SETTLED_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(5000);
@@ -51,18 +71,19 @@
     private static final long MAX_RETRY_AFTER_MILLIS = 5000;
 
     private final HostId self;
-    private final Participants participants;
+    private final long startNanos;
     private final Map<String, AccountState> states = new HashMap<>();
+    private final Map<HostId, Long> heardNanos = new HashMap<>();
     private Map<String, AccountQuota> quotas = Map.of();
-    private long startNanos;
-    private long updatedNanos;
+    private Set<HostId> expected = Set.of();
+    private boolean majority;
+    private long contactedNanos;
 
     /** Creates the policy of a host that has just started. */
     public CountedSharesQuota(HostId self, long nowNanos) {
         this.self = self;
-        this.participants = new Participants(self, nowNanos);
         this.startNanos = nowNanos;
-        this.updatedNanos = nowNanos;
+        this.contactedNanos = nowNanos;
     }
 
     @Override
@@ -72,40 +93,31 @@
     }
 
     @Override
-    public void updateFleet(FleetView view, long nowNanos) {
-        startIfNew(nowNanos);
-        participants.update(view, nowNanos);
+    public void updateParticipants(Collection<HostId> others, boolean newMajority, long nowNanos) {
+        expected = Set.copyOf(others);
+        majority = newMajority;
+        heardNanos.keySet().removeIf(host -> !expected.contains(host) && !isFresh(host, nowNanos));
     }
 
     @Override
-    public void hostEnded(HostId host, long nowNanos) {
-        participants.ended(host, nowNanos);
-    }
-
-    @Override
-    public QuotaDecision admit(String account, long nowNanos) {
+    public Optional<Long> admit(String account, long nowNanos) {
         AccountQuota quota = quotas.get(account);
         if (quota == null) {
-            return new QuotaDecision.Admitted();
+            return Optional.empty();
         }
-        startIfNew(nowNanos);
         AccountState state = state(account, quota, nowNanos);
         state.asked++;
-        double part = usablePart(state, nowNanos);
-        if (part == 0) {
-            return new QuotaDecision.Unknown();
-        }
-        resizeShare(state, part, quota, nowNanos);
+        resizeShare(state, quota, nowNanos);
         boolean counted = state.count.hasToken(nowNanos);
         if (!counted) {
             state.exhaustedUntilNanos = nowNanos + EXHAUSTED_NANOS;
         }
         if (!counted || !state.share.take(nowNanos)) {
-            return new QuotaDecision.Rejected(state.retryAfterMillis(nowNanos));
+            return Optional.of(state.retryAfterMillis(nowNanos));
         }
         state.count.remove(1, nowNanos);
         state.admitted++;
-        return new QuotaDecision.Admitted();
+        return Optional.empty();
     }
 
     @Override
@@ -118,31 +130,32 @@
         }
     }
 
+    @Override
+    public void contacted(long nowNanos) {
+        contactedNanos = nowNanos;
+    }
+
     @Override
     public QuotaReport takeReport(long nowNanos) {
         Map<String, AccountActivity> activities = new HashMap<>();
-        boolean agreed = participants.agree(nowNanos);
         states.forEach((account, state) -> {
-            // What this host was asked since its last report is not known to the others yet.
-            if (agreed) {
-                state.parts.agree(participants, nowNanos);
-            }
             if (state.asked != 0 || state.admitted != 0) {
                 activities.put(account, state.takeActivity(nowNanos));
-                state.parts.addDemand(self, activities.get(account).asked(), nowNanos);
+                state.addDemand(self, activities.get(account).asked(), nowNanos);
             }
         });
-        return new QuotaReport(isSettled(nowNanos) && mayUseQuotas(nowNanos), activities);
+        return new QuotaReport(isSettled(nowNanos), activities);
     }
 
     @Override
     public void record(HostId from, QuotaReport report, long nowNanos) {
-        participants.heard(from, report.settled(), nowNanos);
+        heardNanos.put(from, nowNanos);
+        contactedNanos = nowNanos;
         report.activities().forEach((account, activity) -> {
             AccountQuota quota = quotas.get(account);
             if (quota != null) {
                 AccountState state = state(account, quota, nowNanos);
-                state.parts.addDemand(from, activity.asked(), nowNanos);
+                state.addDemand(from, activity.asked(), nowNanos);
                 if (state.startsEmpty && report.settled()) {
                     state.startsEmpty = false;
                     state.count.set(activity.tokens(), nowNanos);
@@ -153,16 +166,6 @@
         });
     }
 
-    /** Begins anew if this host has not admitted requests for a while: meanwhile others have, which it was not told. */
-    private void startIfNew(long nowNanos) {
-        if (nowNanos - updatedNanos >= PARTICIPATION_NANOS) {
-            startNanos = nowNanos;
-            states.clear();
-            participants.restart(nowNanos);
-        }
-        updatedNanos = nowNanos;
-    }
-
     private AccountState state(String account, AccountQuota quota, long nowNanos) {
         AccountState state = states.computeIfAbsent(account, name -> newState(quota, nowNanos));
         state.count.resize(quota.ratePerSecond(), quota.burst() + COUNT_MARGIN, nowNanos);
@@ -173,53 +176,87 @@
     private AccountState newState(AccountQuota quota, long nowNanos) {
         boolean settled = isSettled(nowNanos);
         double tokens = settled ? quota.burst() + COUNT_MARGIN : COUNT_MARGIN;
-        return new AccountState(self, !settled, tokens, nowNanos);
+        return new AccountState(!settled, tokens, nowNanos);
     }
 
-    private void resizeShare(AccountState state, double part, AccountQuota quota, long nowNanos) {
+    private void resizeShare(AccountState state, AccountQuota quota, long nowNanos) {
+        double part = usablePart(state, nowNanos);
         double rate = part * quota.ratePerSecond();
-        boolean exhausted = nowNanos - state.exhaustedUntilNanos < 0;
-        boolean othersStopped = participants.withholding(nowNanos).isEmpty();
-        if (exhausted) {
+        if (part == 0) {
+            state.share.resize(0, 0, nowNanos);
+        } else if (nowNanos - state.exhaustedUntilNanos < 0) {
             double room = Math.min(part * quota.burst(), rate * EXHAUSTED_ROOM_SECONDS);
             state.share.resize(rate, room + 1, nowNanos);
-        } else if (othersStopped) {
-            state.share.resize(SHARE_EXCESS * rate, SHARE_EXCESS * part * quota.burst() + SHARE_MARGIN, nowNanos);
         } else {
-            state.share.resize(rate, part * quota.burst() + 1, nowNanos);
+            state.share.resize(SHARE_EXCESS * rate, SHARE_EXCESS * part * quota.burst() + SHARE_MARGIN, nowNanos);
         }
     }
 
     /** Returns the part of the quota that this host may use now. */
     private double usablePart(AccountState state, long nowNanos) {
-        if (participants.isReplaceable()) {
-            return 0;
+        boolean alone = expected.isEmpty() && nowNanos - startNanos >= ALONE_AFTER_NANOS;
+        long uncontactedNanos = nowNanos - contactedNanos;
+        if (majority && (alone || uncontactedNanos < STALE_NANOS)) {
+            return part(state, nowNanos);
         }
-        return participants.isAlone(nowNanos) ? 1 : state.parts.usablePart(participants, nowNanos);
+        return uncontactedNanos < ISOLATED_NANOS ? ISOLATED_PART * part(state, nowNanos) : 0;
     }
 
-    private boolean mayUseQuotas(long nowNanos) {
-        boolean allHeard = participants.silent(nowNanos).isEmpty();
-        return !participants.isReplaceable() && (allHeard || !participants.mustStop(nowNanos));
+    /** Returns this host's part of the quota; it stays as it is until the share of a host that fell silent is taken over. */
+    private double part(AccountState state, long nowNanos) {
+        boolean waiting = expected.stream().anyMatch(host -> isSilentForLessThan(host, TAKEN_OVER_NANOS, nowNanos));
+        if (!waiting || state.part < 0) {
+            Set<HostId> participants = participants(nowNanos);
+            double equalPart = 1.0 / participants.size();
+            state.part = EQUAL_PART * equalPart
+                    + (1 - EQUAL_PART)
+                            * state.partOfDemand(self, participants, nowNanos).orElse(equalPart);
+        }
+        return state.part;
+    }
+
+    private boolean isSilentForLessThan(HostId host, long limitNanos, long nowNanos) {
+        Long heard = heardNanos.get(host);
+        return heard != null && !isFresh(host, nowNanos) && nowNanos - heard < limitNanos;
     }
 
     private boolean isSettled(long nowNanos) {
         return nowNanos - startNanos >= SETTLED_AFTER_NANOS;
     }
 
+    private boolean isFresh(HostId host, long nowNanos) {
+        Long heard = heardNanos.get(host);
+        return heard != null && nowNanos - heard < STALE_NANOS;
+    }
+
+    /** Returns the hosts among which quotas are divided: those that were heard, and those that may just have started. */
+    private Set<HostId> participants(long nowNanos) {
+        Set<HostId> participants = new LinkedHashSet<>();
+        expected.stream()
+                .filter(host -> !heardNanos.containsKey(host) && nowNanos - startNanos < ISOLATED_NANOS)
+                .forEach(participants::add);
+        heardNanos.forEach((host, heard) -> {
+            if (nowNanos - heard < TAKEN_OVER_NANOS) {
+                participants.add(host);
+            }
+        });
+        participants.add(self);
+        return participants;
+    }
+
     /** What one host knows of an account. */
     private static final class AccountState {
-        private final QuotaParts parts;
+        private final Map<HostId, DecayingCount> demand = new HashMap<>();
         private final TokenBucket count;
         private final TokenBucket share;
         private boolean startsEmpty;
         private long exhaustedUntilNanos;
+        private double part = -1;
         private int asked;
         private int admitted;
         private long lastRetryNanos;
 
-        AccountState(HostId self, boolean startsEmpty, double tokens, long nowNanos) {
-            this.parts = new QuotaParts(self);
+        AccountState(boolean startsEmpty, double tokens, long nowNanos) {
             this.startsEmpty = startsEmpty;
             this.count = new TokenBucket(tokens, nowNanos);
             this.share = new TokenBucket(startsEmpty ? SHARE_MARGIN : tokens, nowNanos);
@@ -227,6 +264,10 @@
             this.lastRetryNanos = nowNanos;
         }
 
+        void addDemand(HostId host, int requests, long nowNanos) {
+            demand.computeIfAbsent(host, id -> new DecayingCount()).add(requests, nowNanos);
+        }
+
         AccountActivity takeActivity(long nowNanos) {
             AccountActivity activity = new AccountActivity(asked, admitted, count.tokens(nowNanos));
             asked = 0;
@@ -234,6 +275,19 @@
             return activity;
         }
 
+        /** Returns the part of the demand that a host has; empty if there was none of late. */
+        Optional<Double> partOfDemand(HostId host, Set<HostId> participants, long nowNanos) {
+            double total = 0;
+            double own = 0;
+            for (HostId participant : participants) {
+                DecayingCount counted = demand.get(participant);
+                double requests = counted == null ? 0 : counted.at(nowNanos);
+                total += requests;
+                own += participant.equals(host) ? requests : 0;
+            }
+            return total > 0 ? Optional.of(own / total) : Optional.empty();
+        }
+
         /** Gives each rejected caller a time of its own, so that they do not come back together for the next token. */
         long retryAfterMillis(long nowNanos) {
             long untilTokenNanos = Math.max(count.nanosUntilToken(nowNanos), share.nanosUntilToken(nowNanos));
--- a/src/main/java/org/gooseberryhill/decision/quota/EqualSharesQuota.java
+++ b/src/main/java/org/gooseberryhill/decision/quota/EqualSharesQuota.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.decision.quota;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -23,26 +24,21 @@
     }
 
     @Override
-    public void updateFleet(FleetView view, long nowNanos) {
-        hosts = view.admitting().size() + 1;
+    public void updateParticipants(Collection<HostId> others, boolean majority, long nowNanos) {
+        hosts = others.size() + 1;
     }
 
     @Override
-    public void hostEnded(HostId host, long nowNanos) {
-        // The host stays among the others until they are replaced.
-    }
-
-    @Override
-    public QuotaDecision admit(String account, long nowNanos) {
+    public Optional<Long> admit(String account, long nowNanos) {
         AccountQuota quota = quotas.get(account);
         if (quota == null) {
-            return new QuotaDecision.Admitted();
+            return Optional.empty();
         }
         TokenBucket bucket = buckets.computeIfAbsent(account, name -> new TokenBucket(0, nowNanos));
         bucket.resize(quota.ratePerSecond() / hosts, quota.burst() / hosts + 1, nowNanos);
         return bucket.take(nowNanos)
-                ? new QuotaDecision.Admitted()
-                : new QuotaDecision.Rejected(TimeUnit.NANOSECONDS.toMillis(bucket.nanosUntilToken(nowNanos)) + 1);
+                ? Optional.empty()
+                : Optional.of(TimeUnit.NANOSECONDS.toMillis(bucket.nanosUntilToken(nowNanos)) + 1);
     }
 
     @Override
@@ -50,6 +46,11 @@
         Optional.ofNullable(buckets.get(account)).ifPresent(bucket -> bucket.giveBack(nowNanos));
     }
 
+    @Override
+    public void contacted(long nowNanos) {
+        // Shares do not depend on other hosts.
+    }
+
     @Override
     public QuotaReport takeReport(long nowNanos) {
         return QuotaReport.EMPTY;
--- a/src/main/java/org/gooseberryhill/decision/quota/QuotaPolicy.java
+++ b/src/main/java/org/gooseberryhill/decision/quota/QuotaPolicy.java
@@ -1,6 +1,8 @@
 package org.gooseberryhill.decision.quota;
 
+import java.util.Collection;
 import java.util.Map;
+import java.util.Optional;
 import org.gooseberryhill.account.AccountQuota;
 import org.gooseberryhill.host.HostId;
 
@@ -15,18 +17,26 @@
     /** Replaces the quotas, by account; accounts that are absent are not limited. */
     void configure(Map<String, AccountQuota> quotas, long nowNanos);
 
-    /** Replaces what is known of the other hosts. Called ten times a second while this host admits requests, not else. */
-    void updateFleet(FleetView view, long nowNanos);
+    /**
+     * Replaces the other hosts that admit requests.
+     *
+     * @param majority whether this host is in touch with more than half of the fleet
+     */
+    void updateParticipants(Collection<HostId> others, boolean majority, long nowNanos);
 
-    /** Records that the process of another host has ended, which is more than that nothing is heard of it. */
-    void hostEnded(HostId host, long nowNanos);
-
-    /** Decides whether a request may run, and counts it if so. */
-    QuotaDecision admit(String account, long nowNanos);
+    /**
+     * Decides whether a request may run, and counts it if so.
+     *
+     * @return empty if it may run; else the time in milliseconds after which it may come back
+     */
+    Optional<Long> admit(String account, long nowNanos);
 
     /** Takes back the count of a request that was admitted and did not run. */
     void giveBack(String account, long nowNanos);
 
+    /** Records that another host has sent a message of any kind: this host is not cut off from all others. */
+    void contacted(long nowNanos);
+
     /** Returns what this host was asked to admit since the last call, for the other hosts. Called ten times a second. */
     QuotaReport takeReport(long nowNanos);
 
--- a/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
+++ b/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
@@ -10,7 +10,6 @@
 import org.gooseberryhill.decision.coordination.GroupRouting;
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.dispatch.Admission;
-import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.quota.LocalAllowance;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
@@ -53,9 +52,8 @@
 
     /** Asks whether a request of an account may run; the receiver gets nothing if nobody can tell. */
     void ask(String account, Consumer<Optional<Admission>> receiver) {
-        Optional<Admission> own = isCoordinator() ? coordinator.admit(account, context.nowNanos()) : Optional.empty();
-        if (own.isPresent()) {
-            receiver.accept(own);
+        if (isCoordinator()) {
+            receiver.accept(Optional.of(coordinator.admit(account, context.nowNanos())));
             return;
         }
         int hosts = links.gateways().size() + 1;
@@ -86,10 +84,8 @@
 
     /** Answers a host that asks whether a request may run. */
     PeerMessage answer(CoordinationMessage.AdmissionRequest request) {
-        return coordinator
-                .admit(request.account(), context.nowNanos())
-                .<PeerMessage>map(CoordinationMessage.AdmissionReply::new)
-                .orElseGet(() -> new PeerMessage.Failed("this host cannot tell whether the quota is used up"));
+        coordinator.quotas().contacted(context.nowNanos());
+        return new CoordinationMessage.AdmissionReply(coordinator.admit(request.account(), context.nowNanos()));
     }
 
     private boolean isCoordinator() {
@@ -106,12 +102,9 @@
         }
     }
 
-    /** Records that an answer of a coordinator on a request of an account came too late to be used. */
-    void recordLateAnswer(Optional<String> account, PlacementAnswer answer) {
-        localAllowance.recordLateAnswer(context.nowNanos());
-        if (answer instanceof PlacementAnswer.OverQuota) {
-            account.ifPresent(name -> localAllowance.recordExhausted(name, context.nowNanos()));
-        }
+    /** Records that an answer of a coordinator came too late to be used. */
+    void recordLateAnswer() {
+        localAllowance.recordAnswer(context.nowNanos());
     }
 
     private void logUnanswered(String account, String reason) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -145,12 +145,12 @@
         this.delayLog = new DelayLog(context, group, TICK_PERIOD_MILLIS);
         this.links = new PeerLinks(context);
         this.relayClient = new StoreRelayClient(context, links, random);
-        this.registration = new HostRegistration(context.loop(), context.store(), context.timeline(), this::listedSelf);
-        this.assignment = new SlotAssignment(context, links, routing, policies, registration::isCertain);
+        this.assignment = new SlotAssignment(context, links, routing, policies);
         SlotExchange slots = assignment.exchange();
         this.heartbeats = new HostHeartbeats(context, links, storeReachability, slots);
         this.crashTracking = new CrashTracking(context, links, suspects);
         this.traffic = new GatewayTraffic(context, links, crashTracking, slots, this::directoryAgeMillis);
+        this.registration = new HostRegistration(context.loop(), context.store(), context.timeline(), this::listedSelf);
         this.probes = new EndpointProbes(context);
         BatchStore batchStore = new BatchStore(context.store(), dialects.batches());
         this.runner = assignment.createRunner(registry, batchRoutes);
--- a/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
+++ b/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
@@ -86,11 +86,6 @@
         return roster.gateways(context.nowNanos());
     }
 
-    /** Returns the other hosts that serve callers and are not known to be stopping. */
-    List<Host> stayingGateways() {
-        return roster.stayingGateways(context.nowNanos());
-    }
-
     /** Returns the hosts with a disk. */
     List<Host> diskHosts() {
         return roster.diskHosts();
@@ -108,7 +103,8 @@
 
     /** Returns whether more than half of the gateways, this one included, are known to be alive. */
     boolean isInTouchWithMost() {
-        return roster.isInTouchWithMost(context.nowNanos());
+        int known = gateways().size() + 1;
+        return (activeGateways().size() + 1) * 2 > known;
     }
 
     /** Returns the other gateways that reach the key-value store. */
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.gooseberryhill.decision.coordination.FeasibleFirstOrder;
 import org.gooseberryhill.decision.coordination.FluctuationReserve;
 import org.gooseberryhill.decision.coordination.GroupRouting;
@@ -29,17 +28,7 @@
     private final SlotExchange exchange;
     private WorkAnnouncer announcer;
 
-    /**
-     * Creates the parts of a host.
-     *
-     * @param registered whether this host is certainly registered
-     */
-    SlotAssignment(
-            GatewayContext context,
-            PeerLinks links,
-            GroupRouting routing,
-            DispatchPolicies policies,
-            BooleanSupplier registered) {
+    SlotAssignment(GatewayContext context, PeerLinks links, GroupRouting routing, DispatchPolicies policies) {
         this.context = context;
         this.links = links;
         this.routing = routing;
@@ -51,7 +40,7 @@
                 new CountedSharesQuota(context.settings().self().id(), context.nowNanos()),
                 order,
                 firstReservation);
-        this.exchange = new SlotExchange(context, links, routing, coordinator, registered);
+        this.exchange = new SlotExchange(context, links, routing, coordinator);
     }
 
     /** Returns the exchange of messages with coordinators. */
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -1,13 +1,10 @@
 package org.gooseberryhill.gateway;
 
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.gooseberryhill.decision.coordination.CoordinatorCommand;
 import org.gooseberryhill.decision.coordination.GroupLoad;
 import org.gooseberryhill.decision.coordination.GroupRouting;
@@ -17,12 +14,10 @@
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
-import org.gooseberryhill.decision.quota.FleetView;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
-import org.gooseberryhill.link.Address;
 import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.peer.PeerLane;
 import org.gooseberryhill.peer.PeerMessage;
@@ -52,28 +47,15 @@
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
     private final AdmissionClient admissions;
-    private final BooleanSupplier registered;
     private GrantReceiver grantReceiver;
 
-    /**
-     * Creates the exchange of a host.
-     *
-     * @param registered whether this host is certainly registered
-     */
-    SlotExchange(
-            GatewayContext context,
-            PeerLinks links,
-            GroupRouting routing,
-            SlotCoordinator coordinator,
-            BooleanSupplier registered) {
+    SlotExchange(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
         this.context = context;
         this.links = links;
         this.routing = routing;
         this.coordinator = coordinator;
         this.reports = new WorkReports(routing);
         this.admissions = new AdmissionClient(context, links, routing, coordinator);
-        this.registered = registered;
-        context.peers().setRefusalListener(address -> context.loop().execute(() -> hostEnded(address)));
     }
 
     /** Sets the receiver of grants and of orders to yield. */
@@ -96,7 +78,7 @@
             receiver.accept(Optional.of(reply.answer()));
             return;
         }
-        PendingPlacement pending = new PendingPlacement(host, query.account(), receiver);
+        PendingPlacement pending = new PendingPlacement(host, receiver);
         context.onLoop(
                 context.peers()
                         .ask(
@@ -157,12 +139,6 @@
         sendLoads();
     }
 
-    private void hostEnded(Address address) {
-        routing.coordinators().stream()
-                .filter(host -> host.address().equals(address))
-                .forEach(host -> coordinator.quotas().hostEnded(host.id(), context.nowNanos()));
-    }
-
     /** Removes a lost host from the counts. */
     void removeHost(HostId host) {
         coordinator.removeHost(host);
@@ -170,6 +146,7 @@
 
     /** Answers a host that asks for an endpoint. */
     PeerMessage answer(HostId from, CoordinationMessage.PlacementRequest request) {
+        coordinator.quotas().contacted(context.nowNanos());
         PlacementReply reply = coordinator.place(from, request.group(), request.query(), context.nowNanos());
         assignSlots();
         return new CoordinationMessage.Placement(reply);
@@ -240,30 +217,15 @@
         }
         Set<Host> others = routing.coordinators();
         others.removeIf(host -> isSelf(host.id()));
-        coordinator.quotas().updateFleet(fleetView(others), context.nowNanos());
+        coordinator
+                .quotas()
+                .updateParticipants(
+                        others.stream().map(Host::id).toList(), links.isInTouchWithMost(), context.nowNanos());
         CoordinationMessage message =
                 new CoordinationMessage.GroupLoads(loads, coordinator.quotas().takeReport(context.nowNanos()));
         context.peers().postAll(others.stream().map(Host::address).toList(), PeerLane.CONTROL, message);
     }
 
-    private FleetView fleetView(Set<Host> otherCoordinators) {
-        Set<HostId> active = ids(links.activeGateways());
-        Set<HostId> lost = ids(routing.coordinatorsAmong(links.stayingGateways()));
-        lost.removeAll(active);
-        lost.remove(context.settings().self().id());
-        return new FleetView(
-                ids(otherCoordinators),
-                lost,
-                active,
-                ids(links.gateways()),
-                registered.getAsBoolean(),
-                links.isInTouchWithMost());
-    }
-
-    private static Set<HostId> ids(Collection<Host> hosts) {
-        return hosts.stream().map(Host::id).collect(Collectors.toSet());
-    }
-
     private boolean isSelf(HostId host) {
         return host.equals(context.settings().self().id());
     }
@@ -285,14 +247,12 @@
     /** A question to a coordinator that is answered once: by its reply, or by the timeout. */
     private final class PendingPlacement {
         private final Host host;
-        private final Optional<String> account;
         private final Consumer<Optional<PlacementAnswer>> receiver;
         private final long askedNanos = context.nowNanos();
         private boolean answered;
 
-        PendingPlacement(Host host, Optional<String> account, Consumer<Optional<PlacementAnswer>> receiver) {
+        PendingPlacement(Host host, Consumer<Optional<PlacementAnswer>> receiver) {
             this.host = host;
-            this.account = account;
             this.receiver = receiver;
         }
 
@@ -308,7 +268,7 @@
                 receiver.accept(Optional.of(placement.reply().answer()));
                 return;
             }
-            admissions.recordLateAnswer(account, placement.reply().answer());
+            admissions.recordLateAnswer();
             if (placement.reply().answer() instanceof PlacementAnswer.Placed placed) {
                 send(host, new CoordinationMessage.OnlineEnded(placed.endpoint(), AttemptEnd.DROPPED, 0));
             }
--- a/src/main/java/org/gooseberryhill/peer/PeerClient.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerClient.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.function.Consumer;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.link.HybridClock;
@@ -35,7 +34,6 @@
     private final PeerTraffic traffic = new PeerTraffic();
     private final LongAdder sentMessages = new LongAdder();
     private final Executor probeTimeoutExecutor;
-    private volatile Consumer<Address> refusalListener = address -> {};
 
     /** Creates a client that runs on the given event loops. */
     public PeerClient(EventLoopGroup group, HostId self, HybridClock clock) {
@@ -91,11 +89,6 @@
         addresses.forEach(address -> connection(address, lane).post(frame));
     }
 
-    /** Sets what learns of addresses at which no process listens any more; called by traffic threads. */
-    public void setRefusalListener(Consumer<Address> listener) {
-        refusalListener = listener;
-    }
-
     /** Returns the byte counters, which this process's server shares. */
     public PeerTraffic traffic() {
         return traffic;
@@ -115,14 +108,7 @@
         sentMessages.increment();
         return connections.computeIfAbsent(
                 new ConnectionKey(address, lane),
-                key -> new PeerConnection(
-                        bootstrap,
-                        address,
-                        self,
-                        clock,
-                        traffic,
-                        probeTimeoutExecutor,
-                        refused -> refusalListener.accept(refused)));
+                key -> new PeerConnection(bootstrap, address, self, clock, traffic, probeTimeoutExecutor));
     }
 
     private static byte[] encode(PeerFrame frame) {
--- a/src/main/java/org/gooseberryhill/peer/PeerConnection.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerConnection.java
@@ -6,10 +6,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +15,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.link.HybridClock;
@@ -35,7 +32,6 @@
     private final HybridClock clock;
     private final PeerTraffic traffic;
     private final Executor probeTimeoutExecutor;
-    private final Consumer<Address> refusalListener;
     private final AtomicLong lastRequestNumber = new AtomicLong();
     private ChannelFuture connectFuture;
 
@@ -43,7 +39,6 @@
      * Creates a connection that is established on first use.
      *
      * @param probeTimeoutExecutor runs each task when the timeout of a {@link PeerMessage.ConnectionProbe} has passed
-     * @param refusalListener learns that a connection was refused
      */
     PeerConnection(
             Bootstrap bootstrap,
@@ -51,8 +46,7 @@
             HostId self,
             HybridClock clock,
             PeerTraffic traffic,
-            Executor probeTimeoutExecutor,
-            Consumer<Address> refusalListener) {
+            Executor probeTimeoutExecutor) {
         this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -65,7 +59,6 @@
         this.clock = clock;
         this.traffic = traffic;
         this.probeTimeoutExecutor = probeTimeoutExecutor;
-        this.refusalListener = refusalListener;
     }
 
     CompletableFuture<PeerMessage> ask(PeerMessage message) {
@@ -148,20 +141,10 @@
                 && (!connectFuture.isDone() || connectFuture.channel().isActive());
         if (!usable) {
             connectFuture = bootstrap.connect(new InetSocketAddress(address.ip(), address.port()));
-            connectFuture.addListener(done -> {
-                if (isRefusal(done.cause())) {
-                    refusalListener.accept(address);
-                }
-            });
         }
         return connectFuture;
     }
 
-    /** A timeout is a {@link ConnectException}, too, but not an answer of the other host. */
-    private static boolean isRefusal(Throwable cause) {
-        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-    }
-
     /** Matches replies with pending requests. */
     private final class ReplyHandler extends SimpleChannelInboundHandler<PeerFrame> {
         private final Map<Long, CompletableFuture<PeerMessage>> pendingRequests = new ConcurrentHashMap<>();
--- a/src/main/java/org/gooseberryhill/registration/HostRegistration.java
+++ b/src/main/java/org/gooseberryhill/registration/HostRegistration.java
@@ -5,7 +5,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.gooseberryhill.control.ControlLoop;
-import org.gooseberryhill.decision.lease.LeaseGuard;
 import org.gooseberryhill.decision.membership.ListedHost;
 import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.external.KeyValueStore;
@@ -30,9 +29,6 @@
      */
     private static final long LEASE_MILLIS = 8000;
 
-    /** How long before its end a lease does not count as certain any more. */
-    private static final long LEASE_MARGIN_MILLIS = 200;
-
     private static final long RENEWAL_PERIOD_MILLIS = 3000;
     private static final long RETRY_DELAY_MILLIS = 500;
 
@@ -41,7 +37,6 @@
     private final Timeline timeline;
     private final Supplier<ListedHost> self;
     private Optional<Long> lease = Optional.empty();
-    private final LeaseGuard guard = new LeaseGuard(LEASE_MARGIN_MILLIS);
     private boolean removalRequested;
 
     /**
@@ -71,23 +66,16 @@
         onLoop(store.revokeLease(lease.get()), (done, failure) -> onRemoved.run());
     }
 
-    /** Returns whether this host is certainly registered: its lease can't have ended yet. */
-    public boolean isCertain() {
-        return guard.usable(System.nanoTime()).isPresent();
-    }
-
     private void grantLease() {
         if (removalRequested) {
             return;
         }
-        long sentNanos = System.nanoTime();
         onLoop(store.grantLease(LEASE_MILLIS), (id, failure) -> {
             if (failure != null) {
                 retryLater(this::grantLease, failure);
                 return;
             }
             lease = Optional.of(id);
-            guard.renewed(id, sentNanos, LEASE_MILLIS);
             writeKey();
         });
     }
@@ -119,7 +107,6 @@
         if (removalRequested || lease.isEmpty()) {
             return;
         }
-        long sentNanos = System.nanoTime();
         onLoop(store.renewLease(lease.get()), (leftMillis, failure) -> {
             if (failure != null && !isLeaseGone(failure)) {
                 retryLater(this::renewLease, failure);
@@ -127,7 +114,6 @@
                 timeline.event(EventKind.LEASE_LOST).with("lease", lease.get()).write();
                 grantLease();
             } else {
-                guard.renewed(lease.get(), sentNanos, LEASE_MILLIS);
                 loop.after(RENEWAL_PERIOD_MILLIS, this::renewLease);
             }
         });
