Do not take lost connections to all asked hosts for being alone

Found by reading the change: a host that is cut off loses its connections to the hosts that it asks for a stream's origin; all of them counted as ended, and the host as one without others, so that it continued a stream of unknown origin by its own history alone, which may lack a version.

Change: a host is alone only if it has nobody to ask. Evidence: OriginInquiryTest fails without the change.

--- a/src/main/java/org/gooseberryhill/decision/continuation/OriginInquiry.java
+++ b/src/main/java/org/gooseberryhill/decision/continuation/OriginInquiry.java
@@ -16,6 +16,7 @@
     private final Optional<String> service;
     private final Set<ServiceVersion> origins;
     private RegisteredVersions registered;
+    private boolean alone = true;
     private int asked;
     private int answered;
 
@@ -32,10 +33,11 @@
 
     /** Records that another host is asked. */
     public void asked() {
+        alone = false;
         asked++;
     }
 
-    /** Records that a host that was asked has ended, so that it can't know better. */
+    /** Records that a host that was asked seems to have ended, so that its answer is not waited for. */
     public void hostEnded() {
         asked--;
     }
@@ -62,7 +64,7 @@
         if (!origins.isEmpty()) {
             return origins.size() == 1 ? origins.stream().findFirst() : Optional.empty();
         }
-        boolean confirmed = asked == 0 || answered * 2 > asked;
+        boolean confirmed = alone || answered * 2 > asked;
         if (!confirmed || !registered.complete() || registered.versions().size() != 1) {
             return Optional.empty();
         }
--- a/src/test/java/org/gooseberryhill/decision/continuation/OriginInquiryTest.java
+++ b/src/test/java/org/gooseberryhill/decision/continuation/OriginInquiryTest.java
@@ -97,6 +97,18 @@
         assertThat(inquiry.beganAt()).contains(V1);
     }
 
+    /** Guards against a host that is cut off and takes its lost connections for hosts that have ended. */
+    @Test
+    void anUnknownStreamIsNotContinuedWhenAllAskedHostsSeemToHaveEnded() {
+        OriginInquiry inquiry = asking(2, unknown(ONLY_V1));
+
+        inquiry.hostEnded();
+        inquiry.hostEnded();
+
+        assertThat(inquiry.isDecided()).isTrue();
+        assertThat(inquiry.beganAt()).isEmpty();
+    }
+
     /** Guards against a guess after all hosts have started anew. */
     @Test
     void anUnknownStreamIsNotContinuedWhileNoHostKnowsTheWholeTime() {
