Log the prompt parts of failed attempts, and whether an endpoint has crashed

The timeline of the crashing requests could not tell three hypotheses apart: no line named a part of a prompt, and a crash read like a connection that was reset on the way. Now attempt.failed and item.run-failed bear the model and the ids of the prompt's parts, and a host connects to an endpoint that cut a request: endpoint.checked says whether it refuses (crashed).

--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -52,6 +52,11 @@
         return endpoint.map(EndpointEntry::key);
     }
 
+    /** Returns the registration of the endpoint that has the request now; empty between attempts. */
+    public Optional<EndpointEntry> endpointEntry() {
+        return endpoint;
+    }
+
     /** Returns what is known about the effect of the request so far. */
     public Outcome outcome() {
         return progress.outcome();
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.account.Attribution;
+import org.gooseberryhill.contract.Prompt;
 import org.gooseberryhill.decision.coordination.ItemStart;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
@@ -18,6 +19,7 @@
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.route.Route;
+import org.gooseberryhill.timeline.EventBuilder;
 import org.gooseberryhill.timeline.EventKind;
 
 /**
@@ -122,11 +124,11 @@
 
     /** Handles the end of a run. */
     void onRunEnded(PlacedItem run, RunEnd end, AttemptEnd attemptEnd, String detail) {
-        runs.remove(run);
+        Optional<Prompt> prompt = Optional.ofNullable(runs.remove(run)).flatMap(ItemRun::prompt);
         dispatch.runEnded(run, end, attemptEnd, context.nowNanos());
         slots.tell(run.endpoint().key(), new CoordinationMessage.ItemEnded(run.number(), attemptEnd));
         context.metrics().itemRunEnded(end);
-        context.timeline()
+        EventBuilder event = context.timeline()
                 .event(isFailure(end) ? EventKind.ITEM_RUN_FAILED : EventKind.ITEM_RUN_ENDED)
                 .job(run.batch().id())
                 .with("item", run.item().item().id())
@@ -136,8 +138,9 @@
                 .with("ranMillis", TimeUnit.NANOSECONDS.toMillis(run.elapsedNanos(context.nowNanos())))
                 .with("characters", run.item().characterCount())
                 .with("errorAnswers", run.item().errorAnswerCount())
-                .with("givenUp", run.item().isGivenUp())
-                .write();
+                .with("givenUp", run.item().isGivenUp());
+        prompt.filter(given -> isFailure(end)).ifPresent(given -> PromptLogFields.addTo(event, given));
+        event.write();
         announcer.itemsChanged();
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
@@ -28,6 +28,7 @@
     private final CrashTracking crashTracking;
     private final SlotExchange slots;
     private final StreamOrigins streamOrigins;
+    private final EndpointCrashCheck crashCheck;
     private final LongSupplier directoryAgeMillis;
     private int inProgress;
     private long configurationVersion;
@@ -49,6 +50,7 @@
         this.crashTracking = crashTracking;
         this.slots = slots;
         this.streamOrigins = new StreamOrigins(context, links);
+        this.crashCheck = new EndpointCrashCheck(context);
         this.directoryAgeMillis = directoryAgeMillis;
     }
 
@@ -73,6 +75,11 @@
         return crashTracking;
     }
 
+    /** Returns what finds out whether endpoints have crashed. */
+    EndpointCrashCheck crashCheck() {
+        return crashCheck;
+    }
+
     int inProgress() {
         return inProgress;
     }
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.contract.Prompt;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.requestbatch.ItemProgress;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
@@ -48,6 +49,7 @@
     private final ItemProgress item;
     private final EventSplitter eventSplitter = new EventSplitter();
     private final Queue<StreamEvent> queuedEvents = new ConcurrentLinkedQueue<>();
+    private Optional<Prompt> prompt = Optional.empty();
     private Exchange exchange;
     private boolean ended;
     private int status;
@@ -65,6 +67,7 @@
     void start() {
         HttpHeaders request = new DefaultHttpHeaders();
         item.item().headers().forEach(request::set);
+        prompt = context.dialects().traffic().parseRequest(request).prompt();
         request.set(HttpHeaderNames.HOST, placed.batch().record().host());
         AttemptMetadata metadata = new AttemptMetadata(
                 placed.endpoint().id(),
@@ -97,6 +100,11 @@
                         this);
     }
 
+    /** Returns the item's prompt, if it has one. Called on the control thread. */
+    Optional<Prompt> prompt() {
+        return prompt;
+    }
+
     /**
      * Processes the queued events. Called on the control thread, which polls because waking it for each event costs
      * more than processing the event.
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -46,12 +46,6 @@
     /** Connecting within a region takes milliseconds; an attempt that takes longer counts as lost. */
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
-    /** A resumable stream fails over after its endpoint has been silent for this time, if another one can take it. */
-    private static final long SILENCE_TIMEOUT_MILLIS = 700;
-
-    /** Delay before another endpoint for a silent stream is looked up again. */
-    private static final long SILENCE_RECHECK_MILLIS = 100;
-
     private final GatewayContext context;
     private final GatewayTraffic traffic;
     private final HttpCall call;
@@ -184,32 +178,12 @@
                 .start(exchangeRequest, relay.newAttemptListener(this, attemptNumber, endpoint.serviceVersion()));
         exchange = Optional.of(started);
         if (request.info().route().kind() == RouteKind.STREAM) {
-            scheduleSilenceCheck(started, SILENCE_TIMEOUT_MILLIS);
+            new SilenceWatch(context, started, () -> isInProgress(started), this::canFailOver).start();
         }
     }
 
-    private void scheduleSilenceCheck(Exchange watched, long millis) {
-        context.loop().after(millis, () -> checkSilence(watched));
-    }
-
-    /**
-     * Fails a silent attempt if another endpoint may continue the request; silence alone does not end an answer. Bytes that
-     * have arrived but are not read yet do not count as silence, which the exchange checks before it fails.
-     */
-    private void checkSilence(Exchange watched) {
-        if (finished || exchange.filter(watched::equals).isEmpty()) {
-            return;
-        }
-        long lastActivityNanos = watched.lastActivityNanos();
-        long silentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - lastActivityNanos);
-        if (silentMillis < SILENCE_TIMEOUT_MILLIS) {
-            scheduleSilenceCheck(watched, SILENCE_TIMEOUT_MILLIS - silentMillis);
-            return;
-        }
-        if (canFailOver()) {
-            watched.failIfSilentSince(lastActivityNanos);
-        }
-        scheduleSilenceCheck(watched, SILENCE_RECHECK_MILLIS);
+    private boolean isInProgress(Exchange attempt) {
+        return !finished && exchange.filter(attempt::equals).isPresent();
     }
 
     private boolean canFailOver() {
@@ -295,6 +269,9 @@
             exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
             log.attemptFailed(endpoint, attempt, end, detail, progress);
+            if (end == AttemptEnd.CUT) {
+                request.endpointEntry().ifPresent(entry -> traffic.crashCheck().check(entry, crashed -> {}));
+            }
             recordAttemptEnd(end);
             recordAnswerStart();
             if (!relay.isStarted()) {
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
@@ -71,6 +71,7 @@
                 .with("end", end)
                 .with("detail", detail);
         progress.addTo(event);
+        request.info().prompt().ifPresent(prompt -> PromptLogFields.addTo(event, prompt));
         event.write();
     }
 
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -87,6 +87,8 @@
     LEASE_LOST("lease.lost", Importance.STATE),
     /** An endpoint was temporarily excluded from routing, or included again. */
     ENDPOINT_HEALTH("endpoint.health", Importance.STATE),
+    /** A connection was made to an endpoint whose connections were lost, to see whether it has crashed. */
+    ENDPOINT_CHECKED("endpoint.checked", Importance.STATE),
     /** An endpoint crashed with requests in flight. */
     ENDPOINT_CRASHED("endpoint.crashed", Importance.FAILURE),
     /** The platform was notified that a host with a disk is empty. */
