--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -7,14 +7,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.gooseberryhill.contract.ErrorCode;
-import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.promptpart.PartVerdict;
+import org.gooseberryhill.decision.promptpart.PartVerdict.Kind;
+import org.gooseberryhill.decision.promptpart.PermitAnswer;
+import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
-import org.gooseberryhill.decision.quarantine.CrashSuspects.Verdict;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
-import org.gooseberryhill.route.Route;
 import org.gooseberryhill.zone.AvailabilityZone;
 
 /**
@@ -26,21 +27,6 @@
  * continues only at endpoints of the version that began it.
  */
 public final class DispatchCore {
-    /**
-     * Maximum sends of one request, including those that endpoints refuse.
-     *
-     * <p>Each send costs a round trip, and when the service is full, all its endpoints refuse.
-     */
-    private static final int MAX_SENDS = 6;
-
-    /**
-     * Maximum sends of a request whose caller has received a part of the answer.
-     *
-     * <p>Batch items free a slot within some tens of milliseconds. Completing an answer is worth more sends than a new
-     * request, whose caller can retry.
-     */
-    private static final int MAX_SENDS_AFTER_ANSWER_START = 20;
-
     /**
      * Delay before another choice of endpoint for a request that waits: about the time that a batch item takes to
      * yield.
@@ -50,15 +36,19 @@
     /** Longest wait for an endpoint of the version that began a stream: one that has crashed is back later. */
     private static final long MAX_VERSION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
 
-    /** Shortest time in which an endpoint can answer: a round trip and the shortest run. */
-    private static final long MIN_REMAINING_MILLIS = 20;
+    /** Longest wait of a request that was sent before for a permit to run again: about the time of a run. */
+    private static final long MAX_PERMIT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
+
+    /** Bounds the size of a message; more endpoints than suspects run at a time. */
+    private static final int MAX_PERMIT_ENDPOINTS = 16;
 
     private final AvailabilityZone zone;
     private final RequestPlacer placer;
     private final Fleet fleet;
     private final GroupSelector groups;
     private final Predicate<EndpointEntry> connections;
-    private final CrashSuspects suspects;
+    private final QuarantineGate gate;
+    private final AttemptLimits limits;
 
     /**
      * Creates a core for the endpoints that its host knows.
@@ -72,13 +62,15 @@
             Fleet fleet,
             GroupSelector groups,
             Predicate<EndpointEntry> connections,
-            CrashSuspects suspects) {
+            CrashSuspects suspects,
+            PromptPartQuarantine promptParts) {
         this.zone = zone;
         this.placer = new RequestPlacer(policies);
         this.fleet = fleet;
         this.groups = groups;
         this.connections = connections;
-        this.suspects = suspects;
+        this.gate = new QuarantineGate(suspects, promptParts, fleet);
+        this.limits = new AttemptLimits(gate);
     }
 
     /**
@@ -91,11 +83,11 @@
 
     /** Decides the first action for a request that has arrived. */
     public DispatchDecision dispatch(RoutedRequest request, long nowNanos) {
-        Optional<Refusal> quarantined = refuseQuarantined(request, nowNanos);
+        Optional<Refusal> quarantined = gate.refuse(request, nowNanos);
         if (quarantined.isPresent()) {
             return new DispatchDecision.Refuse(quarantined.get());
         }
-        if (request.remainingMillis(nowNanos) < MIN_REMAINING_MILLIS) {
+        if (request.remainingMillis(nowNanos) < AttemptLimits.MIN_REMAINING_MILLIS) {
             return new DispatchDecision.Refuse(DispatchRefusals.of(
                     request, ErrorCode.DEADLINE_EXCEEDED, "the request's time was over before it could be sent"));
         }
@@ -106,6 +98,9 @@
     public DispatchDecision placementAnswered(RoutedRequest request, PlacementAnswer answer, long nowNanos) {
         if (answer instanceof PlacementAnswer.Placed placed) {
             request.admitted();
+            if (gate.hasChanged(request, nowNanos)) {
+                return place(request, nowNanos);
+            }
             Optional<FleetEndpoint> endpoint = fleet.find(placed.endpoint())
                     .filter(found -> found.isUsable(nowNanos) && request.maySendTo(found.entry()));
             if (endpoint.isPresent()) {
@@ -134,10 +129,20 @@
         return placeLocally(request, nowNanos);
     }
 
-    /** Decides what follows an attempt that ended without the whole answer: another endpoint, a wait or a refusal. */
+    /** Records an attempt that ended without the whole answer, and decides what follows. */
     public DispatchDecision attemptFailed(RoutedRequest request, AttemptEnd end, long nowNanos) {
         attemptEnded(request, end, nowNanos);
-        Optional<Refusal> refusal = refuseFurtherAttempt(request, request.progress(), end, nowNanos);
+        return decideAfterFailure(request, end, nowNanos);
+    }
+
+    /** Records an attempt that ended without the whole answer; {@link #decideAfterFailure} decides what follows. */
+    public void failureRecorded(RoutedRequest request, AttemptEnd end, long nowNanos) {
+        attemptEnded(request, end, nowNanos);
+    }
+
+    /** Decides what follows the latest attempt, which ended without the whole answer: another endpoint, a wait or a refusal. */
+    public DispatchDecision decideAfterFailure(RoutedRequest request, AttemptEnd end, long nowNanos) {
+        Optional<Refusal> refusal = limits.refuse(request, request.progress(), end, nowNanos);
         if (refusal.isPresent()) {
             return new DispatchDecision.Refuse(refusal.get());
         }
@@ -153,14 +158,13 @@
             return false;
         }
         RequestProgress afterSilence = request.progress().after(AttemptEnd.SILENT);
-        return refuseFurtherAttempt(request, afterSilence, AttemptEnd.SILENT, nowNanos)
-                        .isEmpty()
+        return limits.refuse(request, afterSilence, AttemptEnd.SILENT, nowNanos).isEmpty()
                 && hasUntriedEndpoint(request, nowNanos);
     }
 
     /** Decides the next action after the delay of a {@link DispatchDecision.Wait} has passed. */
     public DispatchDecision dispatchAfterWait(RoutedRequest request, long nowNanos) {
-        if (request.remainingMillis(nowNanos) < MIN_REMAINING_MILLIS) {
+        if (request.remainingMillis(nowNanos) < AttemptLimits.MIN_REMAINING_MILLIS) {
             return new DispatchDecision.Refuse(DispatchRefusals.of(
                     request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for the rest of the answer"));
         }
@@ -169,9 +173,44 @@
 
     private DispatchDecision place(RoutedRequest request, long nowNanos) {
         request.placementStarted();
+        PartVerdict verdict = gate.restrict(request, nowNanos);
+        if (verdict.kind() == Kind.BLOCKED) {
+            return new DispatchDecision.Refuse(DispatchRefusals.blockedPart(request, verdict.retryAfterMillis()));
+        }
+        if (QuarantineGate.needsPermit(request, verdict.kind())) {
+            return askPermit(request, verdict, nowNanos);
+        }
         return placeWithoutAnswer(request, nowNanos);
     }
 
+    private DispatchDecision askPermit(RoutedRequest request, PartVerdict verdict, long nowNanos) {
+        List<EndpointKey> endpoints = fleet.usableEndpoints(request.info().service(), nowNanos).stream()
+                .filter(endpoint -> request.maySendTo(endpoint.entry()))
+                .map(FleetEndpoint::key)
+                .limit(MAX_PERMIT_ENDPOINTS)
+                .toList();
+        return endpoints.isEmpty()
+                ? placeWithoutAnswer(request, nowNanos)
+                : new DispatchDecision.AskPermit(verdict.parts(), verdict.kind() == Kind.CONFINED, endpoints);
+    }
+
+    /** Decides the next action after {@link DispatchDecision.AskPermit}. */
+    public DispatchDecision permitAnswered(RoutedRequest request, PermitAnswer answer, long nowNanos) {
+        answer.permit().ifPresent(request::permitted);
+        Kind kind = gate.restrict(request, nowNanos).kind();
+        if (kind == Kind.BLOCKED || !QuarantineGate.needsPermit(request, kind)) {
+            return place(request, nowNanos);
+        }
+        if (kind == Kind.SUSPECT && !answer.answered()) {
+            request.runUnpermitted();
+            return placeWithoutAnswer(request, nowNanos);
+        }
+        if (!request.isRefusable() && request.waitForPermit(nowNanos) <= MAX_PERMIT_WAIT_NANOS) {
+            return new DispatchDecision.Wait(FULL_SERVICE_WAIT_MILLIS);
+        }
+        return new DispatchDecision.Refuse(DispatchRefusals.noPermit(request));
+    }
+
     /** Returns the group to ask next; for a stream that has begun, one with an endpoint of the version that began it. */
     private Optional<EndpointGroup> nextGroup(RoutedRequest request, long nowNanos) {
         Set<EndpointGroup> passedOver = new HashSet<>(request.askedGroups());
@@ -214,7 +253,7 @@
                     request, answer.get().retryAfterMillis().get()));
         }
         request.admitted();
-        return placeLocally(request, nowNanos);
+        return gate.hasChanged(request, nowNanos) ? place(request, nowNanos) : placeLocally(request, nowNanos);
     }
 
     private DispatchDecision placeLocally(RoutedRequest request, long nowNanos) {
@@ -276,9 +315,7 @@
     public void attemptSucceeded(RoutedRequest request, long nowNanos) {
         placer.requestAnswered(request.info().service(), request.attemptNanos(nowNanos));
         attemptEnded(request, AttemptEnd.ANSWERED, nowNanos);
-        if (suspects.size() > 0) {
-            suspects.clear(request.info().fingerprint());
-        }
+        gate.answered(request);
     }
 
     /** Ends a request whose caller disconnected or whose deadline passed. */
@@ -294,35 +331,6 @@
         });
     }
 
-    /**
-     * Returns the refusal if the request may not be sent again after an attempt with the given end; empty if it may.
-     *
-     * @param progress the progress of the request, including that attempt
-     */
-    private Optional<Refusal> refuseFurtherAttempt(
-            RoutedRequest request, RequestProgress progress, AttemptEnd end, long nowNanos) {
-        Route route = request.info().route();
-        if (progress.outcome() == Outcome.MAY_HAVE_RUN && !route.isRepeatable()) {
-            return Optional.of(Refusal.mayHaveRun(
-                    ErrorCode.ENDPOINT_FAILED, "the endpoint failed after the request was sent; it is not repeated"));
-        }
-        if (progress.answerStarted() && !route.resumable()) {
-            return Optional.of(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the answer was cut"));
-        }
-        if (request.remainingMillis(nowNanos) < MIN_REMAINING_MILLIS) {
-            return Optional.of(
-                    DispatchRefusals.of(request, ErrorCode.DEADLINE_EXCEEDED, "no time is left for another attempt"));
-        }
-        if (progress.possibleRuns() >= route.maxAttempts()) {
-            return Optional.of(
-                    DispatchRefusals.of(request, ErrorCode.ENDPOINT_FAILED, "all attempts failed, the last: " + end));
-        }
-        if (progress.sends() >= (progress.answerStarted() ? MAX_SENDS_AFTER_ANSWER_START : MAX_SENDS)) {
-            return Optional.of(DispatchRefusals.of(request, ErrorCode.OVERLOADED, "the endpoints are full"));
-        }
-        return refuseQuarantined(request, nowNanos);
-    }
-
     private DispatchDecision send(
             RoutedRequest request, FleetEndpoint endpoint, PlacementFacts facts, boolean assigned, long nowNanos) {
         EndpointEntry entry = endpoint.entry();
@@ -361,16 +369,4 @@
                 request.isRedirectable(),
                 request.quotaAccount());
     }
-
-    private Optional<Refusal> refuseQuarantined(RoutedRequest request, long nowNanos) {
-        if (suspects.size() == 0 || suspects.verdict(request.info().fingerprint(), nowNanos) != Verdict.QUARANTINED) {
-            return Optional.empty();
-        }
-        long millis = suspects.remainingMillis(request.info().fingerprint(), nowNanos);
-        return Optional.of(new Refusal(
-                ErrorCode.QUARANTINED,
-                request.outcome(),
-                "the same request crashed endpoints; it is held apart",
-                Optional.of(millis)));
-    }
 }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchDecision.java
@@ -1,9 +1,13 @@
 package org.gooseberryhill.decision.dispatch;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.gooseberryhill.contract.Refusal;
+import org.gooseberryhill.decision.promptpart.PromptPartKey;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
+import org.gooseberryhill.directory.EndpointKey;
 
 /** The next action for a routed request. Immutable. */
 public sealed interface DispatchDecision {
@@ -33,6 +37,17 @@
      */
     record AskAdmission(String account) implements DispatchDecision {}
 
+    /**
+     * Asks for a permit to run the request, parts of whose prompt may crash endpoints, then calls {@link
+     * DispatchCore#permitAnswered}.
+     *
+     * @param parts the suspected parts
+     * @param confined whether the endpoint may not be shared with other suspects
+     * @param endpoints the endpoints that the request may go to, best first
+     */
+    record AskPermit(Set<PromptPartKey> parts, boolean confined, List<EndpointKey> endpoints)
+            implements DispatchDecision {}
+
     /**
      * Asks for another decision after a delay: no endpoint can take the request now, but its caller has received a part
      * of the answer, or the request was moved away from an endpoint that was merely silent.
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchRefusals.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchRefusals.java
@@ -15,6 +15,9 @@
     /** Retry-after of a host that is cut off from those that count requests: another host serves the retry. */
     private static final long UNKNOWN_QUOTA_RETRY_AFTER_MILLIS = 20;
 
+    /** Retry-after while a request with the same suspected part runs: about the time of a run. */
+    private static final long NO_PERMIT_RETRY_AFTER_MILLIS = 500;
+
     private DispatchRefusals() {}
 
     static Refusal overloaded(long retryAfterMillis) {
@@ -35,6 +38,22 @@
                 Optional.of(UNKNOWN_QUOTA_RETRY_AFTER_MILLIS));
     }
 
+    static Refusal blockedPart(RoutedRequest request, long retryAfterMillis) {
+        return new Refusal(
+                ErrorCode.QUARANTINED,
+                request.outcome(),
+                "a part of the prompt crashes endpoints",
+                Optional.of(retryAfterMillis));
+    }
+
+    static Refusal noPermit(RoutedRequest request) {
+        return new Refusal(
+                ErrorCode.QUARANTINED,
+                request.outcome(),
+                "a part of the prompt may crash endpoints, and another request with it is running",
+                Optional.of(NO_PERMIT_RETRY_AFTER_MILLIS));
+    }
+
     static Refusal noEndpoint() {
         return Refusal.notRun(
                 ErrorCode.NO_ENDPOINT, "no endpoint of the service can be used", NO_ENDPOINT_RETRY_AFTER_MILLIS);
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.account.ClientAccount;
 import org.gooseberryhill.contract.Outcome;
+import org.gooseberryhill.decision.promptpart.IsolationPermit;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
@@ -36,6 +37,10 @@
     private boolean countedAgainstQuota;
     private long attemptStartedNanos;
     private Optional<Long> waitingForVersionSinceNanos = Optional.empty();
+    private Optional<Long> waitingForPermitSinceNanos = Optional.empty();
+    private Optional<IsolationPermit> permit = Optional.empty();
+    private Set<ServiceVersion> avoidedVersions = Set.of();
+    private boolean unpermitted;
 
     RoutedRequest(RoutedRequestInfo info) {
         this.info = info;
@@ -91,9 +96,48 @@
     /** Returns whether an endpoint may get the next attempt by what is known of the request, usable or not. */
     boolean maySendTo(EndpointEntry candidate) {
         return !tried.contains(candidate.key())
+                && !avoidedVersions.contains(candidate.serviceVersion())
+                && permit.map(given -> given.endpoint().equals(candidate.key())).orElse(true)
                 && (beganAt.isEmpty() || beganAt.get().equals(candidate.serviceVersion()));
     }
 
+    /** Excludes the endpoints of some versions, in place of those that were excluded before. */
+    void avoid(Set<ServiceVersion> versions) {
+        avoidedVersions = versions;
+    }
+
+    /** Returns the permit to run although a part of the prompt may crash endpoints, if the request has one. */
+    public Optional<IsolationPermit> permit() {
+        return permit;
+    }
+
+    /** Removes and returns the permit, which its holder returns. */
+    public Optional<IsolationPermit> takePermit() {
+        Optional<IsolationPermit> taken = permit;
+        permit = Optional.empty();
+        return taken;
+    }
+
+    void permitted(IsolationPermit given) {
+        permit = Optional.of(given);
+        waitingForPermitSinceNanos = Optional.empty();
+    }
+
+    /** Lets the next attempt run without a permit, since nobody can tell whether there is one. */
+    void runUnpermitted() {
+        unpermitted = true;
+    }
+
+    boolean runsUnpermitted() {
+        return unpermitted;
+    }
+
+    /** Returns for how long the request has waited for a permit, in nanoseconds. */
+    long waitForPermit(long nowNanos) {
+        waitingForPermitSinceNanos = waitingForPermitSinceNanos.or(() -> Optional.of(nowNanos));
+        return nowNanos - waitingForPermitSinceNanos.get();
+    }
+
     /** Returns whether the request counts against the quota of its client account. */
     public boolean isCountedAgainstQuota() {
         return countedAgainstQuota;
@@ -184,6 +228,7 @@
             pastAttempts.add(new PastAttempt(key.id(), end, TimeUnit.NANOSECONDS.toMillis(attemptNanos(nowNanos))));
         });
         endpoint = Optional.empty();
+        unpermitted = false;
         leftSilentEndpoint |= end == AttemptEnd.SILENT;
         progress = progress.after(end);
     }
--- a/src/main/java/org/gooseberryhill/decision/membership/ListedHost.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/ListedHost.java
@@ -16,8 +16,11 @@
     /** The first set with messages on the origins of streams. */
     public static final int STREAM_ORIGINS_MESSAGE_SET = 2;
 
+    /** The first set with messages on parts of prompts that may crash endpoints. */
+    public static final int PROMPT_PARTS_MESSAGE_SET = 3;
+
     /** The newest set that this version understands. */
-    public static final int CURRENT_MESSAGE_SET = STREAM_ORIGINS_MESSAGE_SET;
+    public static final int CURRENT_MESSAGE_SET = PROMPT_PARTS_MESSAGE_SET;
 
     /** Creates the entry of a process of this version. */
     public ListedHost(Host host, String processStart) {
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PartBlock.java
@@ -0,0 +1,87 @@
+package org.gooseberryhill.decision.promptpart;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.gooseberryhill.directory.ServiceVersion;
+
+/**
+ * Parts of prompts whose requests are refused. Immutable.
+ *
+ * <p>Several parts are blocked together while all requests that crashed endpoints had all of them: a request with some of them may
+ * run, confined, and tells them apart.
+ *
+ * @param parts the parts; a request that has all of them is refused
+ * @param crashes the crashes that decided
+ * @param lastCrashNanos the latest crash of a request with the parts, in nanoseconds
+ * @param trials the number of requests that were let through since the block began and crashed their endpoints
+ */
+public record PartBlock(Set<PromptPartKey> parts, List<DecidingCrash> crashes, long lastCrashNanos, int trials) {
+    /** Delays after which one request is let through; after the last of them only another software version is tried. */
+    private static final long[] TRIAL_DELAYS_NANOS = {TimeUnit.MINUTES.toNanos(2), TimeUnit.MINUTES.toNanos(20)};
+
+    private static final long RETENTION_NANOS = TimeUnit.HOURS.toNanos(24);
+
+    /** Returns when a request is let through to see whether the cause is mended, in nanoseconds; empty if none is. */
+    Optional<Long> nextTrialNanos() {
+        return trials < TRIAL_DELAYS_NANOS.length
+                ? Optional.of(lastCrashNanos + TRIAL_DELAYS_NANOS[trials])
+                : Optional.empty();
+    }
+
+    boolean isTrialDue(long nowNanos) {
+        return nextTrialNanos().map(nanos -> nowNanos - nanos >= 0).orElse(false);
+    }
+
+    /** Returns after which time callers may come back, in milliseconds. */
+    long retryAfterMillis(long nowNanos) {
+        long untilNanos = nextTrialNanos().orElse(lastCrashNanos + RETENTION_NANOS);
+        return Math.max(1, TimeUnit.NANOSECONDS.toMillis(untilNanos - nowNanos));
+    }
+
+    boolean isExpired(long nowNanos) {
+        return nowNanos - lastCrashNanos > RETENTION_NANOS;
+    }
+
+    /** Returns whether requests with these parts are refused at the version that the block is about. */
+    boolean blocks(Set<PromptPartKey> requestParts) {
+        return requestParts.containsAll(parts);
+    }
+
+    /** Returns the block of the same parts at another version of the service's software. */
+    PartBlock at(ServiceVersion version) {
+        return new PartBlock(
+                parts.stream().map(part -> part.at(version)).collect(Collectors.toSet()),
+                crashes,
+                lastCrashNanos,
+                trials);
+    }
+
+    /** Returns the block after a further crash; it counts as a trial if the request was sent when one was due. */
+    PartBlock crashedAgain(long atNanos, long sentNanos) {
+        boolean wasTrial = isTrialDue(sentNanos);
+        long latestNanos = atNanos - lastCrashNanos > 0 ? atNanos : lastCrashNanos;
+        return new PartBlock(parts, crashes, latestNanos, wasTrial ? trials + 1 : trials);
+    }
+
+    /** Returns the block without a part that was served; empty if no part is left. */
+    Optional<PartBlock> without(PromptPartKey part) {
+        Set<PromptPartKey> rest = new HashSet<>(parts);
+        rest.remove(part);
+        return rest.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new PartBlock(Set.copyOf(rest), crashes, lastCrashNanos, trials));
+    }
+
+    /**
+     * A crash that counted when a part was blocked. Immutable.
+     *
+     * @param endpoint the endpoint's id
+     * @param reporter the host that reported it first
+     * @param atNanos when it happened, in nanoseconds
+     */
+    public record DecidingCrash(String endpoint, String reporter, long atNanos) {}
+}
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
@@ -9,12 +9,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.gooseberryhill.decision.coordination.ItemStart;
 import org.gooseberryhill.decision.coordination.ItemTiming;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
+import org.gooseberryhill.decision.promptpart.PartVerdict;
+import org.gooseberryhill.decision.promptpart.PartVerdict.Kind;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.route.Route;
@@ -31,21 +34,30 @@
  * of runs in flight stays correct.
  */
 public final class ItemDispatch {
+    /** Delay before an item with a blocked part is looked at again: other versions may serve it. */
+    private static final long BLOCKED_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Delay before a permit is asked for again: about the time of a short run. */
+    private static final long PERMIT_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private final Fleet fleet;
     private final BatchRoutes routes;
     private final ItemOrder order;
     private final RestartPolicy restartPolicy;
+    private final ItemQuarantine quarantine;
     private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
     private final Map<Long, PlacedItem> runs = new LinkedHashMap<>();
     private long lastRunNumber;
     private double lastPressure;
 
     /** Creates a dispatch of the items of one host to the endpoints that this host knows. */
-    public ItemDispatch(Fleet fleet, BatchRoutes routes, ItemOrder order, RestartPolicy restartPolicy) {
+    public ItemDispatch(
+            Fleet fleet, BatchRoutes routes, ItemOrder order, RestartPolicy restartPolicy, ItemQuarantine quarantine) {
         this.fleet = fleet;
         this.routes = routes;
         this.order = order;
         this.restartPolicy = restartPolicy;
+        this.quarantine = quarantine;
     }
 
     /** Returns the number of running items. */
@@ -66,20 +78,59 @@
     }
 
     /**
-     * Starts a run of the first waiting item that may run at an endpoint and returns it, already counted as in flight;
-     * empty if no item waits, or all that do wait for endpoints of other versions.
+     * Starts a run of the first waiting item that may run at an endpoint without a permit and returns it, already counted as in
+     * flight; empty if no item waits, or all that do wait for permits or for endpoints of other versions.
      *
      * @param pressure the pressure that the coordinator of the endpoint has measured
      */
     public Optional<PlacedItem> startAt(
             EndpointEntry endpoint, double pressure, Collection<OwnedBatch> batches, long nowNanos, long nowMillis) {
+        return candidates(endpoint, pressure, batches, nowNanos, nowMillis)
+                .filter(item -> verdict(item, endpoint, nowNanos).kind() == Kind.CLEAR)
+                .findFirst()
+                .map(item -> start(endpoint, item, nowNanos));
+    }
+
+    /**
+     * Returns the item that is first in the order for an endpoint, if it needs a permit to run there. It does not start elsewhere while
+     * the permit is asked for.
+     */
+    public Optional<SuspectItem> suspectAt(
+            EndpointEntry endpoint, double pressure, Collection<OwnedBatch> batches, long nowNanos, long nowMillis) {
+        Optional<SuspectItem> suspect = candidates(endpoint, pressure, batches, nowNanos, nowMillis)
+                .map(item -> new SuspectItem(item, verdict(item, endpoint, nowNanos)))
+                .findFirst()
+                .filter(item -> !item.parts().isEmpty());
+        suspect.ifPresent(item -> item.dueItem().item().deferUntil(nowNanos + PERMIT_BACKOFF_NANOS));
+        return suspect;
+    }
+
+    /** Starts a run of an item that was permitted; empty if the item has ended meanwhile. */
+    public Optional<PlacedItem> startSuspect(SuspectItem suspect, EndpointEntry endpoint, long nowNanos) {
+        DueItem item = suspect.dueItem();
+        boolean open = !item.item().isRunning() && item.item().result().isEmpty();
+        return open ? Optional.of(start(endpoint, item, nowNanos)) : Optional.empty();
+    }
+
+    /** Returns the items that may start at an endpoint in their order; those with a blocked part are deferred. */
+    private Stream<DueItem> candidates(
+            EndpointEntry endpoint, double pressure, Collection<OwnedBatch> batches, long nowNanos, long nowMillis) {
         lastPressure = pressure;
         return startableItems(batches, nowNanos, nowMillis).stream()
                 .filter(item -> targets(item.batch()).stream()
                         .anyMatch(target -> target.service().equals(endpoint.service())))
                 .filter(item -> mayStartAt(endpoint.serviceVersion(), item, nowNanos))
-                .findFirst()
-                .map(item -> start(endpoint, item, nowNanos));
+                .filter(item -> {
+                    boolean blocked = verdict(item, endpoint, nowNanos).kind() == Kind.BLOCKED;
+                    if (blocked) {
+                        item.item().deferUntil(nowNanos + BLOCKED_BACKOFF_NANOS);
+                    }
+                    return !blocked;
+                });
+    }
+
+    private PartVerdict verdict(DueItem item, EndpointEntry endpoint, long nowNanos) {
+        return quarantine.verdict(item.item(), endpoint.serviceVersion(), nowNanos);
     }
 
     private boolean mayStartAt(ServiceVersion version, DueItem item, long nowNanos) {
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
@@ -1,6 +1,8 @@
 package org.gooseberryhill.decision.requestbatch;
 
 import java.util.Optional;
+import java.util.function.Function;
+import org.gooseberryhill.contract.Prompt;
 import org.gooseberryhill.directory.ServiceVersion;
 
 /**
@@ -25,6 +27,7 @@
     private Optional<Long> unconfirmedEndId = Optional.empty();
     private Optional<Long> notBeforeNanos = Optional.empty();
     private Optional<Long> passedOverSinceNanos = Optional.empty();
+    private Optional<Optional<Prompt>> prompt = Optional.empty();
 
     ItemProgress(BatchItem item) {
         this.item = item;
@@ -35,6 +38,12 @@
         return item;
     }
 
+    /** Returns the prompt, which is read once. */
+    Optional<Prompt> prompt(Function<BatchItem, Optional<Prompt>> reader) {
+        prompt = prompt.or(() -> Optional.of(reader.apply(item)));
+        return prompt.get();
+    }
+
     /** Returns the id of the event after which the next run resumes; empty if it starts from the beginning. */
     public Optional<Long> lastEventId() {
         return lastEventId;
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -10,12 +10,15 @@
 import org.gooseberryhill.decision.coordination.ItemStart;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
+import org.gooseberryhill.decision.promptpart.IsolationPermit;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
+import org.gooseberryhill.decision.requestbatch.SuspectItem;
+import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.route.Route;
@@ -39,7 +42,9 @@
     private final ItemDispatch dispatch;
     private final SlotExchange slots;
     private final WorkAnnouncer announcer;
+    private final GatewayTraffic traffic;
     private final Map<PlacedItem, ItemRun> runs = new IdentityHashMap<>();
+    private final Map<PlacedItem, IsolationPermit> permits = new IdentityHashMap<>();
     private boolean stopping;
 
     BatchRunner(
@@ -48,13 +53,15 @@
             BatchRoutes routes,
             ItemDispatch dispatch,
             SlotExchange slots,
-            WorkAnnouncer announcer) {
+            WorkAnnouncer announcer,
+            GatewayTraffic traffic) {
         this.context = context;
         this.registry = registry;
         this.routes = routes;
         this.dispatch = dispatch;
         this.slots = slots;
         this.announcer = announcer;
+        this.traffic = traffic;
     }
 
     /** Stops starting items, because the host is stopping. */
@@ -78,16 +85,30 @@
 
     @Override
     public void onGrant(HostId coordinator, CoordinationMessage.SlotGrant grant) {
-        Optional<FleetEndpoint> usable =
-                context.fleet().find(grant.endpoint()).filter(found -> found.isUsable(context.nowNanos()));
-        Optional<PlacedItem> placed = stopping
-                ? Optional.empty()
-                : usable.flatMap(found -> dispatch.startAt(
-                        found.entry(),
-                        grant.pressure(),
-                        registry.openBatches(),
-                        context.nowNanos(),
-                        System.currentTimeMillis()));
+        Optional<EndpointEntry> endpoint = context.fleet()
+                .find(grant.endpoint())
+                .filter(found -> !stopping && found.isUsable(context.nowNanos()))
+                .map(FleetEndpoint::entry);
+        if (endpoint.isEmpty()) {
+            slots.send(coordinator, new CoordinationMessage.GrantReturned(grant.reservation()));
+            return;
+        }
+        Optional<SuspectItem> suspect = dispatch.suspectAt(
+                endpoint.get(),
+                grant.pressure(),
+                registry.openBatches(),
+                context.nowNanos(),
+                System.currentTimeMillis());
+        if (suspect.isPresent()) {
+            askPermit(suspect.get(), endpoint.get(), coordinator, grant);
+        } else {
+            startUnsuspected(endpoint.get(), coordinator, grant);
+        }
+    }
+
+    private void startUnsuspected(EndpointEntry endpoint, HostId coordinator, CoordinationMessage.SlotGrant grant) {
+        Optional<PlacedItem> placed = dispatch.startAt(
+                endpoint, grant.pressure(), registry.openBatches(), context.nowNanos(), System.currentTimeMillis());
         if (placed.isPresent()) {
             start(placed.get(), grant.reservation());
         } else {
@@ -95,6 +116,23 @@
         }
     }
 
+    private void askPermit(
+            SuspectItem suspect, EndpointEntry endpoint, HostId coordinator, CoordinationMessage.SlotGrant grant) {
+        traffic.permits().ask(suspect.parts(), suspect.isConfined(), List.of(endpoint.key()), answer -> {
+            boolean mayRun = answer.permit().isPresent() || (!answer.answered() && !suspect.isConfined());
+            Optional<PlacedItem> placed = mayRun && !stopping
+                    ? dispatch.startSuspect(suspect, endpoint, context.nowNanos())
+                    : Optional.empty();
+            if (placed.isPresent()) {
+                answer.permit().ifPresent(permit -> permits.put(placed.get(), permit));
+                start(placed.get(), grant.reservation());
+                return;
+            }
+            answer.permit().ifPresent(traffic.permits()::release);
+            startUnsuspected(endpoint, coordinator, grant);
+        });
+    }
+
     @Override
     public void onYield(List<Long> numbers) {
         numbers.forEach(number -> dispatch.find(number).ifPresent(run -> cancelRuns(List.of(run))));
@@ -124,7 +162,10 @@
 
     /** Handles the end of a run. */
     void onRunEnded(PlacedItem run, RunEnd end, AttemptEnd attemptEnd, String detail) {
-        Optional<Prompt> prompt = Optional.ofNullable(runs.remove(run)).flatMap(ItemRun::prompt);
+        runs.remove(run);
+        Optional<Prompt> prompt =
+                ItemRun.prompt(context.dialects().traffic(), run.item().item());
+        trackPromptParts(run, prompt, end);
         dispatch.runEnded(run, end, attemptEnd, context.nowNanos());
         slots.tell(run.endpoint().key(), new CoordinationMessage.ItemEnded(run.number(), attemptEnd));
         context.metrics().itemRunEnded(end);
@@ -144,6 +185,20 @@
         announcer.itemsChanged();
     }
 
+    private void trackPromptParts(PlacedItem run, Optional<Prompt> prompt, RunEnd end) {
+        long sentNanos = context.nowNanos() - run.elapsedNanos(context.nowNanos());
+        Runnable release = () -> Optional.ofNullable(permits.remove(run)).ifPresent(traffic.permits()::release);
+        if (end == RunEnd.CUT) {
+            traffic.promptParts().connectionLost(run.endpoint(), prompt, sentNanos, release);
+            return;
+        }
+        if (end == RunEnd.COMPLETED || end == RunEnd.UNCONFIRMED) {
+            boolean endIsMarked = end == RunEnd.COMPLETED;
+            prompt.ifPresent(given -> traffic.promptParts().answered(given, run.endpoint(), sentNanos, endIsMarked));
+        }
+        release.run();
+    }
+
     private static boolean isFailure(RunEnd end) {
         return end == RunEnd.CUT || end == RunEnd.ERROR_ANSWER || end == RunEnd.REJECTED;
     }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
@@ -6,6 +6,7 @@
 import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.peer.QuarantineMessage;
 
 /**
  * Handles messages of other gateways. They arrive on traffic threads and are processed on the control thread.
@@ -19,7 +20,7 @@
     private final SlotExchange slots;
     private final GatewayViews views;
     private final CrashTracking crashTracking;
-    private final StreamOrigins streamOrigins;
+    private final GatewayTraffic traffic;
     private final BatchMessageHandler batches;
     private final RelayingKeyValueStore store;
 
@@ -30,7 +31,7 @@
             SlotExchange slots,
             GatewayViews views,
             CrashTracking crashTracking,
-            StreamOrigins streamOrigins,
+            GatewayTraffic traffic,
             BatchMessageHandler batches,
             RelayingKeyValueStore store) {
         this.context = context;
@@ -38,7 +39,7 @@
         this.slots = slots;
         this.views = views;
         this.crashTracking = crashTracking;
-        this.streamOrigins = streamOrigins;
+        this.traffic = traffic;
         this.batches = batches;
         this.store = store;
     }
@@ -66,7 +67,11 @@
             return;
         }
         if (message instanceof GatewayMessage.StreamOriginRequest request) {
-            reply.complete(streamOrigins.answer(request));
+            reply.complete(traffic.streamOrigins().answer(request));
+            return;
+        }
+        if (message instanceof QuarantineMessage.PermitRequest request) {
+            reply.complete(traffic.permits().answer(request));
             return;
         }
         if (message instanceof CoordinationMessage coordination) {
@@ -75,7 +80,11 @@
             heartbeats.receive(from, leaving);
             heartbeats.processReceived();
         } else if (message instanceof GatewayMessage.StreamOriginNotice notice) {
-            streamOrigins.handle(notice);
+            traffic.streamOrigins().handle(notice);
+        } else if (message instanceof QuarantineMessage.PermitReturned returned) {
+            traffic.permits().onReturned(returned);
+        } else if (message instanceof QuarantineMessage quarantine) {
+            traffic.promptParts().handle(from, quarantine);
         } else if (message instanceof GatewayMessage.WatchEnd) {
             heartbeats.onWatchEnd(from);
         } else if (message instanceof GatewayMessage.SilenceNotice notice) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -17,6 +17,7 @@
 import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.membership.ListedHost;
+import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.dialect.Dialects;
@@ -35,7 +36,6 @@
 import org.gooseberryhill.peer.PeerServer;
 import org.gooseberryhill.registration.HostRegistration;
 import org.gooseberryhill.registration.ProcessStartIds;
-import org.gooseberryhill.route.ClientLimits;
 import org.gooseberryhill.route.RouteConfiguration;
 import org.gooseberryhill.route.RouteTable;
 import org.gooseberryhill.stored.BatchStore;
@@ -78,8 +78,6 @@
     private static final long SUSPECT_RETENTION_MILLIS = 60_000;
 
     private static final int MAX_SUSPECTS = 10_000;
-    private static final int MAX_REQUEST_LINE_BYTES = 8192;
-    private static final int MAX_PENDING_WRITE_BYTES = 4 * 1024 * 1024;
 
     private volatile GatewaySettings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
@@ -91,6 +89,7 @@
     private final StoreRelayClient relayClient;
     private final GroupRouting routing;
     private final CrashSuspects suspects = new CrashSuspects(SUSPECT_RETENTION_MILLIS, MAX_SUSPECTS);
+    private final PromptPartQuarantine promptParts = new PromptPartQuarantine();
     private final SlotAssignment assignment;
     private final HostHeartbeats heartbeats;
     private final CrashTracking crashTracking;
@@ -149,11 +148,11 @@
         SlotExchange slots = assignment.exchange();
         this.heartbeats = new HostHeartbeats(context, links, storeReachability, slots);
         this.crashTracking = new CrashTracking(context, links, suspects);
-        this.traffic = new GatewayTraffic(context, links, crashTracking, slots, this::directoryAgeMillis);
+        this.traffic = new GatewayTraffic(context, links, crashTracking, promptParts, slots, this::directoryAgeMillis);
         this.registration = new HostRegistration(context.loop(), context.store(), context.timeline(), this::listedSelf);
         this.probes = new EndpointProbes(context);
         BatchStore batchStore = new BatchStore(context.store(), dialects.batches());
-        this.runner = assignment.createRunner(registry, batchRoutes);
+        this.runner = assignment.createRunner(registry, batchRoutes, promptParts, traffic);
         this.committer = new BatchCommitter(context, batchStore, registry, batchRoutes, runner::cancelRunsOfBatch);
         BatchRefusals refusals = new BatchRefusals(context, traffic);
         StoredBatchReader storedBatchReader = new StoredBatchReader(context, batchStore);
@@ -166,16 +165,16 @@
         this.takeover = new BatchTakeover(
                 context, links, registry, batchStore, runner::schedule, committer::onRecordChanged, cleanup::onListed);
         this.handOver = new BatchHandOver(context, links, registry, committer);
-        this.views = new GatewayViews(
-                context, links, this::configure, this::endpointsChanged, traffic.streamOrigins()::versionRecordRead);
+        this.views =
+                new GatewayViews(context, links, this::configure, this::endpointsChanged, traffic.recordReceivers());
         StartGate gate = new StartGate(context.nowNanos());
         this.readiness = new Readiness(context, gate);
         this.rejectedConnectionsLog = new RejectedConnectionsLog(context);
         this.stop = new StopSequence(
                 context, traffic, runner, handOver, registration, this::callersServer, this::stopRequested);
         BatchMessageHandler batches = new BatchMessageHandler(registry, batchApiHandler, ender, takeover);
-        this.messageHandler = new GatewayMessageHandler(
-                context, heartbeats, slots, views, crashTracking, traffic.streamOrigins(), batches, store);
+        this.messageHandler =
+                new GatewayMessageHandler(context, heartbeats, slots, views, crashTracking, traffic, batches, store);
         this.requestRouter = new RequestRouter(context, traffic, submissionHandler, batchApiHandler, gate, random);
     }
 
@@ -186,7 +185,8 @@
                 fleet,
                 routing,
                 endpoint -> http.hasIdleConnection(endpoint.address()),
-                suspects);
+                suspects,
+                promptParts);
     }
 
     private ListedHost listedSelf() {
@@ -280,18 +280,12 @@
 
     private void startMetrics(Address address) {
         GatewayMetrics metrics = context.metrics();
-        metrics.gauge("gooseberry_requests_in_progress", "Routed requests in progress", traffic::inProgress);
+        traffic.addGauges();
         metrics.gauge("gooseberry_items_in_progress", "Items of request batches that run", runner::runningItems);
         metrics.gauge("gooseberry_batches_open", "Request batches that this host runs", handOver::openBatchCount);
         metrics.gauge("gooseberry_store_calls", "Calls of the key-value store", () -> store.callCount());
-        metrics.gauge(
-                "gooseberry_connects", "Connections made", () -> context.http().connectionAttempts());
         rejectedConnectionsLog.addGauges(this::callersServer);
         metrics.gauge("gooseberry_lines_dropped", "Log lines dropped by a full ring", log::droppedLines);
-        metrics.gauge(
-                "gooseberry_configuration_version",
-                "Configuration in force",
-                () -> table.configuration().version());
         metricsServer = Optional.of(new MetricsServer(group, context, address));
     }
 
@@ -324,6 +318,7 @@
         probes.tick();
         assignment.slowTick();
         traffic.streamOrigins().tick();
+        traffic.promptParts().tick();
     }
 
     private void updateReadiness() {
@@ -386,13 +381,6 @@
     }
 
     private HttpLimits limits() {
-        ClientLimits limits = table.configuration().limits();
-        return new HttpLimits(
-                limits.maxHeaderBytes(),
-                MAX_REQUEST_LINE_BYTES,
-                limits.idleTimeoutMillis(),
-                MAX_PENDING_WRITE_BYTES,
-                limits.headerTimeoutMillis(),
-                settings.connectionLimits());
+        return CallerLimits.of(table.configuration().limits(), settings.connectionLimits());
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
@@ -3,12 +3,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.decision.dispatch.ServiceState;
+import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
+import org.gooseberryhill.external.KeyChange;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.link.Json;
+import org.gooseberryhill.stored.StoredKeys;
 
 /**
  * State that all requests of this host share, and the format of refusals. Confined to the control thread unless stated
@@ -28,7 +32,9 @@
     private final CrashTracking crashTracking;
     private final SlotExchange slots;
     private final StreamOrigins streamOrigins;
-    private final EndpointCrashCheck crashCheck;
+    private final PromptPartQuarantine quarantine;
+    private final PromptPartTracking promptParts;
+    private final PermitExchange permits;
     private final LongSupplier directoryAgeMillis;
     private int inProgress;
     private long configurationVersion;
@@ -36,6 +42,7 @@
     /**
      * Creates the state of a host with no request in progress.
      *
+     * @param quarantine the parts of prompts that crash endpoints
      * @param slots exchange with the coordinators of endpoints
      * @param directoryAgeMillis supplies the time since the last moment at which the list of endpoints was certainly up
      *     to date, in milliseconds
@@ -44,16 +51,29 @@
             GatewayContext context,
             PeerLinks links,
             CrashTracking crashTracking,
+            PromptPartQuarantine quarantine,
             SlotExchange slots,
             LongSupplier directoryAgeMillis) {
         this.context = context;
         this.crashTracking = crashTracking;
         this.slots = slots;
         this.streamOrigins = new StreamOrigins(context, links);
-        this.crashCheck = new EndpointCrashCheck(context);
+        this.quarantine = quarantine;
+        this.promptParts = new PromptPartTracking(context, links, quarantine);
+        this.permits = new PermitExchange(context, links);
         this.directoryAgeMillis = directoryAgeMillis;
     }
 
+    /** Adds the gauges of requests and of what they depend on. */
+    void addGauges() {
+        GatewayMetrics metrics = context.metrics();
+        metrics.gauge("gooseberry_requests_in_progress", "Routed requests in progress", () -> inProgress);
+        metrics.gauge(
+                "gooseberry_connects", "Connections made", () -> context.http().connectionAttempts());
+        metrics.gauge("gooseberry_configuration_version", "Configuration in force", () -> configurationVersion);
+        metrics.gauge("gooseberry_prompt_parts_blocked", "Blocked parts of prompts", quarantine::blockCount);
+    }
+
     /** Records the version of a configuration that came into force. */
     void setConfigurationVersion(long version) {
         configurationVersion = version;
@@ -75,9 +95,23 @@
         return crashTracking;
     }
 
-    /** Returns what finds out whether endpoints have crashed. */
-    EndpointCrashCheck crashCheck() {
-        return crashCheck;
+    /** Returns the receivers of the records that are kept beside the list of hosts, by key. */
+    Map<String, Consumer<KeyChange>> recordReceivers() {
+        return Map.of(
+                StoredKeys.VERSIONS,
+                streamOrigins::versionRecordRead,
+                StoredKeys.QUARANTINE,
+                promptParts::quarantineRecordRead);
+    }
+
+    /** Returns what observes which parts of prompts crash endpoints. */
+    PromptPartTracking promptParts() {
+        return promptParts;
+    }
+
+    /** Returns what asks for permits to run requests with suspected parts of prompts. */
+    PermitExchange permits() {
+        return permits;
     }
 
     int inProgress() {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -45,7 +45,7 @@
     private final PeerLinks links;
     private final Consumer<RouteConfiguration> onConfiguration;
     private final Consumer<Collection<EndpointEntry>> onEndpointsChanged;
-    private final Consumer<KeyChange> onVersionRecord;
+    private final Map<String, Consumer<KeyChange>> onRecordByKey;
     private final EvacuationReporter evacuationReporter;
     private final ViewUpdater registrations;
     private final ViewUpdater operators;
@@ -56,17 +56,22 @@
     private int rank;
     private long rankUpdatedNanos;
 
+    /**
+     * Creates views that were not loaded yet.
+     *
+     * @param onRecordByKey receivers of the records that are kept beside the list of hosts, by key
+     */
     GatewayViews(
             GatewayContext context,
             PeerLinks links,
             Consumer<RouteConfiguration> onConfiguration,
             Consumer<Collection<EndpointEntry>> onEndpointsChanged,
-            Consumer<KeyChange> onVersionRecord) {
+            Map<String, Consumer<KeyChange>> onRecordByKey) {
         this.context = context;
         this.links = links;
         this.onConfiguration = onConfiguration;
         this.onEndpointsChanged = onEndpointsChanged;
-        this.onVersionRecord = onVersionRecord;
+        this.onRecordByKey = onRecordByKey;
         this.rankUpdatedNanos = context.nowNanos() - RANK_UPDATE_PERIOD_NANOS;
         this.evacuationReporter = new EvacuationReporter(context, links);
         this.registeredEndpoints = new RegisteredEndpoints(context.dialects().directory(), context.timeline());
@@ -219,8 +224,9 @@
 
     private void hostsChanged(List<KeyChange> changes) {
         for (KeyChange entry : changes) {
-            if (entry.key().equals(StoredKeys.VERSIONS)) {
-                onVersionRecord.accept(entry);
+            Optional<Consumer<KeyChange>> onRecord = Optional.ofNullable(onRecordByKey.get(entry.key()));
+            if (onRecord.isPresent()) {
+                onRecord.get().accept(entry);
                 continue;
             }
             listedHosts.remove(entry.key());
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -10,10 +10,12 @@
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Prompt;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.ItemProgress;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
 import org.gooseberryhill.dialect.AttemptMetadata;
+import org.gooseberryhill.dialect.TrafficDialect;
 import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.EventSplitter;
 import org.gooseberryhill.http.Exchange;
@@ -49,7 +51,6 @@
     private final ItemProgress item;
     private final EventSplitter eventSplitter = new EventSplitter();
     private final Queue<StreamEvent> queuedEvents = new ConcurrentLinkedQueue<>();
-    private Optional<Prompt> prompt = Optional.empty();
     private Exchange exchange;
     private boolean ended;
     private int status;
@@ -65,9 +66,7 @@
 
     /** Starts the run. Called on the control thread. */
     void start() {
-        HttpHeaders request = new DefaultHttpHeaders();
-        item.item().headers().forEach(request::set);
-        prompt = context.dialects().traffic().parseRequest(request).prompt();
+        HttpHeaders request = submittedHeaders(item.item());
         request.set(HttpHeaderNames.HOST, placed.batch().record().host());
         AttemptMetadata metadata = new AttemptMetadata(
                 placed.endpoint().id(),
@@ -100,9 +99,15 @@
                         this);
     }
 
-    /** Returns the item's prompt, if it has one. Called on the control thread. */
-    Optional<Prompt> prompt() {
-        return prompt;
+    /** Returns the prompt of an item, if it has one. May be called from any thread. */
+    static Optional<Prompt> prompt(TrafficDialect dialect, BatchItem item) {
+        return dialect.parseRequest(submittedHeaders(item)).prompt();
+    }
+
+    private static HttpHeaders submittedHeaders(BatchItem item) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        item.headers().forEach(headers::set);
+        return headers;
     }
 
     /**
--- a/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
+++ b/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
@@ -101,6 +101,11 @@
         return roster.gatewaysThatUnderstand(ListedHost.STREAM_ORIGINS_MESSAGE_SET, context.nowNanos());
     }
 
+    /** Returns the other gateways that understand messages on parts of prompts and are not known to be lost. */
+    List<Host> gatewaysWithPromptParts() {
+        return roster.gatewaysThatUnderstand(ListedHost.PROMPT_PARTS_MESSAGE_SET, context.nowNanos());
+    }
+
     /** Returns whether more than half of the gateways, this one included, are known to be alive. */
     boolean isInTouchWithMost() {
         int known = gateways().size() + 1;
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.ErrorCode;
 import org.gooseberryhill.contract.Refusal;
@@ -16,15 +15,14 @@
 import org.gooseberryhill.decision.dispatch.PlacementFacts;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
-import org.gooseberryhill.dialect.AttemptMetadata;
+import org.gooseberryhill.decision.promptpart.PermitAnswer;
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.directory.ServiceVersion;
+import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.Exchange;
-import org.gooseberryhill.http.ExchangeOptions;
 import org.gooseberryhill.http.ExchangeRequest;
-import org.gooseberryhill.http.ForwardedHeaders;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.route.RouteKind;
 import org.gooseberryhill.timeline.EventBuilder;
@@ -40,21 +38,17 @@
     /** Value that logs and metrics give as the end of a request whose caller got an endpoint's answer. */
     static final String ANSWERED = "answered";
 
-    /** A connection that has been idle for longer may be closing: a request that is not repeatable takes a new one. */
-    private static final int MAX_IDLE_MILLIS_UNREPEATABLE = 1500;
-
-    /** Connecting within a region takes milliseconds; an attempt that takes longer counts as lost. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 300;
+    private static final int OK = 200;
 
     private final GatewayContext context;
     private final GatewayTraffic traffic;
     private final HttpCall call;
     private final RequestMetadata metadata;
-    private final byte[] body;
     private final RoutedRequest request;
     private final AnswerRelay relay;
     private final RequestAdmission admission;
     private final RoutedCallLog log;
+    private final AttemptRequests attemptRequests;
     /** Present while an attempt is in progress. */
     private Optional<Exchange> exchange = Optional.empty();
 
@@ -72,10 +66,10 @@
         this.traffic = traffic;
         this.call = call;
         this.metadata = metadata;
-        this.body = body;
         this.request = context.core().newRequest(requestInfo);
         this.relay = new AnswerRelay(call, requestInfo.route(), metadata.lastEventId());
         this.admission = new RequestAdmission(traffic.slots(), request);
+        this.attemptRequests = new AttemptRequests(context.dialects().traffic(), call, body);
         this.log = new RoutedCallLog(context, traffic, request, metadata.firstRequestId());
     }
 
@@ -116,6 +110,8 @@
         } else if (decision instanceof DispatchDecision.AskGroup ask) {
             admission.asked(traffic.slots().coordinator(ask.group()));
             traffic.slots().place(ask.group(), ask.query(), this::placementAnswered);
+        } else if (decision instanceof DispatchDecision.AskPermit ask) {
+            traffic.permits().ask(ask.parts(), ask.confined(), ask.endpoints(), this::permitAnswered);
         } else if (decision instanceof DispatchDecision.AskAdmission ask) {
             traffic.slots().admissions().ask(ask.account(), this::admissionAnswered);
         } else if (decision instanceof DispatchDecision.Wait wait) {
@@ -141,6 +137,14 @@
         applyDecision(decision);
     }
 
+    private void permitAnswered(PermitAnswer answer) {
+        if (finished) {
+            answer.permit().ifPresent(traffic.permits()::release);
+            return;
+        }
+        applyDecision(context.core().permitAnswered(request, answer, context.nowNanos()));
+    }
+
     private void admissionAnswered(Optional<Admission> answer) {
         if (!finished) {
             applyDecision(context.core().admissionAnswered(request, answer, context.nowNanos()));
@@ -160,20 +164,9 @@
     private void send(EndpointEntry endpoint, PlacementFacts facts, boolean assigned) {
         attemptNumber++;
         log.attemptSent(endpoint, attemptNumber, relay.lastEventId(), facts, assigned);
-        HttpHeaders headers = ForwardedHeaders.ofRequest(call.headers());
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.info().deadlineNanos() - context.nowNanos());
-        context.dialects()
-                .traffic()
-                .addAttemptMetadata(
-                        headers,
-                        new AttemptMetadata(
-                                endpoint.id(),
-                                OptionalLong.of(Math.max(1, remainingMillis)),
-                                relay.lastEventId(),
-                                Optional.empty(),
-                                request.info().caller().attribution()));
-        ExchangeRequest exchangeRequest = new ExchangeRequest(
-                endpoint.address(), call.method(), call.target(), headers, body, options(remainingMillis));
+        ExchangeRequest exchangeRequest =
+                attemptRequests.to(endpoint, request.info(), relay.lastEventId(), remainingMillis);
         Exchange started = context.http()
                 .start(exchangeRequest, relay.newAttemptListener(this, attemptNumber, endpoint.serviceVersion()));
         exchange = Optional.of(started);
@@ -197,22 +190,6 @@
         }
     }
 
-    private ExchangeOptions options(long remainingMillis) {
-        boolean repeatable = request.info().route().isRepeatable();
-        String id = request.info().id();
-        return new ExchangeOptions(
-                (int) Math.max(1, remainingMillis),
-                (int) Math.max(1, Math.min(CONNECT_TIMEOUT_MILLIS, remainingMillis)),
-                repeatable ? Integer.MAX_VALUE : MAX_IDLE_MILLIS_UNREPEATABLE,
-                true,
-                answer -> context.dialects()
-                        .traffic()
-                        .requestId(answer)
-                        .map(id::equals)
-                        .orElse(true),
-                0);
-    }
-
     /** Handles an attempt whose complete answer was sent to the caller. May be called from any thread. */
     void attemptSucceeded(long attempt, int status, AnswerProgress progress) {
         context.loop().execute(() -> {
@@ -222,6 +199,7 @@
             exchange = Optional.empty();
             recordAttemptEnd(AttemptEnd.ANSWERED);
             traffic.crashTracking().requestCompleted(request.info());
+            recordServedParts(status, progress);
             context.core().attemptSucceeded(request, context.nowNanos());
             EventBuilder event = context.timeline()
                     .event(EventKind.REQUEST_ENDED)
@@ -232,6 +210,20 @@
         });
     }
 
+    private void recordServedParts(int status, AnswerProgress progress) {
+        long sentNanos = context.nowNanos() - request.attemptNanos(context.nowNanos());
+        boolean endIsMarked = progress.framing()
+                .map(framing -> framing != BodyFraming.CONNECTION_CLOSE)
+                .orElse(false);
+        if (status == OK) {
+            request.info()
+                    .prompt()
+                    .ifPresent(prompt -> request.endpointEntry()
+                            .ifPresent(endpoint ->
+                                    traffic.promptParts().answered(prompt, endpoint, sentNanos, endIsMarked)));
+        }
+    }
+
     /**
      * Records that the first part of the answer is sent to the caller. May be called from any thread.
      *
@@ -269,32 +261,47 @@
             exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
             log.attemptFailed(endpoint, attempt, end, detail, progress);
-            if (end == AttemptEnd.CUT) {
-                request.endpointEntry().ifPresent(entry -> traffic.crashCheck().check(entry, crashed -> {}));
-            }
             recordAttemptEnd(end);
             recordAnswerStart();
             if (!relay.isStarted()) {
                 traffic.crashTracking().attemptEnded(request.info().fingerprint(), endpoint, end);
             }
-            DispatchDecision decision = context.core().attemptFailed(request, end, context.nowNanos());
-            if (decision instanceof DispatchDecision.Refuse && answer.isPresent() && end == AttemptEnd.ERROR_ANSWER) {
-                call.reply(
-                        answer.get().status(),
-                        answer.get().headers(),
-                        answer.get().body());
-                finish(
-                        ANSWERED,
-                        context.timeline()
-                                .event(EventKind.REQUEST_ENDED)
-                                .with("end", ANSWERED)
-                                .with("status", answer.get().status()));
-                return;
+            Optional<EndpointEntry> entry = request.endpointEntry();
+            long sentNanos = context.nowNanos() - request.attemptNanos(context.nowNanos());
+            context.core().failureRecorded(request, end, context.nowNanos());
+            Runnable decide = () -> decideAfterFailure(end, answer);
+            if (end == AttemptEnd.CUT && entry.isPresent()) {
+                traffic.promptParts().connectionLost(entry.get(), request.info().prompt(), sentNanos, decide);
+            } else {
+                decide.run();
             }
-            applyDecision(decision);
         });
     }
 
+    private void decideAfterFailure(AttemptEnd end, Optional<CompleteAnswer> answer) {
+        if (finished) {
+            return;
+        }
+        releasePermit();
+        DispatchDecision decision = context.core().decideAfterFailure(request, end, context.nowNanos());
+        if (decision instanceof DispatchDecision.Refuse && answer.isPresent() && end == AttemptEnd.ERROR_ANSWER) {
+            call.reply(
+                    answer.get().status(), answer.get().headers(), answer.get().body());
+            finish(
+                    ANSWERED,
+                    context.timeline()
+                            .event(EventKind.REQUEST_ENDED)
+                            .with("end", ANSWERED)
+                            .with("status", answer.get().status()));
+            return;
+        }
+        applyDecision(decision);
+    }
+
+    private void releasePermit() {
+        request.takePermit().ifPresent(traffic.permits()::release);
+    }
+
     private void recordAttemptEnd(AttemptEnd end) {
         long attemptNanos = request.attemptNanos(context.nowNanos());
         request.endpoint().ifPresent(key -> {
@@ -361,6 +368,7 @@
 
     private void finish(String end, EventBuilder event) {
         finished = true;
+        releasePermit();
         traffic.requestEnded();
         context.metrics().requestEnded(request.info().route().name(), end);
         log.ended(end, event, relay.isStarted());
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -9,9 +9,11 @@
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
+import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
 import org.gooseberryhill.decision.quota.CountedSharesQuota;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
+import org.gooseberryhill.decision.requestbatch.ItemQuarantine;
 import org.gooseberryhill.decision.requestbatch.RestartAfterEqualWait;
 import org.gooseberryhill.directory.EndpointEntry;
 
@@ -49,10 +51,13 @@
     }
 
     /** Creates what runs the items of this host's batches in the slots that coordinators grant; called once. */
-    BatchRunner createRunner(BatchRegistry registry, BatchRoutes routes) {
-        ItemDispatch items = new ItemDispatch(context.fleet(), routes, order, new RestartAfterEqualWait());
+    BatchRunner createRunner(
+            BatchRegistry registry, BatchRoutes routes, PromptPartQuarantine promptParts, GatewayTraffic traffic) {
+        ItemQuarantine quarantine = new ItemQuarantine(
+                promptParts, item -> ItemRun.prompt(context.dialects().traffic(), item));
+        ItemDispatch items = new ItemDispatch(context.fleet(), routes, order, new RestartAfterEqualWait(), quarantine);
         announcer = new WorkAnnouncer(context, links, routing, exchange, items, registry::openBatches);
-        BatchRunner runner = new BatchRunner(context, registry, routes, items, exchange, announcer);
+        BatchRunner runner = new BatchRunner(context, registry, routes, items, exchange, announcer, traffic);
         exchange.setGrantReceiver(runner);
         return runner;
     }
--- a/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
@@ -58,6 +58,7 @@
         StoreCallCodecs.all().forEach(CompactCodecs::add);
         QuotaCodecs.all().forEach(CompactCodecs::add);
         StreamOriginCodecs.all().forEach(CompactCodecs::add);
+        QuarantineCodecs.all().forEach(CompactCodecs::add);
         return true;
     }
 
--- a/src/main/java/org/gooseberryhill/stored/StoredKeys.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredKeys.java
@@ -8,6 +8,9 @@
     /** Key of the record of software versions. It is read and followed with the list of hosts, so it costs no call of its own. */
     public static final String VERSIONS = HOSTS + "~versions";
 
+    /** Key of the record of blocked parts of prompts, which is followed with the list of hosts, too. */
+    public static final String QUARANTINE = HOSTS + "~quarantine";
+
     /** Prefix of the request batches' records. */
     public static final String BATCHES = "/gooseberry/batches/";
 
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -91,6 +91,14 @@
     ENDPOINT_CHECKED("endpoint.checked", Importance.STATE),
     /** An endpoint crashed with requests in flight. */
     ENDPOINT_CRASHED("endpoint.crashed", Importance.FAILURE),
+    /** Requests with a part of a prompt are refused, since it crashes endpoints. */
+    PROMPT_PART_BLOCKED("prompt-part.blocked", Importance.FAILURE),
+    /** Requests with a part of a prompt are not refused any more, since one was served or an operator says so. */
+    PROMPT_PART_SERVED("prompt-part.served", Importance.STATE),
+    /** The record of blocked parts of prompts was not written; the host tries again. */
+    QUARANTINE_RECORD_UNWRITTEN("quarantine-record.unwritten", Importance.STATE),
+    /** The record of blocked parts of prompts in the key-value store can't be decoded. */
+    QUARANTINE_RECORD_INVALID("quarantine-record.invalid", Importance.FAILURE),
     /** The platform was notified that a host with a disk is empty. */
     HOST_EVACUATED("host.evacuated", Importance.STATE),
     /** An order was sent to an endpoint. */
--- a/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/dispatch/DispatchFixture.java
@@ -13,6 +13,7 @@
 import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.contract.Prompt;
+import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
@@ -33,6 +34,7 @@
     final Set<Address> connected = new HashSet<>();
     final Fleet fleet = new Fleet();
     final CrashSuspects suspects = new CrashSuspects(60_000, 100);
+    final PromptPartQuarantine parts = new PromptPartQuarantine();
     final DispatchCore core;
     long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private int requests;
@@ -50,7 +52,8 @@
     }
 
     private DispatchFixture(int endpoints, DispatchPolicies policies, GroupSelector groups) {
-        core = new DispatchCore(ZONE, policies, fleet, groups, entry -> connected.contains(entry.address()), suspects);
+        core = new DispatchCore(
+                ZONE, policies, fleet, groups, entry -> connected.contains(entry.address()), suspects, parts);
         List<EndpointEntry> entries = new ArrayList<>();
         for (int i = 0; i < endpoints; i++) {
             entries.add(entry("e" + i, 1, false));
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -27,6 +27,7 @@
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
+import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.quota.EqualSharesQuota;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
@@ -50,7 +51,6 @@
     private static final double TICK_MILLIS = 25;
     private static final double LOADS_MILLIS = 100;
     private static final double REPORT_MILLIS = 1000;
-    private static final long SUSPECT_MILLIS = 60_000;
     private static final int ITEM_PROMPT_TOKENS = 350;
     private static final String ITEM_EVENT = "w".repeat(70);
 
@@ -109,7 +109,8 @@
                 fleet,
                 policies.selector(routing),
                 endpoint -> false,
-                new CrashSuspects(SUSPECT_MILLIS, 100));
+                new CrashSuspects(60_000, 100),
+                new PromptPartQuarantine());
         BatchRoutes batchRoutes = new BatchRoutes();
         batchRoutes.configure(routes);
         items = policies.items(fleet, batchRoutes);
@@ -221,12 +222,9 @@
         long reservation = grant.reservation();
         EndpointKey endpoint = grant.endpoint();
         reports.reservationReceived(from, reservation);
-        Optional<PlacedItem> placed = items.startAt(
-                fleet.find(endpoint).orElseThrow().entry(),
-                grant.pressure(),
-                openBatches(),
-                clock.nowNanos(),
-                clock.nowMillis());
+        EndpointEntry entry = fleet.find(endpoint).orElseThrow().entry();
+        Optional<PlacedItem> placed =
+                items.startAt(entry, grant.pressure(), openBatches(), clock.nowNanos(), clock.nowMillis());
         if (placed.isEmpty()) {
             counts.returnedGrants++;
             send(from, host -> {
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -12,6 +12,7 @@
 import org.gooseberryhill.decision.dispatch.GroupSelector;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
+import org.gooseberryhill.decision.requestbatch.ItemQuarantine;
 import org.gooseberryhill.decision.requestbatch.RestartNever;
 
 /**
@@ -39,7 +40,7 @@
 
     /** All endpoints of a replay have the same software version, so no item ever starts anew. */
     ItemDispatch items(Fleet fleet, BatchRoutes routes) {
-        return new ItemDispatch(fleet, routes, order, new RestartNever());
+        return new ItemDispatch(fleet, routes, order, new RestartNever(), ItemQuarantine.none());
     }
 
     GroupSelector selector(GroupRouting routing) {
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -97,7 +97,7 @@
         fleet.updateDirectory(entries);
         BatchRoutes routes = new BatchRoutes();
         routes.configure(new RouteTable(new RouteConfiguration(1, List.of(route()), Map.of(), ClientLimits.DEFAULT)));
-        dispatch = new ItemDispatch(fleet, routes, order, restartPolicy);
+        dispatch = new ItemDispatch(fleet, routes, order, restartPolicy, ItemQuarantine.none());
         coordinator = new SlotCoordinator(
                 new RequestPlacer(DispatchPolicies.defaults(new Random(seed + 1))),
                 new FluctuationReserve(),
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/ItemDispatchTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/ItemDispatchTest.java
@@ -30,8 +30,8 @@
 
     private final Fleet fleet = new Fleet();
     private final BatchRoutes routes = new BatchRoutes();
-    private final ItemDispatch dispatch =
-            new ItemDispatch(fleet, routes, new FeasibleFirstOrder(), new RestartAfterEqualWait());
+    private final ItemDispatch dispatch = new ItemDispatch(
+            fleet, routes, new FeasibleFirstOrder(), new RestartAfterEqualWait(), ItemQuarantine.none());
     private long nowMillis = 1000;
 
     ItemDispatchTest() {
