--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.decision.dispatch;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -186,6 +187,7 @@
     private DispatchDecision askPermit(RoutedRequest request, PartVerdict verdict, long nowNanos) {
         List<EndpointKey> endpoints = fleet.usableEndpoints(request.info().service(), nowNanos).stream()
                 .filter(endpoint -> request.maySendTo(endpoint.entry()))
+                .sorted(Comparator.comparingInt(FleetEndpoint::freeSlots).reversed())
                 .map(FleetEndpoint::key)
                 .limit(MAX_PERMIT_ENDPOINTS)
                 .toList();
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -97,7 +97,9 @@
     boolean maySendTo(EndpointEntry candidate) {
         return !tried.contains(candidate.key())
                 && !avoidedVersions.contains(candidate.serviceVersion())
-                && permit.map(given -> given.endpoint().equals(candidate.key())).orElse(true)
+                && permit.flatMap(IsolationPermit::endpoint)
+                        .map(candidate.key()::equals)
+                        .orElse(true)
                 && (beganAt.isEmpty() || beganAt.get().equals(candidate.serviceVersion()));
     }
 
--- a/src/main/java/org/gooseberryhill/decision/promptpart/CrashEvidence.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/CrashEvidence.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.directory.EndpointKey;
 
@@ -70,6 +69,19 @@
                 .toList();
     }
 
+    /** Returns the number of crashes at a time, give or take a tolerance. */
+    long crashesWithin(long atNanos, long toleranceNanos) {
+        return crashes.values().stream()
+                .filter(crash -> Math.abs(crash.atNanos() - atNanos) <= toleranceNanos)
+                .count();
+    }
+
+    /** Returns whether an endpoint crashed at nearly the same time without a part in flight. */
+    boolean hasCrashWithout(PromptPartKey part, long atNanos, long toleranceNanos) {
+        return crashes.values().stream()
+                .anyMatch(crash -> Math.abs(crash.atNanos() - atNanos) <= toleranceNanos && !crash.hasPart(part));
+    }
+
     /** Returns the time of the latest crash at which a part was in flight, in nanoseconds. */
     Optional<Long> latestCrashNanos(PromptPartKey part) {
         return byPart.getOrDefault(part, List.of()).stream()
@@ -95,9 +107,4 @@
             }
         }
     }
-
-    /** Returns the parts of which at least one crash is recorded. */
-    Set<PromptPartKey> parts() {
-        return Set.copyOf(byPart.keySet());
-    }
 }
--- a/src/main/java/org/gooseberryhill/decision/promptpart/IsolationPermits.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/IsolationPermits.java
@@ -11,8 +11,8 @@
 /**
  * Grants permits to run requests with suspected parts, on behalf of all hosts. Not thread-safe.
  *
- * <p>Invariants: no two permits in force share a part; no two share an endpoint if one of them is for confined parts, so that a
- * further crash has a single suspect. A permit ends when it is returned, or when it expires since its holder may be lost. A
+ * <p>Invariants: no two permits in force share a part; no two for confined parts share an endpoint, so that a further crash
+ * has a single suspect among them. A permit ends when it is returned, or when it expires since its holder may be lost. A
  * host that takes over does not know the permits of its predecessor, so that a part may run twice at a time then.
  */
 public final class IsolationPermits {
@@ -22,25 +22,24 @@
     private final List<Granted> granted = new ArrayList<>();
 
     /**
-     * Grants a permit for the first of the endpoints that may be used; returns empty if a part is running or no endpoint is free.
+     * Grants a permit; returns empty if a part is running, or if the parts are confined and no endpoint is free of other suspects.
      *
-     * @param confined whether the endpoint may not be shared with other suspects
+     * @param confined whether the request runs apart from the other confined ones, at the first free of the endpoints
      */
     public Optional<IsolationPermit> tryAcquire(
             Set<PromptPartKey> parts, boolean confined, List<EndpointKey> endpoints, long nowNanos) {
         granted.removeIf(permit -> nowNanos - permit.atNanos > LIFETIME_NANOS);
-        boolean running = granted.stream().anyMatch(permit -> !Collections.disjoint(permit.permit.parts(), parts));
+        boolean running = granted.stream().anyMatch(given -> !Collections.disjoint(given.permit.parts(), parts));
         if (running) {
             return Optional.empty();
         }
-        Optional<EndpointKey> unused =
-                endpoints.stream().filter(endpoint -> !isUsed(endpoint)).findFirst();
-        Optional<EndpointKey> shared = confined
-                ? Optional.empty()
-                : endpoints.stream().filter(endpoint -> !isConfined(endpoint)).findFirst();
-        Optional<IsolationPermit> permit =
-                unused.or(() -> shared).map(endpoint -> new IsolationPermit(parts, endpoint));
-        permit.ifPresent(given -> granted.add(new Granted(given, confined, nowNanos)));
+        Optional<IsolationPermit> permit = confined
+                ? endpoints.stream()
+                        .filter(endpoint -> !isUsed(endpoint))
+                        .findFirst()
+                        .map(endpoint -> new IsolationPermit(parts, Optional.of(endpoint)))
+                : Optional.of(new IsolationPermit(parts, Optional.empty()));
+        permit.ifPresent(given -> granted.add(new Granted(given, nowNanos)));
         return permit;
     }
 
@@ -50,14 +49,9 @@
     }
 
     private boolean isUsed(EndpointKey endpoint) {
-        return granted.stream().anyMatch(given -> given.permit.endpoint().equals(endpoint));
-    }
-
-    private boolean isConfined(EndpointKey endpoint) {
-        return granted.stream()
-                .anyMatch(given -> given.confined && given.permit.endpoint().equals(endpoint));
+        return granted.stream().anyMatch(given -> given.permit.endpoint().equals(Optional.of(endpoint)));
     }
 
     /** A permit in force. */
-    private record Granted(IsolationPermit permit, boolean confined, long atNanos) {}
+    private record Granted(IsolationPermit permit, long atNanos) {}
 }
--- a/src/main/java/org/gooseberryhill/decision/promptpart/PartBlock.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PartBlock.java
@@ -17,11 +17,22 @@
  * @param parts the parts; a request that has all of them is refused
  * @param crashes the crashes that decided
  * @param lastCrashNanos the latest crash of a request with the parts, in nanoseconds
- * @param trials the number of requests that were let through since the block began and crashed their endpoints
+ * @param beganUnserved whether nobody was known to have served the parts when they were blocked
+ * @param trials the number of trials that are over: requests that were let through and crashed their endpoints, or that a part
+ *     which was never served does without
  */
-public record PartBlock(Set<PromptPartKey> parts, List<DecidingCrash> crashes, long lastCrashNanos, int trials) {
+public record PartBlock(
+        Set<PromptPartKey> parts, List<DecidingCrash> crashes, long lastCrashNanos, boolean beganUnserved, int trials) {
+    /** Number of trials with which the block of a part begins that was served before its crashes: it is tried sooner. */
+    static final int NO_TRIAL_SERVED = 0;
+
+    /** Number of trials with which the block of any other part begins. */
+    static final int NO_TRIAL = 1;
+
     /** Delays after which one request is let through; after the last of them only another software version is tried. */
-    private static final long[] TRIAL_DELAYS_NANOS = {TimeUnit.MINUTES.toNanos(2), TimeUnit.MINUTES.toNanos(20)};
+    private static final long[] TRIAL_DELAYS_NANOS = {
+        TimeUnit.SECONDS.toNanos(10), TimeUnit.MINUTES.toNanos(2), TimeUnit.MINUTES.toNanos(20)
+    };
 
     private static final long RETENTION_NANOS = TimeUnit.HOURS.toNanos(24);
 
@@ -42,6 +53,11 @@
         return Math.max(1, TimeUnit.NANOSECONDS.toMillis(untilNanos - nowNanos));
     }
 
+    /** Returns the ids of the endpoints whose crashes decided. */
+    Set<String> endpoints() {
+        return crashes.stream().map(DecidingCrash::endpoint).collect(Collectors.toSet());
+    }
+
     boolean isExpired(long nowNanos) {
         return nowNanos - lastCrashNanos > RETENTION_NANOS;
     }
@@ -57,6 +73,7 @@
                 parts.stream().map(part -> part.at(version)).collect(Collectors.toSet()),
                 crashes,
                 lastCrashNanos,
+                beganUnserved,
                 trials);
     }
 
@@ -64,7 +81,7 @@
     PartBlock crashedAgain(long atNanos, long sentNanos) {
         boolean wasTrial = isTrialDue(sentNanos);
         long latestNanos = atNanos - lastCrashNanos > 0 ? atNanos : lastCrashNanos;
-        return new PartBlock(parts, crashes, latestNanos, wasTrial ? trials + 1 : trials);
+        return new PartBlock(parts, crashes, latestNanos, beganUnserved, wasTrial ? trials + 1 : trials);
     }
 
     /** Returns the block without a part that was served; empty if no part is left. */
@@ -73,7 +90,7 @@
         rest.remove(part);
         return rest.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new PartBlock(Set.copyOf(rest), crashes, lastCrashNanos, trials));
+                : Optional.of(new PartBlock(Set.copyOf(rest), crashes, lastCrashNanos, beganUnserved, trials));
     }
 
     /**
--- a/src/main/java/org/gooseberryhill/decision/promptpart/PartBlocks.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PartBlocks.java
@@ -36,6 +36,13 @@
                 .toList();
     }
 
+    /** Returns the blocks that contain a part at its version or at another one. */
+    List<PartBlock> containingAtAnyVersion(PromptPartKey part) {
+        return blocks.values().stream()
+                .filter(block -> block.parts().stream().anyMatch(part::isSamePartAs))
+                .toList();
+    }
+
     /** Returns the blocks of the same version that share a part with a request. */
     List<PartBlock> touchedBy(Set<PromptPartKey> requestParts) {
         return blocks.values().stream()
@@ -62,6 +69,7 @@
         blocks.put(block.parts(), block);
         if (blocks.size() > MAX_BLOCKS) {
             blocks.values().stream()
+                    .filter(other -> other != block)
                     .min(Comparator.comparingLong(PartBlock::lastCrashNanos))
                     .ifPresent(oldest -> blocks.remove(oldest.parts()));
         }
@@ -98,7 +106,11 @@
                             crash.endpoint(), crash.reporter(), toMillis(crash.atNanos(), nowMillis, nowNanos)))
                     .toList();
             entries.add(new QuarantineRecord.Block(
-                    block.parts(), crashes, toMillis(block.lastCrashNanos(), nowMillis, nowNanos), block.trials()));
+                    block.parts(),
+                    crashes,
+                    toMillis(block.lastCrashNanos(), nowMillis, nowNanos),
+                    block.beganUnserved(),
+                    block.trials()));
         }
         return new QuarantineRecord(List.copyOf(entries));
     }
@@ -131,7 +143,11 @@
                         crash.endpoint(), crash.reporter(), toNanos(crash.atMillis(), nowMillis, nowNanos)))
                 .toList();
         return new PartBlock(
-                entry.parts(), crashes, toNanos(entry.lastCrashMillis(), nowMillis, nowNanos), entry.trials());
+                entry.parts(),
+                crashes,
+                toNanos(entry.lastCrashMillis(), nowMillis, nowNanos),
+                entry.beganUnserved(),
+                entry.trials());
     }
 
     private static long toMillis(long nanos, long nowMillis, long nowNanos) {
--- a/src/main/java/org/gooseberryhill/decision/promptpart/PromptPartQuarantine.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PromptPartQuarantine.java
@@ -1,16 +1,13 @@
 package org.gooseberryhill.decision.promptpart;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.Prompt;
-import org.gooseberryhill.decision.promptpart.PartBlock.DecidingCrash;
 import org.gooseberryhill.decision.promptpart.PartVerdict.Kind;
 import org.gooseberryhill.directory.ServiceVersion;
 
@@ -25,24 +22,10 @@
  * count as one against a part that nobody has served, so that the loss of many endpoints at a time blocks none.
  */
 public final class PromptPartQuarantine {
-    /** Crashes, one after the other, that block a part which nobody is known to have served. */
-    private static final int CRASHES_OF_UNSERVED_PART = 3;
-
-    /** Crashes that confine a part which nobody is known to have served. */
-    private static final int CRASHES_BEFORE_CONFINEMENT = 2;
-
-    /** Crashes that block a part which was served before them. */
-    private static final int CRASHES_OF_SERVED_PART = 5;
-
-    /** Time in which an answer can still clear a part that was served before: longer than most answers take. */
-    private static final long SERVED_PART_HOLD_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-    /** Tolerance of times that hosts tell each other. */
-    private static final long TIME_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-
     private final CrashEvidence evidence = new CrashEvidence();
     private final ServedParts served = new ServedParts();
     private final PartBlocks blocks = new PartBlocks();
+    private final CrashCauses causes = new CrashCauses(evidence, served, blocks);
     private final Set<PromptPartKey> untold = new LinkedHashSet<>();
 
     /** Returns whether no part is suspected or blocked. */
@@ -67,16 +50,16 @@
         }
         for (PartBlock block : blocks.atOtherVersions(parts)) {
             Set<PromptPartKey> here = block.at(version).parts();
-            if (here.stream().noneMatch(part -> isServedSince(part, block.lastCrashNanos()))) {
+            if (here.stream().noneMatch(part -> served.isServedSince(part, block.lastCrashNanos()))) {
                 kind = Kind.CONFINED;
                 suspects.addAll(here);
             }
         }
         for (PromptPartKey part : parts) {
-            Standing standing = standing(part);
-            if (!standing.crashes.isEmpty() && !standing.servedBefore) {
+            PartStanding standing = causes.standing(part);
+            if (standing.isSuspect()) {
                 suspects.add(part);
-                kind = worse(kind, standing.sequential >= CRASHES_BEFORE_CONFINEMENT ? Kind.CONFINED : Kind.SUSPECT);
+                kind = worse(kind, standing.isConfined() ? Kind.CONFINED : Kind.SUSPECT);
             }
         }
         return kind == Kind.CLEAR ? PartVerdict.CLEAR : new PartVerdict(kind, Set.copyOf(suspects), 0);
@@ -87,12 +70,10 @@
         RecordedCrash recorded = evidence.record(crash, nowNanos);
         List<BlockChange> changes = new ArrayList<>();
         for (CrashedRun run : crash.runs()) {
-            run.parts().stream()
-                    .filter(part -> served.ownNanos(part).isPresent())
-                    .forEach(untold::add);
-            changes.addAll(explainByBlocks(recorded, run));
+            run.parts().forEach(this::tellIfWorth);
+            changes.addAll(causes.explain(recorded, run));
         }
-        changes.addAll(blockCausesOf(recorded, nowNanos));
+        changes.addAll(causes.block(List.of(recorded), nowNanos));
         return changes;
     }
 
@@ -103,10 +84,9 @@
         }
         evidence.removeExpired(nowNanos);
         blocks.removeExpired(nowNanos);
-        served.retainTold(evidence.parts());
-        List<BlockChange> changes = new ArrayList<>();
-        evidence.all().forEach(crash -> changes.addAll(blockCausesOf(crash, nowNanos)));
-        return changes;
+        served.retainTold(part ->
+                evidence.contains(part) || !blocks.containingAtAnyVersion(part).isEmpty());
+        return causes.block(evidence.all(), nowNanos);
     }
 
     /**
@@ -115,16 +95,15 @@
      * @param version the version of the endpoint that sent it
      * @param sentNanos when the request was sent there, in nanoseconds
      */
-    public List<BlockChange> answered(Prompt prompt, ServiceVersion version, long sentNanos) {
+    public List<BlockChange> answered(Prompt prompt, ServiceVersion version, long sentNanos, long nowNanos) {
         List<BlockChange> changes = new ArrayList<>();
         for (PromptPartKey part : CrashedRun.sharedParts(prompt, version)) {
-            served.recordOwn(part, sentNanos);
+            served.recordOwn(part, sentNanos, nowNanos);
             if (!isIdle()) {
                 changes.addAll(lift(part, sentNanos));
-                untold.add(part);
+                tellIfWorth(part);
             }
         }
-        untold.removeIf(part -> !isWorthTelling(part));
         return changes;
     }
 
@@ -134,13 +113,15 @@
         for (ServedPart part : parts) {
             served.recordTold(part.part(), part.sentNanos());
             changes.addAll(lift(part.part(), part.sentNanos()));
+            if (!isWorthTelling(part.part())) {
+                untold.remove(part.part());
+            }
         }
         return changes;
     }
 
     /** Returns whether this host has served a suspected or blocked part, and no host has told so yet. */
     public boolean hasUntoldServedParts() {
-        untold.removeIf(part -> !isWorthTelling(part));
         return !untold.isEmpty();
     }
 
@@ -193,113 +174,23 @@
 
     /** Returns, for the other parts that were in flight at the crashes behind a block, why they are not blocked. */
     public Map<String, String> ruledOut(PartBlock block) {
-        Map<String, String> reasons = new LinkedHashMap<>();
+        Set<String> endpoints = block.endpoints();
+        Map<PromptPartKey, Integer> crashesByPart = new LinkedHashMap<>();
         for (RecordedCrash crash : evidence.all()) {
-            boolean decided = block.crashes().stream()
-                    .anyMatch(deciding ->
-                            deciding.endpoint().equals(crash.endpoint().id()));
-            if (!decided) {
-                continue;
+            if (endpoints.contains(crash.endpoint().id())) {
+                crash.parts().forEach(part -> crashesByPart.merge(part, 1, Integer::sum));
             }
-            crash.runs().stream()
-                    .flatMap(run -> run.parts().stream())
-                    .filter(part -> !block.parts().contains(part))
-                    .forEach(part -> reasons.putIfAbsent(part.part(), reasonAgainst(part)));
         }
+        crashesByPart.keySet().removeAll(block.parts());
+        Map<String, String> reasons = new LinkedHashMap<>();
+        crashesByPart.forEach((part, count) -> reasons.put(
+                part.part(),
+                served.latestNanos(part).isPresent()
+                        ? "served"
+                        : "in flight at " + count + " of " + endpoints.size() + " crashes"));
         return reasons;
     }
 
-    private String reasonAgainst(PromptPartKey part) {
-        if (served.latestNanos(part).isPresent()) {
-            return "served";
-        }
-        return "in flight at " + standing(part).sequential + " crashes one after the other";
-    }
-
-    private List<BlockChange> explainByBlocks(RecordedCrash recorded, CrashedRun run) {
-        List<BlockChange> changes = new ArrayList<>();
-        for (PartBlock block : blocks.touchedBy(run.parts())) {
-            if (block.blocks(run.parts())) {
-                recorded.explainBy(block.parts());
-                PartBlock after = block.crashedAgain(recorded.atNanos(), run.sentNanos());
-                blocks.replace(block, Optional.of(after));
-                if (after.trials() > block.trials()) {
-                    changes.add(new BlockChange(BlockChange.Kind.TRIAL_CRASHED, after));
-                }
-            }
-        }
-        if (blocks.covers(run.parts())) {
-            return changes;
-        }
-        for (PartBlock block : blocks.atOtherVersions(run.parts())) {
-            ServiceVersion version = run.parts().iterator().next().version();
-            PartBlock here = block.at(version).crashedAgain(recorded.atNanos(), run.sentNanos());
-            recorded.explainBy(here.parts());
-            blocks.add(here);
-            changes.add(new BlockChange(BlockChange.Kind.BLOCKED, here));
-        }
-        return changes;
-    }
-
-    private List<BlockChange> blockCausesOf(RecordedCrash crash, long nowNanos) {
-        List<BlockChange> changes = new ArrayList<>();
-        for (CrashedRun run : List.copyOf(crash.runs())) {
-            for (PromptPartKey part : run.parts()) {
-                Standing standing = standing(part);
-                if (!standing.isCause(nowNanos)) {
-                    continue;
-                }
-                Set<PromptPartKey> together = inseparableFrom(part, standing);
-                if (!blocks.covers(together)) {
-                    PartBlock block = new PartBlock(together, standing.decidingCrashes(), standing.lastNanos(), 0);
-                    blocks.add(block);
-                    explainCrashesBy(block);
-                    changes.add(new BlockChange(BlockChange.Kind.BLOCKED, block));
-                }
-            }
-        }
-        return changes;
-    }
-
-    private void explainCrashesBy(PartBlock block) {
-        for (RecordedCrash crash : evidence.all()) {
-            boolean explained = crash.runs().stream().anyMatch(run -> block.blocks(run.parts()));
-            if (explained) {
-                crash.explainBy(block.parts());
-            }
-        }
-    }
-
-    /** Returns a part and those that were in all its runs that crashed and are not cleared better than it is. */
-    private Set<PromptPartKey> inseparableFrom(PromptPartKey part, Standing standing) {
-        Set<PromptPartKey> together = new HashSet<>();
-        boolean first = true;
-        for (RecordedCrash crash : standing.crashes) {
-            for (CrashedRun run : crash.runs()) {
-                if (!run.parts().contains(part)) {
-                    continue;
-                }
-                if (first) {
-                    together.addAll(run.parts());
-                    first = false;
-                }
-                together.retainAll(run.parts());
-            }
-        }
-        together.removeIf(other -> !other.equals(part) && isClearedBetter(other, standing));
-        return Set.copyOf(together);
-    }
-
-    private boolean isClearedBetter(PromptPartKey other, Standing standing) {
-        return standing.servedBefore
-                ? isServedSince(other, standing.firstNanos())
-                : served.latestNanos(other).isPresent();
-    }
-
-    private boolean isServedSince(PromptPartKey part, long nanos) {
-        return served.latestNanos(part).map(sent -> sent - nanos >= 0).orElse(false);
-    }
-
     private List<BlockChange> lift(PromptPartKey part, long sentNanos) {
         List<BlockChange> changes = new ArrayList<>();
         for (PartBlock block : blocks.containing(part)) {
@@ -311,67 +202,32 @@
         return changes;
     }
 
+    private void tellIfWorth(PromptPartKey part) {
+        if (isWorthTelling(part)) {
+            untold.add(part);
+        }
+    }
+
     /** Returns whether what this host has served clears a part better than what hosts have told each other. */
     private boolean isWorthTelling(PromptPartKey part) {
-        Optional<Long> lastCrash = evidence.latestCrashNanos(part);
         Optional<Long> own = served.ownNanos(part);
-        if (lastCrash.isEmpty() || own.isEmpty()) {
+        if (own.isEmpty()) {
             return false;
         }
         Optional<Long> told = served.toldNanos(part);
-        boolean clears = own.get() - lastCrash.get() >= 0;
-        boolean toldClears = told.map(sent -> sent - lastCrash.get() >= 0).orElse(false);
-        return told.isEmpty() || (clears && !toldClears);
-    }
-
-    private Standing standing(PromptPartKey part) {
-        Optional<Long> servedNanos = served.latestNanos(part);
-        List<RecordedCrash> crashes = evidence.against(part, servedNanos);
-        int sequential = 0;
-        long lastNanos = 0;
-        for (RecordedCrash crash : crashes) {
-            if (sequential == 0 || crash.latestSentNanos(part) - lastNanos + TIME_TOLERANCE_NANOS >= 0) {
-                sequential++;
-                lastNanos = crash.atNanos();
-            }
+        boolean lifts = blocks.containingAtAnyVersion(part).stream()
+                .anyMatch(block -> own.get() - block.lastCrashNanos() >= 0
+                        && told.map(sent -> sent - block.lastCrashNanos() < 0).orElse(true));
+        if (lifts || !evidence.contains(part)) {
+            return lifts;
         }
-        return new Standing(crashes, sequential, servedNanos.isPresent());
+        int crashesToOthers = evidence.against(part, told).size();
+        return told.isEmpty()
+                || (crashesToOthers >= PartStanding.CRASHES_BEFORE_CONFINEMENT
+                        && evidence.against(part, own).size() < crashesToOthers);
     }
 
     private static Kind worse(Kind first, Kind second) {
         return first.compareTo(second) >= 0 ? first : second;
     }
-
-    /**
-     * What speaks against a part. Immutable.
-     *
-     * @param crashes the crashes that count against it, in order
-     * @param sequential the longest chain of crashes each of whose runs was sent after the crash before
-     * @param servedBefore whether the part was served before the first of them
-     */
-    private record Standing(List<RecordedCrash> crashes, int sequential, boolean servedBefore) {
-        boolean isCause(long nowNanos) {
-            if (!servedBefore) {
-                return sequential >= CRASHES_OF_UNSERVED_PART;
-            }
-            return crashes.size() >= CRASHES_OF_SERVED_PART
-                    && sequential >= CRASHES_BEFORE_CONFINEMENT
-                    && nowNanos - firstNanos() >= SERVED_PART_HOLD_NANOS;
-        }
-
-        long firstNanos() {
-            return crashes.get(0).atNanos();
-        }
-
-        long lastNanos() {
-            return crashes.get(crashes.size() - 1).atNanos();
-        }
-
-        List<DecidingCrash> decidingCrashes() {
-            return crashes.stream()
-                    .map(crash -> new DecidingCrash(
-                            crash.endpoint().id(), crash.reporter().value(), crash.atNanos()))
-                    .toList();
-        }
-    }
 }
--- a/src/main/java/org/gooseberryhill/decision/promptpart/QuarantineRecord.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/QuarantineRecord.java
@@ -18,9 +18,11 @@
      * @param parts the parts that are blocked together
      * @param crashes the crashes that decided
      * @param lastCrashMillis the latest crash, in epoch milliseconds
+     * @param beganUnserved whether nobody was known to have served the parts when they were blocked
      * @param trials the number of trials that crashed their endpoints
      */
-    public record Block(Set<PromptPartKey> parts, List<Crash> crashes, long lastCrashMillis, int trials) {}
+    public record Block(
+            Set<PromptPartKey> parts, List<Crash> crashes, long lastCrashMillis, boolean beganUnserved, int trials) {}
 
     /**
      * A crash that decided on a block. Immutable.
--- a/src/main/java/org/gooseberryhill/decision/promptpart/ServedParts.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/ServedParts.java
@@ -1,10 +1,10 @@
 package org.gooseberryhill.decision.promptpart;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Remembers which parts of prompts were answered lately: by this host, and by others as far as they have told. Bounded in size.
@@ -14,19 +14,34 @@
     private static final int MAX_OWN = 4096;
     private static final float LOAD_FACTOR = 0.75f;
 
-    private final Map<PromptPartKey, Long> own = new LinkedHashMap<>(16, LOAD_FACTOR, true) {
+    private final Map<PromptPartKey, OwnAnswer> own = new LinkedHashMap<>(16, LOAD_FACTOR, true) {
         private static final long serialVersionUID = 1;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<PromptPartKey, Long> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<PromptPartKey, OwnAnswer> eldest) {
             return size() > MAX_OWN;
         }
     };
     private final Map<PromptPartKey, Long> told = new HashMap<>();
+    private long latestRunNanos;
 
-    /** Records that this host has delivered the whole answer of a run that was sent at the given time, in nanoseconds. */
-    void recordOwn(PromptPartKey part, long sentNanos) {
-        own.merge(part, sentNanos, ServedParts::later);
+    /**
+     * Records that this host has delivered a whole answer.
+     *
+     * @param sentNanos when the run was sent that was answered, in nanoseconds
+     */
+    void recordOwn(PromptPartKey part, long sentNanos, long nowNanos) {
+        latestRunNanos = nowNanos - sentNanos;
+        own.merge(
+                part,
+                new OwnAnswer(sentNanos, latestRunNanos),
+                (before, after) -> after.sentNanos - before.sentNanos > 0 ? after : before);
+    }
+
+    /** Returns how long runs with a part take by what this host has seen, in nanoseconds; 0 if it has seen none. */
+    long runNanos(PromptPartKey part) {
+        OwnAnswer answer = own.get(part);
+        return answer == null ? latestRunNanos : answer.runNanos;
     }
 
     /** Records what all hosts know from now on. */
@@ -36,7 +51,7 @@
 
     /** Returns when the latest run that this host has seen answered was sent, in nanoseconds. */
     Optional<Long> ownNanos(PromptPartKey part) {
-        return Optional.ofNullable(own.get(part));
+        return Optional.ofNullable(own.get(part)).map(OwnAnswer::sentNanos);
     }
 
     /** Returns what hosts have told each other. */
@@ -54,12 +69,20 @@
         return byThisHost.or(() -> byOthers);
     }
 
-    /** Forgets what was told of all parts but the given ones. */
-    void retainTold(Collection<PromptPartKey> parts) {
-        told.keySet().retainAll(parts);
+    /** Returns whether a run that was sent at some time, in nanoseconds, or later is known to have been answered. */
+    boolean isServedSince(PromptPartKey part, long nanos) {
+        return latestNanos(part).map(sent -> sent - nanos >= 0).orElse(false);
+    }
+
+    /** Forgets what was told of all parts but those that a condition holds for. */
+    void retainTold(Predicate<PromptPartKey> condition) {
+        told.keySet().removeIf(condition.negate());
     }
 
     private static long later(long first, long second) {
         return first - second > 0 ? first : second;
     }
+
+    /** An answer that this host has delivered. */
+    private record OwnAnswer(long sentNanos, long runNanos) {}
 }
--- a/src/main/java/org/gooseberryhill/gateway/PermitExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/PermitExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.ownership.Ownership;
@@ -64,9 +65,9 @@
 
     /** Answers a host that asks for a permit. */
     QuarantineMessage.Permit answer(QuarantineMessage.PermitRequest request) {
-        return new QuarantineMessage.Permit(
-                permits.tryAcquire(request.parts(), request.confined(), request.endpoints(), context.nowNanos())
-                        .map(IsolationPermit::endpoint));
+        Optional<IsolationPermit> permit =
+                permits.tryAcquire(request.parts(), request.confined(), request.endpoints(), context.nowNanos());
+        return new QuarantineMessage.Permit(permit.isPresent(), permit.flatMap(IsolationPermit::endpoint));
     }
 
     /** Handles the return of a permit. */
@@ -87,9 +88,9 @@
     }
 
     private static PermitAnswer toAnswer(Set<PromptPartKey> parts, QuarantineMessage.Permit permit) {
-        return permit.endpoint()
-                .map(endpoint -> PermitAnswer.granted(new IsolationPermit(parts, endpoint)))
-                .orElse(PermitAnswer.DENIED);
+        return permit.granted()
+                ? PermitAnswer.granted(new IsolationPermit(parts, permit.endpoint()))
+                : PermitAnswer.DENIED;
     }
 
     /** A request for a permit that is answered once: by the reply, or by the timeout. */
--- a/src/main/java/org/gooseberryhill/gateway/PromptPartTracking.java
+++ b/src/main/java/org/gooseberryhill/gateway/PromptPartTracking.java
@@ -108,13 +108,14 @@
      * @param endIsMarked whether the answer itself tells that it is complete
      */
     void answered(Prompt prompt, EndpointEntry endpoint, long sentNanos, boolean endIsMarked) {
+        long endedNanos = context.nowNanos();
         if (endIsMarked) {
-            recordAnswer(prompt, endpoint, sentNanos);
+            recordAnswer(prompt, endpoint, sentNanos, endedNanos);
             return;
         }
         context.loop().after(UNMARKED_END_DELAY_MILLIS, () -> {
             if (!crashedAtNanos.containsKey(endpoint.key())) {
-                recordAnswer(prompt, endpoint, sentNanos);
+                recordAnswer(prompt, endpoint, sentNanos, endedNanos);
             }
         });
     }
@@ -177,8 +178,10 @@
         tellServedParts();
     }
 
-    private void recordAnswer(Prompt prompt, EndpointEntry endpoint, long sentNanos) {
-        quarantine.answered(prompt, endpoint.serviceVersion(), sentNanos).forEach(this::logChange);
+    private void recordAnswer(Prompt prompt, EndpointEntry endpoint, long sentNanos, long endedNanos) {
+        quarantine
+                .answered(prompt, endpoint.serviceVersion(), sentNanos, endedNanos)
+                .forEach(this::logChange);
         tellServedParts();
     }
 
--- a/src/main/java/org/gooseberryhill/peer/QuarantineCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/QuarantineCodecs.java
@@ -48,19 +48,24 @@
                 new CompactCodec<>(
                         48,
                         QuarantineMessage.Permit.class,
-                        (permit, packer) ->
-                                CompactFields.writeOptional(packer, permit.endpoint(), QuarantineCodecs::writeEndpoint),
+                        (permit, packer) -> CompactFields.writeOptional(
+                                packer.packBoolean(permit.granted()),
+                                permit.endpoint(),
+                                QuarantineCodecs::writeEndpoint),
                         unpacker -> new QuarantineMessage.Permit(
+                                unpacker.unpackBoolean(),
                                 CompactFields.readOptional(unpacker, QuarantineCodecs::readEndpoint))),
                 new CompactCodec<>(
                         49,
                         QuarantineMessage.PermitReturned.class,
                         (returned, packer) -> {
                             writeParts(packer, returned.permit().parts());
-                            writeEndpoint(packer, returned.permit().endpoint());
+                            CompactFields.writeOptional(
+                                    packer, returned.permit().endpoint(), QuarantineCodecs::writeEndpoint);
                         },
-                        unpacker -> new QuarantineMessage.PermitReturned(
-                                new IsolationPermit(readParts(unpacker), readEndpoint(unpacker)))));
+                        unpacker -> new QuarantineMessage.PermitReturned(new IsolationPermit(
+                                readParts(unpacker),
+                                CompactFields.readOptional(unpacker, QuarantineCodecs::readEndpoint)))));
     }
 
     private static void writeRun(MessagePacker packer, QuarantineMessage.Run run) throws IOException {
--- a/src/main/java/org/gooseberryhill/peer/QuarantineMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/QuarantineMessage.java
@@ -57,9 +57,10 @@
     /**
      * Tells whether a request with suspected parts may run.
      *
-     * @param endpoint where it may run; empty if it has to wait
+     * @param granted whether it may run now
+     * @param endpoint the only endpoint where it may run; empty if it may run at any
      */
-    record Permit(Optional<EndpointKey> endpoint) implements QuarantineMessage {}
+    record Permit(boolean granted, Optional<EndpointKey> endpoint) implements QuarantineMessage {}
 
     /**
      * Returns a permit.
--- a/src/main/java/org/gooseberryhill/stored/QuarantineRecordCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/QuarantineRecordCodec.java
@@ -28,6 +28,7 @@
         for (QuarantineRecord.Block block : record.blocks()) {
             ObjectNode entry = blocks.addObject()
                     .put("lastCrashMillis", block.lastCrashMillis())
+                    .put("beganUnserved", block.beganUnserved())
                     .put("trials", block.trials());
             ArrayNode parts = entry.putArray("parts");
             block.parts()
@@ -76,6 +77,7 @@
                 Set.copyOf(parts),
                 List.copyOf(crashes),
                 json.required("lastCrashMillis").longValue(),
+                json.required("beganUnserved").booleanValue(),
                 json.required("trials").intValue());
     }
 }
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -32,6 +32,8 @@
 import org.gooseberryhill.decision.job.WorkItem;
 import org.gooseberryhill.decision.membership.HostState;
 import org.gooseberryhill.decision.membership.Rumor;
+import org.gooseberryhill.decision.promptpart.IsolationPermit;
+import org.gooseberryhill.decision.promptpart.PromptPartKey;
 import org.gooseberryhill.decision.quota.AccountActivity;
 import org.gooseberryhill.decision.quota.QuotaReport;
 import org.gooseberryhill.decision.requestbatch.BatchPage;
@@ -194,8 +196,23 @@
                 new CoordinationMessage.AdmissionReturned("studio"));
     }
 
+    static Stream<PeerMessage> quarantineMessages() {
+        EndpointKey key = new EndpointKey("e", 5);
+        PromptPartKey part = new PromptPartKey(new ServiceVersion("s", "v1"), "m", "p");
+        return Stream.of(
+                new QuarantineMessage.EndpointCrashNotice(
+                        key, 12, List.of(new QuarantineMessage.Run(Set.of(part), 130))),
+                new QuarantineMessage.ServedPartsNotice(List.of(new QuarantineMessage.Served(part, 700))),
+                new QuarantineMessage.PermitRequest(Set.of(part), true, List.of(key)),
+                new QuarantineMessage.Permit(true, Optional.of(key)),
+                new QuarantineMessage.Permit(true, Optional.empty()),
+                new QuarantineMessage.Permit(false, Optional.empty()),
+                new QuarantineMessage.PermitReturned(new IsolationPermit(Set.of(part), Optional.of(key))),
+                new QuarantineMessage.PermitReturned(new IsolationPermit(Set.of(part), Optional.empty())));
+    }
+
     @ParameterizedTest
-    @MethodSource({"messages", "gatewayMessages", "coordinationMessages"})
+    @MethodSource({"messages", "gatewayMessages", "coordinationMessages", "quarantineMessages"})
     void aMessageSurvivesARoundTrip(PeerMessage message) throws IOException {
         PeerFrame frame = new PeerFrame(5, true, HybridTimestamp.ofMillis(1000), HOST, message);
 
@@ -231,7 +248,7 @@
 
     /** Guards against callers that wait for the mapper's first use: a third of a second of processor time. */
     @ParameterizedTest
-    @MethodSource("gatewayMessages")
+    @MethodSource({"gatewayMessages", "quarantineMessages"})
     void gatewayMessagesHaveACompactCodec(PeerMessage message) {
         assertThat(CompactCodecs.of(message)).isPresent();
     }
