--- a/src/main/java/org/gooseberryhill/decision/promptpart/CrashCauses.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/CrashCauses.java
@@ -43,12 +43,12 @@
         int alone = 0;
         long lastNanos = 0;
         for (RecordedCrash crash : crashes) {
-            boolean massLoss = evidence.crashesWithin(crash.atNanos(), SAME_MOMENT_NANOS) >= MASS_LOSS
-                    || evidence.hasCrashWithout(part, crash.atNanos(), TIME_TOLERANCE_NANOS);
+            boolean otherCause = evidence.hasCrashWithout(part, crash.atNanos(), TIME_TOLERANCE_NANOS);
+            boolean massLoss = otherCause || evidence.crashesWithin(crash.atNanos(), SAME_MOMENT_NANOS) >= MASS_LOSS;
             alone += massLoss ? 0 : 1;
             boolean later = crash.atNanos() - lastNanos > TIME_TOLERANCE_NANOS
                     && crash.latestSentNanos(part) - lastNanos + TIME_TOLERANCE_NANOS >= 0;
-            if (!massLoss && (sequential == 0 || later)) {
+            if (sequential == 0 ? !otherCause : later && !massLoss) {
                 sequential++;
                 lastNanos = crash.atNanos();
             }
--- a/src/main/java/org/gooseberryhill/decision/promptpart/PartStanding.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PartStanding.java
@@ -9,7 +9,7 @@
  *
  * @param crashes the crashes that count against it, in order
  * @param sequential the longest chain of crashes each of whose runs was sent after the crash before; losses of several
- *     endpoints at a time, not all of which had the part, do not count
+ *     endpoints at a time count only as its beginning, and not at all if some of them did not have the part
  * @param alone the number of crashes that are no such losses
  * @param servedBefore whether the part was served before the first of them
  * @param runNanos how long runs with the part take, in nanoseconds
