Count the crash of an endpoint that is replaced before it is checked

Three of the crashed runners were back under another id at the same address when a busy host checked them ("accepts connections", 150 ms after the crash), so these crashes counted for nothing.

Ruled out: overlapping runs that count as one crash (permits were kept in the trace), and late notices (all within 40 ms).

--- a/src/main/java/org/gooseberryhill/decision/dispatch/Fleet.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/Fleet.java
@@ -113,6 +113,11 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /** Returns the registrations of all endpoints. */
+    public List<EndpointEntry> entries() {
+        return byKey.values().stream().map(FleetEndpoint::entry).toList();
+    }
+
     /** Returns all endpoints. */
     public Collection<FleetEndpoint> all() {
         return byKey.values();
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -329,6 +329,7 @@
     private void endpointsChanged(Collection<EndpointEntry> entries) {
         context.fleet().updateDirectory(entries);
         traffic.streamOrigins().endpointsChanged(entries);
+        traffic.promptParts().endpointsChanged(entries);
         assignment.endpointsChanged(entries);
         updateReadiness();
         runner.schedule();
--- a/src/main/java/org/gooseberryhill/gateway/PromptPartTracking.java
+++ b/src/main/java/org/gooseberryhill/gateway/PromptPartTracking.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.gateway;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,6 +17,7 @@
 import org.gooseberryhill.decision.promptpart.PartBlock;
 import org.gooseberryhill.decision.promptpart.PromptPartKey;
 import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
+import org.gooseberryhill.decision.promptpart.ReplacedEndpoints;
 import org.gooseberryhill.decision.promptpart.ServedPart;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
@@ -32,8 +34,8 @@
  * Observes which parts of prompts were in flight when endpoints crashed and which are served, and exchanges this with the other
  * gateways. Confined to the control thread.
  *
- * <p>Invariants: a connection that was lost counts as a crash only once the endpoint refuses another one; nothing is sent while no
- * endpoint crashes.
+ * <p>Invariants: a connection that was lost counts as a crash only once the endpoint refuses another one or a successor has registered
+ * at its address; nothing is sent while no endpoint crashes.
  */
 final class PromptPartTracking {
     /** Longest time by which the check of an endpoint delays the decision on a request that was lost there. */
@@ -52,6 +54,7 @@
     private final PeerLinks links;
     private final PromptPartQuarantine quarantine;
     private final EndpointCrashCheck crashCheck;
+    private final ReplacedEndpoints replacedEndpoints;
     private final QuarantineRecordWriter recordWriter;
     private final Map<EndpointKey, List<LostRun>> lostByEndpoint = new HashMap<>();
     private final Map<EndpointKey, Long> crashedAtNanos = new LinkedHashMap<>() {
@@ -69,6 +72,7 @@
         this.links = links;
         this.quarantine = quarantine;
         this.crashCheck = new EndpointCrashCheck(context);
+        this.replacedEndpoints = new ReplacedEndpoints(context.settings().self().id());
         this.recordWriter = new QuarantineRecordWriter(context, links, quarantine, this::logChange);
     }
 
@@ -86,7 +90,7 @@
         }
         LostRun lost = new LostRun(run.get(), then);
         if (crashedAtNanos.containsKey(endpoint.key())) {
-            reportCrash(endpoint.key(), List.of(lost));
+            reportCrash(endpoint.key(), List.of(lost.run));
             lost.proceed();
             return;
         }
@@ -98,7 +102,7 @@
         }
         lostByEndpoint.put(endpoint.key(), new ArrayList<>(List.of(lost)));
         long lostNanos = context.nowNanos();
-        crashCheck.check(endpoint, crashed -> onChecked(endpoint.key(), crashed, lostNanos));
+        crashCheck.check(endpoint, crashed -> onChecked(endpoint, crashed, lostNanos));
     }
 
     /**
@@ -120,6 +124,14 @@
         });
     }
 
+    /** Finds out which lost connections a change of the directory explains. */
+    void endpointsChanged(Collection<EndpointEntry> entries) {
+        for (EndpointCrash crash : replacedEndpoints.takeCrashes(entries, context.nowNanos())) {
+            crashedAtNanos.put(crash.endpoint(), crash.atNanos());
+            reportCrash(crash.endpoint(), crash.runs());
+        }
+    }
+
     /** Applies the record of blocked parts as read from the key-value store. */
     void quarantineRecordRead(KeyChange entry) {
         recordWriter.recordRead(entry);
@@ -144,18 +156,21 @@
         }
     }
 
-    private void onChecked(EndpointKey endpoint, boolean crashed, long lostNanos) {
-        List<LostRun> lost = lostByEndpoint.remove(endpoint);
+    private void onChecked(EndpointEntry endpoint, boolean crashed, long lostNanos) {
+        List<LostRun> lost = lostByEndpoint.remove(endpoint.key());
+        List<CrashedRun> runs = lost.stream().map(run -> run.run).toList();
         if (crashed) {
-            crashedAtNanos.put(endpoint, lostNanos);
-            reportCrash(endpoint, lost);
+            crashedAtNanos.put(endpoint.key(), lostNanos);
+            reportCrash(endpoint.key(), runs);
+        } else {
+            replacedEndpoints.connectionsLost(endpoint, runs, lostNanos);
+            endpointsChanged(context.fleet().entries());
         }
         lost.forEach(LostRun::proceed);
     }
 
-    private void reportCrash(EndpointKey endpoint, List<LostRun> lost) {
+    private void reportCrash(EndpointKey endpoint, List<CrashedRun> runs) {
         long atNanos = crashedAtNanos.get(endpoint);
-        List<CrashedRun> runs = lost.stream().map(run -> run.run).toList();
         HostId self = context.settings().self().id();
         recordCrash(new EndpointCrash(endpoint, self, atNanos, runs));
         List<QuarantineMessage.Run> reported = runs.stream()
