Tell unchanged loads less often, and run periodic work at the ticks

Cause: idle coordinators told each other ten times a second that nothing had changed. Each message cost both traffic threads a system call and the control thread a wake-up, 80 of them a second. Seven timers with periods of 250 ms to a second woke the control thread at times of their own.

Change: LoadAnnouncements decides when loads are told: a change at once, the same load each 300 ms, and each 200 ms while accounts have quotas, whose reports count as missing after 400 ms. Loads are taken in without a wake-up and take effect with the next message, request or tick; with quotas they are still handled on arrival.

Ruled out: repeating the same load each 400 ms, which leaves 100 ms for a late message before loads count as outdated after 500 ms.

--- a/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
+++ b/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
@@ -31,6 +31,7 @@
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
     private final LocalAllowance localAllowance;
+    private volatile boolean quotasInUse;
 
     AdmissionClient(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
         this.context = context;
@@ -48,6 +49,12 @@
                         ClientAccount::name, account -> account.quota().get()));
         coordinator.quotas().configure(quotas, context.nowNanos());
         localAllowance.configure(quotas);
+        quotasInUse = !quotas.isEmpty();
+    }
+
+    /** Returns whether an account has a quota; may be called from any thread. */
+    boolean areQuotasInUse() {
+        return quotasInUse;
     }
 
     /** Asks whether a request of an account may run; the receiver gets nothing if nobody can tell. */
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
@@ -11,8 +11,8 @@
 /**
  * Handles messages of other gateways. They arrive on traffic threads and are processed on the control thread.
  *
- * <p>Invariant: the messages of a host take effect in the order of their arrival. Heartbeats are answered at once and applied
- * with the next message or tick, whichever is first.
+ * <p>Invariant: the messages of a host take effect in the order of their arrival. Heartbeats and loads of
+ * coordinators are answered at once and applied with the next message or tick, whichever is first.
  */
 final class GatewayMessageHandler {
     private final GatewayContext context;
@@ -50,6 +50,10 @@
             heartbeats.receive(from, heartbeat);
             return CompletableFuture.completedFuture(new PeerMessage.Ack());
         }
+        if (message instanceof CoordinationMessage.GroupLoads loads) {
+            slots.receiveLoads(from, loads);
+            return CompletableFuture.completedFuture(new PeerMessage.Ack());
+        }
         CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
         context.loop().execute(() -> dispatch(from, message, reply));
         return reply;
@@ -57,6 +61,7 @@
 
     private void dispatch(HostId from, PeerMessage message, CompletableFuture<PeerMessage> reply) {
         heartbeats.processReceived();
+        slots.processReceivedLoads();
         heartbeats.recordMessage(from);
         if (message instanceof CoordinationMessage.PlacementRequest request) {
             reply.complete(slots.answer(from, request));
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -107,6 +107,7 @@
     private final BatchHandOver handOver;
     private final GatewayMessageHandler messageHandler;
     private final StandardOutputSink log = new StandardOutputSink();
+    private final TickTasks tickTasks;
     private final DelayLog delayLog;
     private final RejectedConnectionsLog rejectedConnectionsLog;
     private final Readiness readiness;
@@ -141,6 +142,7 @@
                 new PlannedStop(STOP_GRACE_MILLIS, settings.stopBoundMillis()),
                 new Timeline(settings.self().id().value(), clock, log),
                 new GatewayMetrics());
+        this.tickTasks = new TickTasks(context.loop(), TICK_PERIOD_MILLIS);
         this.delayLog = new DelayLog(context, group, TICK_PERIOD_MILLIS);
         this.links = new PeerLinks(context);
         this.relayClient = new StoreRelayClient(context, links, random);
@@ -293,13 +295,13 @@
         registration.start();
         views.start();
         context.loop().every(TICK_PERIOD_MILLIS, this::tick);
-        context.loop().every(SLOW_TICK_PERIOD_MILLIS, this::slowTick);
-        context.loop().every(TAKEOVER_PERIOD_MILLIS, takeover::tick);
-        context.loop().every(HEARTBEAT_PERIOD_MILLIS, heartbeats::send);
-        context.loop().every(HEARTBEAT_PERIOD_MILLIS, assignment::reportAll);
-        context.loop().every(HEARTBEAT_PERIOD_MILLIS, delayLog::measureTraffic);
-        context.loop().every(HEARTBEAT_PERIOD_MILLIS, () -> callersServer.ifPresent(rejectedConnectionsLog::write));
-        context.loop().every(LOG_FLUSH_PERIOD_MILLIS, log::flush);
+        tickTasks.add(SLOW_TICK_PERIOD_MILLIS, this::slowTick);
+        tickTasks.add(TAKEOVER_PERIOD_MILLIS, takeover::tick);
+        tickTasks.add(HEARTBEAT_PERIOD_MILLIS, heartbeats::send);
+        tickTasks.add(HEARTBEAT_PERIOD_MILLIS, assignment::reportAll);
+        tickTasks.add(HEARTBEAT_PERIOD_MILLIS, delayLog::measureTraffic);
+        tickTasks.add(HEARTBEAT_PERIOD_MILLIS, () -> callersServer.ifPresent(rejectedConnectionsLog::write));
+        tickTasks.add(LOG_FLUSH_PERIOD_MILLIS, log::flush);
         takeover.start();
     }
 
@@ -312,6 +314,7 @@
         committer.tick(!context.stop().acceptsAllRequests());
         assignment.tick();
         updateReadiness();
+        tickTasks.runDue();
     }
 
     private void slowTick() {
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -2,18 +2,22 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.coordination.CoordinatorCommand;
 import org.gooseberryhill.decision.coordination.GroupLoad;
 import org.gooseberryhill.decision.coordination.GroupRouting;
+import org.gooseberryhill.decision.coordination.LoadAnnouncements;
 import org.gooseberryhill.decision.coordination.PlacementReply;
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.coordination.WorkReports;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
+import org.gooseberryhill.decision.quota.QuotaReport;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.Host;
@@ -47,6 +51,8 @@
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
     private final AdmissionClient admissions;
+    private final LoadAnnouncements announcements = new LoadAnnouncements();
+    private final Queue<ReceivedLoads> receivedLoads = new ConcurrentLinkedQueue<>();
     private GrantReceiver grantReceiver;
 
     SlotExchange(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
@@ -72,6 +78,7 @@
     void place(EndpointGroup group, PlacementQuery query, Consumer<Optional<PlacementAnswer>> receiver) {
         Host host = routing.coordinator(group);
         if (isSelf(host.id())) {
+            processReceivedLoads();
             PlacementReply reply = coordinator.place(host.id(), group, query, context.nowNanos());
             reports.reservationReceived(host.id(), reply.reservation());
             assignSlots();
@@ -135,10 +142,33 @@
 
     /** Assigns slots that have become free in time without a message, and tells other coordinators of the load. */
     void tick() {
+        processReceivedLoads();
         assignSlots();
         sendLoads();
     }
 
+    /**
+     * Accepts loads of another coordinator; may be called from any thread. Without quotas they take effect with the next
+     * message, request or tick that may use them, since a wake-up of the control thread costs more than handling them.
+     * Quotas count by the time at which a report arrives.
+     */
+    void receiveLoads(HostId from, CoordinationMessage.GroupLoads loads) {
+        if (admissions.areQuotasInUse()) {
+            context.loop().execute(() -> handle(from, loads));
+        } else {
+            receivedLoads.add(new ReceivedLoads(from, loads, context.nowNanos()));
+        }
+    }
+
+    /** Applies the loads received since the last call. Called before any message is handled. */
+    void processReceivedLoads() {
+        ReceivedLoads next = receivedLoads.poll();
+        while (next != null) {
+            applyLoads(next.from, next.message, next.receivedNanos);
+            next = receivedLoads.poll();
+        }
+    }
+
     /** Removes a lost host from the counts. */
     void removeHost(HostId host) {
         coordinator.removeHost(host);
@@ -170,8 +200,7 @@
         } else if (message instanceof CoordinationMessage.ItemsWaiting waiting) {
             coordinator.itemsWaiting(from, waiting.items(), nowNanos);
         } else if (message instanceof CoordinationMessage.GroupLoads loads) {
-            coordinator.groupLoads(loads.loads(), nowNanos);
-            coordinator.quotas().record(from, loads.quotaReport(), nowNanos);
+            applyLoads(from, loads, nowNanos);
             return;
         } else if (message instanceof CoordinationMessage.AdmissionReturned returned) {
             coordinator.quotas().giveBack(returned.account(), nowNanos);
@@ -210,6 +239,11 @@
         return new CoordinationMessage.ItemsYield(((CoordinatorCommand.Yield) command).runs());
     }
 
+    private void applyLoads(HostId from, CoordinationMessage.GroupLoads message, long receivedNanos) {
+        coordinator.groupLoads(message.loads(), receivedNanos);
+        coordinator.quotas().record(from, message.quotaReport(), receivedNanos);
+    }
+
     private void sendLoads() {
         List<GroupLoad> loads = coordinator.sampleLoads(routing::isCoordinator, context.nowNanos());
         if (loads.isEmpty()) {
@@ -217,12 +251,15 @@
         }
         Set<Host> others = routing.coordinators();
         others.removeIf(host -> isSelf(host.id()));
-        coordinator
-                .quotas()
-                .updateParticipants(
-                        others.stream().map(Host::id).toList(), links.isInTouchWithMost(), context.nowNanos());
-        CoordinationMessage message =
-                new CoordinationMessage.GroupLoads(loads, coordinator.quotas().takeReport(context.nowNanos()));
+        List<HostId> otherIds = others.stream().map(Host::id).toList();
+        long nowNanos = context.nowNanos();
+        coordinator.quotas().updateParticipants(otherIds, links.isInTouchWithMost(), nowNanos);
+        QuotaReport report = coordinator.quotas().takeReport(nowNanos);
+        boolean quotaActivity = !report.activities().isEmpty();
+        if (!announcements.isDue(loads, otherIds, quotaActivity, admissions.areQuotasInUse(), nowNanos)) {
+            return;
+        }
+        CoordinationMessage message = new CoordinationMessage.GroupLoads(loads, report);
         context.peers().postAll(others.stream().map(Host::address).toList(), PeerLane.CONTROL, message);
     }
 
@@ -244,6 +281,9 @@
         void onYield(List<Long> runs);
     }
 
+    /** Loads of another coordinator, and when they were received. */
+    private record ReceivedLoads(HostId from, CoordinationMessage.GroupLoads message, long receivedNanos) {}
+
     /** A question to a coordinator that is answered once: by its reply, or by the timeout. */
     private final class PendingPlacement {
         private final Host host;
