Make one call in each interval while the store does not answer

Cause: while the store refused a host, each of its views, its lease and its batches made a call of their own once a second, and a refused host with a low id tried to query first, with views that others keep up to date.

Change: StoreReachability lets one caller call in each interval of a second; the answer counts for all. The interval counts from the start of the last call, so that one that hangs does not delay the next. Such a query asks the store to wait for 50 ms instead of up to 3 s, so that its answer shows at once that the store is back. QueryTurn decides the rank of a host: hosts known to be lost no longer precede others, and a host that the store refuses comes after the first ones that it serves.

Ruled out: intervals that grow with the length of the outage. A host that is cut off from the others must find by itself that the store is back before the bound of 2 s on endpoints that leave.

--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -167,8 +167,7 @@
         this.takeover = new BatchTakeover(
                 context, links, registry, batchStore, runner::schedule, committer::onRecordChanged, cleanup::onListed);
         this.handOver = new BatchHandOver(context, links, registry, committer);
-        this.views =
-                new GatewayViews(context, links, this::configure, this::endpointsChanged, traffic.recordReceivers());
+        this.views = createViews();
         StartGate gate = new StartGate(context.nowNanos());
         this.readiness = new Readiness(context, gate);
         this.rejectedConnectionsLog = new RejectedConnectionsLog(context);
@@ -191,6 +190,16 @@
                 promptParts);
     }
 
+    private GatewayViews createViews() {
+        return new GatewayViews(
+                context,
+                links,
+                storeReachability::isReachable,
+                this::configure,
+                this::endpointsChanged,
+                traffic.recordReceivers());
+    }
+
     private ListedHost listedSelf() {
         return new ListedHost(settings.self(), context.processStart());
     }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -9,13 +9,14 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.gooseberryhill.decision.membership.ListedHost;
+import org.gooseberryhill.decision.membership.QueryTurn;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.external.KeyChange;
-import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.peer.GatewayMessage;
@@ -36,13 +37,14 @@
     private static final long LISTING_TIMEOUT_MILLIS = 700;
 
     /**
-     * Period of the updates of this host's rank, which changes when a host joins or leaves. An outdated rank costs a query
-     * too many or too few in this period.
+     * Period of the updates of this host's rank, which changes when a host joins or leaves, or when the store refuses this
+     * one. An outdated rank costs a query too many or too few in this period.
      */
     private static final long RANK_UPDATE_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final GatewayContext context;
     private final PeerLinks links;
+    private final BooleanSupplier storeReached;
     private final Consumer<RouteConfiguration> onConfiguration;
     private final Consumer<Collection<EndpointEntry>> onEndpointsChanged;
     private final Map<String, Consumer<KeyChange>> onRecordByKey;
@@ -59,16 +61,19 @@
     /**
      * Creates views that were not loaded yet.
      *
+     * @param storeReached whether the store answers this host
      * @param onRecordByKey receivers of the records that are kept beside the list of hosts, by key
      */
     GatewayViews(
             GatewayContext context,
             PeerLinks links,
+            BooleanSupplier storeReached,
             Consumer<RouteConfiguration> onConfiguration,
             Consumer<Collection<EndpointEntry>> onEndpointsChanged,
             Map<String, Consumer<KeyChange>> onRecordByKey) {
         this.context = context;
         this.links = links;
+        this.storeReached = storeReached;
         this.onConfiguration = onConfiguration;
         this.onEndpointsChanged = onEndpointsChanged;
         this.onRecordByKey = onRecordByKey;
@@ -145,19 +150,10 @@
         return findUpdater(prefix).map(ViewUpdater::listing);
     }
 
-    /**
-     * Returns this host's rank, the number of live gateways whose ids precede its own; it determines whose turn it is
-     * to query the store.
-     */
+    /** Returns this host's rank, which determines whose turn it is to query the store. */
     private int computeRank() {
         HostId self = context.settings().self().id();
-        int preceding = 0;
-        for (Host host : links.gateways()) {
-            if (host.id().compareTo(self) < 0) {
-                preceding++;
-            }
-        }
-        return preceding;
+        return QueryTurn.rank(self, links.gatewaysNotKnownLost(), storeReached.getAsBoolean());
     }
 
     private void endpointsChanged(List<KeyChange> changes) {
--- a/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
+++ b/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
@@ -96,6 +96,11 @@
         return roster.activeGateways(context.nowNanos());
     }
 
+    /** Returns the other gateways that are not known to be silent or stopping, including those that were not heard yet. */
+    List<Host> gatewaysNotKnownLost() {
+        return roster.gatewaysNotKnownLost(context.nowNanos());
+    }
+
     /** Returns the other gateways that understand messages on the origins of streams and are not known to be lost. */
     List<Host> gatewaysWithStreamOrigins() {
         return roster.gatewaysThatUnderstand(ListedHost.STREAM_ORIGINS_MESSAGE_SET, context.nowNanos());
--- a/src/main/java/org/gooseberryhill/gateway/RelayingKeyValueStore.java
+++ b/src/main/java/org/gooseberryhill/gateway/RelayingKeyValueStore.java
@@ -22,6 +22,9 @@
 final class RelayingKeyValueStore implements PollingKeyValueStore {
     private static final long RELAY_TIMEOUT_MILLIS = 900;
 
+    /** A query that shows whether the store answers again must not wait there for a change. */
+    private static final long UNREACHED_WAIT_MILLIS = 50;
+
     private final PollingKeyValueStore directStore;
     private final StoreReachability storeReachability;
     private final Relay relay;
@@ -62,11 +65,13 @@
     /** Not relayed: the hosts that reach the store forward all changes anyway. */
     @Override
     public CompletableFuture<Changes> changesAfter(String prefix, long revision, long waitMillis) {
-        if (!storeReachability.mayCallDirectly(System.nanoTime())) {
+        if (!storeReachability.tryCallDirectly(System.nanoTime())) {
             return CompletableFuture.failedFuture(new ExternalServiceException(
                     Kind.NOT_DONE, "direct calls to the key-value store are suspended after a failed call"));
         }
-        return callDirectly(() -> directStore.changesAfter(prefix, revision, waitMillis));
+        long allowedWaitMillis =
+                storeReachability.isReachable() ? waitMillis : Math.min(waitMillis, UNREACHED_WAIT_MILLIS);
+        return callDirectly(() -> directStore.changesAfter(prefix, revision, allowedWaitMillis));
     }
 
     @Override
@@ -148,7 +153,7 @@
             Supplier<CompletableFuture<T>> directCall,
             GatewayMessage.StoreCall call,
             Function<GatewayMessage.StoreAnswer, Optional<T>> extractResult) {
-        if (!storeReachability.mayCallDirectly(System.nanoTime())) {
+        if (!storeReachability.tryCallDirectly(System.nanoTime())) {
             return callThroughRelay(
                     call,
                     extractResult,
--- a/src/main/java/org/gooseberryhill/gateway/StoreReachability.java
+++ b/src/main/java/org/gooseberryhill/gateway/StoreReachability.java
@@ -15,12 +15,13 @@
 final class StoreReachability {
     /**
      * Interval between direct calls while the store is unreachable: each has a cost, and other hosts relay calls
-     * meanwhile.
+     * meanwhile. It counts from the start of the last call: one that hangs must not delay the next one, which the store may
+     * answer.
      */
     private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
 
     private boolean reachable = true;
-    private long lastFailureNanos;
+    private long lastAttemptNanos;
     private long lastAnsweredCallSentNanos = Long.MIN_VALUE;
 
     /** Returns whether the latest direct call was answered. */
@@ -28,9 +29,19 @@
         return reachable;
     }
 
-    /** Returns whether a direct call may be made now. */
-    synchronized boolean mayCallDirectly(long nowNanos) {
-        return reachable || nowNanos - lastFailureNanos >= RETRY_INTERVAL_NANOS;
+    /**
+     * Returns whether a direct call may be made now. While the store is unreachable, only one caller in each interval may:
+     * its call shows for all whether the store answers again.
+     */
+    synchronized boolean tryCallDirectly(long nowNanos) {
+        if (reachable) {
+            return true;
+        }
+        if (nowNanos - lastAttemptNanos < RETRY_INTERVAL_NANOS) {
+            return false;
+        }
+        lastAttemptNanos = nowNanos;
+        return true;
     }
 
     /**
@@ -52,9 +63,11 @@
         if (lastAnsweredCallSentNanos != Long.MIN_VALUE && sentNanos - lastAnsweredCallSentNanos < 0) {
             return false;
         }
-        boolean lost = reachable;
-        lastFailureNanos = nowNanos;
+        if (!reachable) {
+            return false;
+        }
+        lastAttemptNanos = nowNanos;
         reachable = false;
-        return lost;
+        return true;
     }
 }
--- a/src/test/java/org/gooseberryhill/gateway/StoreReachabilityTest.java
+++ b/src/test/java/org/gooseberryhill/gateway/StoreReachabilityTest.java
@@ -22,8 +22,39 @@
     void directCallsResumeAfterTheRetryInterval() {
         storeReachability.recordFailure(millis(1), millis(100));
 
-        assertThat(storeReachability.mayCallDirectly(millis(1099))).isFalse();
-        assertThat(storeReachability.mayCallDirectly(millis(1100))).isTrue();
+        assertThat(storeReachability.tryCallDirectly(millis(1099))).isFalse();
+        assertThat(storeReachability.tryCallDirectly(millis(1100))).isTrue();
+    }
+
+    /** Guards against refused calls of all parts of a host in each interval, each of which the store counts. */
+    @Test
+    void onlyOneCallIsMadeInEachIntervalWhileTheStoreIsUnreachable() {
+        storeReachability.recordFailure(millis(1), millis(100));
+
+        assertThat(storeReachability.tryCallDirectly(millis(1100))).isTrue();
+        assertThat(storeReachability.tryCallDirectly(millis(1101))).isFalse();
+        assertThat(storeReachability.tryCallDirectly(millis(2099))).isFalse();
+        assertThat(storeReachability.tryCallDirectly(millis(2100))).isTrue();
+    }
+
+    /** Guards against a store that is back and not called because the last call before hangs, and then fails. */
+    @Test
+    void aCallThatHangsDoesNotDelayTheNextOne() {
+        storeReachability.recordFailure(millis(1), millis(100));
+        assertThat(storeReachability.tryCallDirectly(millis(1100))).isTrue();
+        storeReachability.recordFailure(millis(1100), millis(1800));
+
+        assertThat(storeReachability.tryCallDirectly(millis(2100))).isTrue();
+    }
+
+    @Test
+    void allCallsAreMadeOnceTheStoreAnswers() {
+        storeReachability.recordFailure(millis(1), millis(100));
+        assertThat(storeReachability.tryCallDirectly(millis(1100))).isTrue();
+        storeReachability.recordAnswer(millis(1100));
+
+        assertThat(storeReachability.tryCallDirectly(millis(1110))).isTrue();
+        assertThat(storeReachability.tryCallDirectly(millis(1110))).isTrue();
     }
 
     /**
@@ -38,7 +69,7 @@
 
         assertThat(storeReachability.recordFailure(millis(2900), millis(6600))).isFalse();
         assertThat(storeReachability.isReachable()).isTrue();
-        assertThat(storeReachability.mayCallDirectly(millis(6601))).isTrue();
+        assertThat(storeReachability.tryCallDirectly(millis(6601))).isTrue();
     }
 
     @Test
