--- a/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/HostRoster.java
@@ -216,6 +216,11 @@
         return Optional.ofNullable(knownHosts(nowNanos).get(id)).map(ListedHost::host);
     }
 
+    /** Returns the other gateways that are not known to be silent or stopping, including those that were not heard yet. */
+    public List<Host> gatewaysNotKnownLost(long nowNanos) {
+        return gatewaysThatUnderstand(ListedHost.FIRST_MESSAGE_SET, nowNanos);
+    }
+
     private List<Host> heardGateways(Predicate<HostReport> condition, long nowNanos) {
         return gateways(nowNanos).stream()
                 .filter(host -> isHeard(host.id(), condition, nowNanos))
