Count the bytes that connections hold for their requests and answers

Cause: a process does not know how many bytes it holds for slow callers and endpoints. Change: HeldBytes counts bodies of requests in progress, pipelined bodies, answers that are collected, unsent answers and unsent bodies for endpoints. A write that the socket accepts at once is not counted; others share one listener for each connection. A response given before the body is complete announces the close, and the rest of the body is discarded for up to two seconds, so that the caller receives it. An endpoint's connection with an unsent body is not reused. Ruled out: sampling all connections periodically, which costs time on hosts without slow readers. Result: the tests of the http package and ArchitectureTest pass.

--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -32,6 +33,7 @@
     private boolean paused;
     private Outcome outcome = Outcome.NOT_RUN;
     private boolean ended;
+    private int unsentBytes;
     private ScheduledFuture<?> silenceTimer;
     private Optional<PeriodicReading> periodicReading = Optional.empty();
     private volatile long lastActivityNanos = System.nanoTime();
@@ -119,7 +121,9 @@
         }
         Channel connection = channel;
         connection.pipeline().get(ClientConnectionHandler.class).detach();
-        if (keepAlive && !cancelled) {
+        // An endpoint may answer before it has read the body, which would then be held for as long as the connection is
+        // idle.
+        if (keepAlive && !cancelled && unsentBytes == 0) {
             client.keepForReuse(request.address(), connection);
         } else {
             connection.close();
@@ -162,7 +166,12 @@
         connection.pipeline().get(ClientConnectionHandler.class).attach(this);
         outcome = Outcome.MAY_HAVE_RUN;
         lastActivityNanos = System.nanoTime();
-        connection.writeAndFlush(httpRequest()).addListener(done -> {
+        ChannelFuture write = connection.writeAndFlush(httpRequest());
+        countUnsent(write);
+        write.addListener(done -> {
+            if (unsentBytes > 0) {
+                releaseUnsent();
+            }
             if (!done.isSuccess()) {
                 failWith(
                         ExchangeFailure.Kind.CONNECTION_LOST,
@@ -172,6 +181,19 @@
         scheduleSilenceCheck(TimeUnit.MILLISECONDS.toNanos(request.options().silenceTimeoutMillis()));
     }
 
+    /** Counts the body unless the endpoint's connection accepted all of it at once. */
+    private void countUnsent(ChannelFuture write) {
+        if (!write.isDone()) {
+            unsentBytes = request.body().length;
+            client.heldBytes().add(unsentBytes);
+        }
+    }
+
+    private void releaseUnsent() {
+        client.heldBytes().release(unsentBytes);
+        unsentBytes = 0;
+    }
+
     private FullHttpRequest httpRequest() {
         ByteBuf body = Unpooled.wrappedBuffer(request.body());
         FullHttpRequest message = new DefaultFullHttpRequest(
--- a/src/main/java/org/gooseberryhill/http/HttpCall.java
+++ b/src/main/java/org/gooseberryhill/http/HttpCall.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.decision.memory.AnswerKind;
 
 /** A request received by the server, and its response. Thread-safe; the response is written in the order of the calls. */
 public interface HttpCall {
@@ -65,6 +66,18 @@
      */
     void setBodyReading(boolean reading);
 
+    /** Sets the kind of the answer, which determines when its connection is closed to free memory. Default: plain. */
+    void setAnswerKind(AnswerKind kind);
+
+    /** Returns whether the caller has not accepted all that was written to its connection. */
+    boolean hasUnsentAnswer();
+
+    /**
+     * Sets how many bytes of the answer are collected before they are sent. They count as held by the process until the
+     * response is complete or the connection ends.
+     */
+    void setBufferedAnswerBytes(long bytes);
+
     /** Sets a callback that runs once if the caller's connection ends before the response is complete. */
     void onDisconnect(Runnable callback);
 }
--- a/src/main/java/org/gooseberryhill/http/HttpClient.java
+++ b/src/main/java/org/gooseberryhill/http/HttpClient.java
@@ -30,9 +30,16 @@
     private final Bootstrap bootstrap;
     private final IdleConnectionPool idleConnections = new IdleConnectionPool();
     private final LongAdder connectionAttempts = new LongAdder();
+    private final HeldBytes heldBytes;
 
     /** Creates a client on the given event loops. */
     public HttpClient(EventLoopGroup group) {
+        this(group, HeldBytes.unbounded());
+    }
+
+    /** Creates a client that counts the bytes of request bodies that it has not sent yet. */
+    public HttpClient(EventLoopGroup group, HeldBytes heldBytes) {
+        this.heldBytes = heldBytes;
         bootstrap = new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -123,6 +130,11 @@
         return connectionAttempts.sum();
     }
 
+    /** Returns the counts of request bodies that are not sent yet, together with what others count there. */
+    public HeldBytes heldBytes() {
+        return heldBytes;
+    }
+
     /** Keeps a connection for reuse after a complete response. */
     void keepForReuse(Address address, Channel channel) {
         idleConnections.add(address, channel, System.nanoTime());
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -51,7 +51,12 @@
     /** The number of accepted connections; accessed only on the listening socket's event loop. */
     private long acceptedCount;
 
-    private HttpServer(EventLoopGroup group, ListeningSocket socket, Supplier<HttpLimits> limits, HttpHandler handler) {
+    private HttpServer(
+            EventLoopGroup group,
+            ListeningSocket socket,
+            Supplier<HttpLimits> limits,
+            HeldBytes heldBytes,
+            HttpHandler handler) {
         serverChannel = new ServerBootstrap()
                 .group(group)
                 .channelFactory(() -> new NioServerSocketChannel(socket.channel()))
@@ -71,7 +76,8 @@
                                         currentLimits,
                                         () -> announceClose,
                                         requestsInProgress,
-                                        timedOutRequests));
+                                        timedOutRequests,
+                                        heldBytes));
                     }
                 })
                 .register()
@@ -91,7 +97,7 @@
 
     /** Starts a server on a new listening socket; throws the bind failure if the address is in use. */
     public static HttpServer start(EventLoopGroup group, Address address, HttpLimits limits, HttpHandler handler) {
-        return new HttpServer(group, ListeningSocket.open(address), () -> limits, handler);
+        return start(group, ListeningSocket.open(address), () -> limits, handler);
     }
 
     /**
@@ -101,7 +107,22 @@
      */
     public static HttpServer start(
             EventLoopGroup group, ListeningSocket socket, Supplier<HttpLimits> limits, HttpHandler handler) {
-        return new HttpServer(group, socket, limits, handler);
+        return start(group, socket, limits, HeldBytes.unbounded(), handler);
+    }
+
+    /**
+     * Starts a server on an open listening socket, whose connections count the bytes that they hold.
+     *
+     * @param limits queried for each new connection, which keeps the limits in force at that time
+     * @param heldBytes counts the bytes that the connections hold
+     */
+    public static HttpServer start(
+            EventLoopGroup group,
+            ListeningSocket socket,
+            Supplier<HttpLimits> limits,
+            HeldBytes heldBytes,
+            HttpHandler handler) {
+        return new HttpServer(group, socket, limits, heldBytes, handler);
     }
 
     /** Makes each further response announce that its connection closes ({@code Connection: close}). */
--- a/src/main/java/org/gooseberryhill/http/ServerCall.java
+++ b/src/main/java/org/gooseberryhill/http/ServerCall.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.http;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -22,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.gooseberryhill.decision.memory.AnswerKind;
 
 /**
  * The server side of one request. Thread-safe: all access to the connection runs on its event loop.
@@ -96,8 +98,8 @@
             if (!bodyless || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
                 response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
-            setConnectionHeader(response);
-            context.writeAndFlush(response);
+            setConnectionHeader(response, connection.hasUnreadBody());
+            connection.hold().written(context.writeAndFlush(response));
             completeResponse(keepAlive);
         });
     }
@@ -115,7 +117,7 @@
             if (!endsWithConnection && !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
                 response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             }
-            setConnectionHeader(response);
+            setConnectionHeader(response, endsWithConnection);
             context.writeAndFlush(response);
         });
     }
@@ -128,8 +130,9 @@
                 written.completeExceptionally(new ClosedChannelException());
                 return;
             }
-            context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-                    .addListener(done -> complete(written, done.cause()));
+            ChannelFuture write = context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+            connection.hold().written(write);
+            write.addListener(done -> complete(written, done.cause()));
         });
         return written;
     }
@@ -162,6 +165,25 @@
         });
     }
 
+    @Override
+    public void setAnswerKind(AnswerKind kind) {
+        connection.hold().setAnswerKind(kind);
+    }
+
+    @Override
+    public boolean hasUnsentAnswer() {
+        return connection.hold().unsentBytes() > 0;
+    }
+
+    @Override
+    public void setBufferedAnswerBytes(long bytes) {
+        runOnEventLoop(() -> {
+            if (!ended) {
+                connection.hold().setBufferedAnswerBytes(bytes);
+            }
+        });
+    }
+
     @Override
     public void onDisconnect(Runnable callback) {
         runOnEventLoop(() -> {
@@ -203,8 +225,8 @@
         connection.responseCompleted(context, keepConnection);
     }
 
-    private void setConnectionHeader(HttpResponse response) {
-        keepAlive = keepAliveRequested && !endsWithConnection && !connection.closesAfterResponse();
+    private void setConnectionHeader(HttpResponse response, boolean closes) {
+        keepAlive = keepAliveRequested && !closes && !connection.closesAfterResponse();
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -15,10 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.Lazy;
-import java.util.ArrayDeque;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
@@ -36,17 +33,16 @@
     /** How long a new connection does not count as idle, since its first request may be in transit. */
     static final long FIRST_REQUEST_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /**
-     * Reading pauses while this many messages of pipelined requests are queued. Messages that were already read may exceed it.
-     */
-    private static final int MAX_QUEUED_MESSAGES = 64;
+    /** How long the rest of a body that nobody needs is read; a caller takes the response within a round trip. */
+    private static final long DISCARD_MILLIS = 2000;
 
     private static final Lazy<Logger> LOG = LazyLoggers.of(ServerConnectionHandler.class);
 
     private final HttpHandler handler;
     private final HttpLimits limits;
-    private final Queue<HttpObject> queuedMessages = new ArrayDeque<>();
     private ServerCall call;
+    private ConnectionHold hold;
+    private QueuedMessages queuedMessages;
     private RequestBodyHandler bodyHandler;
     private boolean bodyComplete;
     private boolean bodyReadingPaused;
@@ -55,12 +51,14 @@
     private boolean messageDecoded;
     private boolean partialMessageReceived;
     private boolean discardingInput;
+    private boolean callerIsSlow;
     private long acceptedNanos;
     private final BooleanSupplier closesAfterResponse;
     private final AtomicInteger requestsInProgress;
     private final LongAdder timedOutRequests;
+    private final HeldBytes heldBytes;
     private RequestArrivalTimer arrivalTimer;
-    private ScheduledFuture<?> idleTimer;
+    private final IdleTimer idleTimer;
 
     /**
      * Creates the handler of a connection.
@@ -68,18 +66,22 @@
      * @param closesAfterResponse whether responses announce that their connection closes
      * @param requestsInProgress counts the requests of all connections whose response is not complete
      * @param timedOutRequests counts the requests of all connections that did not arrive completely in time
+     * @param heldBytes counts the bytes that all connections hold
      */
     ServerConnectionHandler(
             HttpHandler handler,
             HttpLimits limits,
             BooleanSupplier closesAfterResponse,
             AtomicInteger requestsInProgress,
-            LongAdder timedOutRequests) {
+            LongAdder timedOutRequests,
+            HeldBytes heldBytes) {
         this.handler = handler;
         this.limits = limits;
+        this.idleTimer = new IdleTimer(limits.idleTimeoutMillis());
         this.closesAfterResponse = closesAfterResponse;
         this.requestsInProgress = requestsInProgress;
         this.timedOutRequests = timedOutRequests;
+        this.heldBytes = heldBytes;
     }
 
     /** Returns whether responses announce that their connection closes. */
@@ -90,6 +92,8 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         acceptedNanos = nanoTime(context.channel());
+        hold = new ConnectionHold(heldBytes, context.channel());
+        queuedMessages = new QueuedMessages(hold);
         arrivalTimer = new RequestArrivalTimer(() -> rejectSlow(context));
         startIdleTimeout(context.channel());
         context.fireChannelActive();
@@ -127,9 +131,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        cancelIdleTimer();
+        idleTimer.cancel();
         arrivalTimer.stop();
-        releaseQueued();
+        queuedMessages.releaseAll();
+        hold.closed();
         if (call != null) {
             if (bodyHandler != null && !bodyComplete) {
                 bodyHandler.onAborted();
@@ -162,6 +167,16 @@
         }
     }
 
+    /** Returns whether the body of the current request has not arrived completely. */
+    boolean hasUnreadBody() {
+        return !bodyComplete;
+    }
+
+    /** Returns the counts of the bytes that the connection holds. */
+    ConnectionHold hold() {
+        return hold;
+    }
+
     /** Pauses or resumes reading the body of the current request. */
     void setBodyReadingPaused(Channel connection, boolean paused) {
         bodyReadingPaused = paused;
@@ -172,10 +187,15 @@
 
     /** Called when the current response is complete: processes the next request, or closes the connection. */
     void responseCompleted(ChannelHandlerContext context, boolean keepAlive) {
+        hold.requestEnded();
         boolean unreadBody = !bodyComplete;
         call = null;
         bodyReadingPaused = false;
         requestsInProgress.decrementAndGet();
+        if (unreadBody && !callerIsSlow) {
+            closeWhileBodyArrives(context.channel());
+            return;
+        }
         if (!keepAlive || unreadBody) {
             closeAfterFinalResponse(context.channel());
             return;
@@ -203,7 +223,7 @@
 
     /** Reads unless the queue is full or the body is paused, since only reading detects that the caller has disconnected. */
     private void updateAutoRead(Channel connection) {
-        connection.config().setAutoRead(!bodyReadingPaused && queuedMessages.size() < MAX_QUEUED_MESSAGES);
+        connection.config().setAutoRead(!bodyReadingPaused && !queuedMessages.isFull());
     }
 
     /**
@@ -237,18 +257,32 @@
         closeIfWriteStalls(connection);
     }
 
+    /**
+     * Closes a connection whose response was given before the body was complete. A close while more of the body arrives would
+     * reset the connection, and the caller could lose the response; so the rest is read and discarded for some time.
+     */
+    private void closeWhileBodyArrives(Channel connection) {
+        if (!(connection instanceof DuplexChannel duplexConnection)) {
+            closeAfterFinalResponse(connection);
+            return;
+        }
+        discardFurtherInput(connection);
+        connection.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(flushed -> duplexConnection.shutdownOutput());
+        connection.eventLoop().schedule(() -> connection.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void discardFurtherInput(Channel connection) {
         discardingInput = true;
-        cancelIdleTimer();
+        idleTimer.cancel();
         arrivalTimer.stop();
-        releaseQueued();
+        queuedMessages.releaseAll();
         updateAutoRead(connection);
     }
 
     /** Closes the connection if no byte is sent for a whole idle period, because the reader has stalled. */
     private void closeIfWriteStalls(Channel connection) {
         if (connection.isOpen()) {
-            runAfterIdlePeriod(connection, connection::close);
+            idleTimer.start(connection, connection::close);
         }
     }
 
@@ -272,7 +306,7 @@
     }
 
     private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
-        cancelIdleTimer();
+        idleTimer.cancel();
         requestCount++;
         requestsInProgress.incrementAndGet();
         bodyComplete = false;
@@ -290,6 +324,7 @@
             return;
         }
         if (content.content().isReadable()) {
+            hold.requestBytesReceived(content.content().readableBytes());
             bodyHandler.onBytes(ByteBufUtil.getBytes(content.content()));
         }
         if (content instanceof LastHttpContent) {
@@ -322,6 +357,7 @@
             rejectUnread(context, RejectionResponse.timedOut());
             return;
         }
+        callerIsSlow = true;
         RequestBodyHandler aborted = bodyHandler;
         bodyHandler = null;
         RejectionResponse.timedOut().sendTo(call);
@@ -335,13 +371,8 @@
         closeAfterFinalResponse(context.channel());
     }
 
-    private void releaseQueued() {
-        queuedMessages.forEach(ReferenceCountUtil::release);
-        queuedMessages.clear();
-    }
-
     private void startIdleTimeout(Channel connection) {
-        runAfterIdlePeriod(connection, () -> closeUnlessRequestArrives(connection, requestCount));
+        idleTimer.start(connection, () -> closeUnlessRequestArrives(connection, requestCount));
     }
 
     /**
@@ -356,32 +387,7 @@
         });
     }
 
-    /** Runs an action once no byte has been sent for a whole idle period, unless the timer is cancelled first. */
-    private void runAfterIdlePeriod(Channel connection, Runnable action) {
-        cancelIdleTimer();
-        UnsentBytes before = UnsentBytes.of(connection);
-        idleTimer = connection
-                .eventLoop()
-                .schedule(
-                        () -> {
-                            if (UnsentBytes.of(connection).equals(before)) {
-                                action.run();
-                                return;
-                            }
-                            runAfterIdlePeriod(connection, action);
-                        },
-                        limits.idleTimeoutMillis(),
-                        TimeUnit.MILLISECONDS);
-    }
-
     private static long nanoTime(Channel connection) {
         return connection.eventLoop().ticker().nanoTime();
     }
-
-    private void cancelIdleTimer() {
-        if (idleTimer != null) {
-            idleTimer.cancel(false);
-            idleTimer = null;
-        }
-    }
 }
--- a/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
+++ b/src/test/java/org/gooseberryhill/http/ServerConnectionHandlerTest.java
@@ -35,7 +35,7 @@
     private final List<HttpCall> heldCalls = new ArrayList<>();
     private final MockTicker ticker = Ticker.newMockTicker();
     private final ServerConnectionHandler handler = new ServerConnectionHandler(
-            this::handle, LIMITS, closesAfterResponse::get, requestsInProgress, new LongAdder());
+            this::handle, LIMITS, closesAfterResponse::get, requestsInProgress, new LongAdder(), HeldBytes.unbounded());
     private final CallerConnection connection = new CallerConnection(ticker, LIMITS, handler);
 
     @AfterEach
--- a/src/test/java/org/gooseberryhill/http/SlowRequestTest.java
+++ b/src/test/java/org/gooseberryhill/http/SlowRequestTest.java
@@ -24,8 +24,8 @@
     private final LongAdder timedOutRequests = new LongAdder();
     private final List<HttpCall> calls = new ArrayList<>();
     private final MockTicker ticker = Ticker.newMockTicker();
-    private final ServerConnectionHandler handler =
-            new ServerConnectionHandler(this::handle, LIMITS, () -> false, requestsInProgress, timedOutRequests);
+    private final ServerConnectionHandler handler = new ServerConnectionHandler(
+            this::handle, LIMITS, () -> false, requestsInProgress, timedOutRequests, HeldBytes.unbounded());
     private final CallerConnection connection = new CallerConnection(ticker, LIMITS, handler);
 
     @AfterEach
