Refuse requests and close connections by the held bytes of a gateway

Cause: a gateway above its memory limit is killed, and only the unsent bytes of a single connection were bounded, at 4 MB. Change: the gateway derives the bound from limits.memory_mb and its maximum heap, refuses by HeldBytesPolicy before a body is received and inside it, relays answers earlier above half of the bound, and drops the timer of a request's deadline, which kept the body until then. It logs held.bytes at most once a second and exports the counts as metrics. Ruled out: pausing the endpoint of a slow caller, since endpoints cut off answers that stay unread.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -13,6 +13,7 @@
 import org.gooseberryhill.http.ExchangeFailure;
 import org.gooseberryhill.http.ExchangeListener;
 import org.gooseberryhill.http.ForwardedHeaders;
+import org.gooseberryhill.http.HeldBytes;
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.http.StreamEvent;
 import org.gooseberryhill.route.Route;
@@ -30,19 +31,17 @@
     private static final int OK = 200;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int MISDIRECTED = 421;
-
-    /**
-     * Larger answers are relayed as they arrive, since memory is limited. After that the caller can't be sent the
-     * answer of another attempt.
-     */
-    private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+    private static final ByteArrayOutputStream NOTHING_COLLECTED = new ByteArrayOutputStream(0);
 
     private final HttpCall call;
     private final Route route;
+    private final HeldBytes heldBytes;
+    private long countedBytes;
     private volatile Optional<Long> lastEventId;
     private volatile boolean started;
 
-    AnswerRelay(HttpCall call, Route route, Optional<Long> lastEventId) {
+    AnswerRelay(HttpCall call, Route route, Optional<Long> lastEventId, HeldBytes heldBytes) {
+        this.heldBytes = heldBytes;
         this.call = call;
         this.route = route;
         this.lastEventId = lastEventId;
@@ -63,13 +62,21 @@
         return new AttemptListener(routedCall, attemptNumber, version);
     }
 
+    /** Counts what is collected of the answer, which the call releases at its end. */
+    private void countCollected(long bytes) {
+        if (bytes != countedBytes) {
+            countedBytes = bytes;
+            call.setBufferedAnswerBytes(bytes);
+        }
+    }
+
     /** Relays the answer of one attempt. */
     final class AttemptListener implements ExchangeListener {
         private final RoutedCall routedCall;
         private final long attemptNumber;
         private final ServiceVersion version;
         private final EventSplitter eventSplitter = new EventSplitter();
-        private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+        private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
         private int status;
         private HttpHeaders headers;
         private boolean streamed;
@@ -87,6 +94,7 @@
         public void onHead(int newStatus, HttpHeaders newHeaders) {
             status = newStatus;
             headers = newHeaders;
+            countCollected(0);
             fromEndpoint = routedCall.isFromEndpoint(status, headers);
             streamed = fromEndpoint && route.kind() == RouteKind.STREAM && status == OK;
         }
@@ -95,15 +103,28 @@
         public void onBytes(byte[] bytes) {
             if (streamed) {
                 relayEvents(eventSplitter.read(bytes));
+                countCollected(eventSplitter.remainderBytes());
             } else if (passedThrough) {
                 call.write(bytes);
             } else {
-                buffer.writeBytes(bytes);
-                if (buffer.size() > MAX_BUFFERED_BYTES && isFinal()) {
-                    passedThrough = true;
-                    startAnswer();
-                    call.write(buffer.toByteArray());
-                }
+                collect(bytes);
+            }
+        }
+
+        /**
+         * Collects the answer. A large one is relayed as it arrives, since memory is limited; after that the caller can't be
+         * sent the answer of another attempt.
+         */
+        private void collect(byte[] bytes) {
+            buffer.writeBytes(bytes);
+            countCollected(buffer.size());
+            if (buffer.size() > heldBytes.policy().maxBufferedAnswerBytes(heldBytes.bytes()) && isFinal()) {
+                passedThrough = true;
+                startAnswer();
+                byte[] collected = buffer.toByteArray();
+                buffer = NOTHING_COLLECTED;
+                countCollected(0);
+                call.write(collected);
             }
         }
 
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -17,6 +17,7 @@
 import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.membership.ListedHost;
+import org.gooseberryhill.decision.memory.HeldBytesPolicy;
 import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
@@ -122,7 +123,7 @@
     public GatewayProcess(GatewaySettings settings, Dialects dialects, KeyValueStoreFactory storeFactory, long seed) {
         this.settings = settings;
         Random random = new Random(seed);
-        HttpClient http = new HttpClient(group);
+        HttpClient http = new HttpClient(group, HeldBytesGuard.newCounts(settings));
         Fleet fleet = new Fleet();
         this.routing = new GroupRouting(settings.self());
         this.store = new RelayingKeyValueStore(
@@ -209,7 +210,8 @@
                 clock,
                 context.peers().traffic(),
                 messageHandler::handle));
-        callersServer = Optional.of(HttpServer.start(group, callers, this::limits, requestRouter::route));
+        callersServer = Optional.of(
+                HttpServer.start(group, callers, this::limits, context.http().heldBytes(), requestRouter::route));
         readinessServer = Optional.of(
                 HttpServer.start(group, settings.readinessAddress(), HttpLimits.DEFAULT, readiness::answer));
         settings.metricsAddress().ifPresent(this::startMetrics);
@@ -381,6 +383,7 @@
     }
 
     private HttpLimits limits() {
-        return CallerLimits.of(table.configuration().limits(), settings.connectionLimits());
+        HeldBytesPolicy heldBytes = context.http().heldBytes().policy();
+        return CallerLimits.of(table.configuration().limits(), settings.connectionLimits(), heldBytes);
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param resultRetentionMillis time for which a finished batch is kept
  * @param connectionLimits limits of the connections from callers
  * @param submissionCopies number of hosts that must store a submission on disk for it to survive all tolerated losses
+ * @param memoryLimitBytes memory at which the process is killed, if it is known
  */
 public record GatewaySettings(
         Host self,
@@ -30,7 +31,8 @@
         int storeTimeoutMillis,
         long resultRetentionMillis,
         ConnectionLimits connectionLimits,
-        int submissionCopies) {
+        int submissionCopies,
+        Optional<Long> memoryLimitBytes) {
     /** Returns these settings, with the values that may change while the process runs taken from newer ones. */
     GatewaySettings reloaded(GatewaySettings newer) {
         return new GatewaySettings(
@@ -43,6 +45,7 @@
                 newer.storeTimeoutMillis,
                 resultRetentionMillis,
                 connectionLimits,
-                newer.submissionCopies);
+                newer.submissionCopies,
+                memoryLimitBytes);
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.access.CallerAuthentication;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
+import org.gooseberryhill.decision.memory.AnswerKind;
 import org.gooseberryhill.dialect.BatchApiCall;
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.ServiceVersion;
@@ -50,6 +51,7 @@
     private final BatchSubmissionHandler submissionHandler;
     private final BatchApiHandler batchApiHandler;
     private final StartGate gate;
+    private final HeldBytesGuard heldBytesGuard;
     private final Random random;
     private volatile RouteTable table = RouteTable.EMPTY;
 
@@ -65,6 +67,7 @@
         this.submissionHandler = submissionHandler;
         this.batchApiHandler = batchApiHandler;
         this.gate = gate;
+        this.heldBytesGuard = new HeldBytesGuard(context.http().heldBytes());
         this.random = random;
     }
 
@@ -79,6 +82,13 @@
         RouteTable current = table;
         int maxBytes = current.configuration().limits().maxBodyBytes();
         Optional<BatchApiCall> batchApiCall = context.dialects().batches().parseCall(call);
+        AnswerKind answerKind =
+                batchApiCall.filter(RequestRouter::readsBatch).isPresent() ? AnswerKind.BATCH_READ : AnswerKind.PLAIN;
+        call.setAnswerKind(answerKind);
+        Optional<Refusal> refusal = heldBytesGuard.refusal(call, answerKind);
+        if (refusal.isPresent()) {
+            return refuseUnread(call, refusal.get());
+        }
         if (batchApiCall.isPresent()) {
             return readBody(call, maxBytes, body -> runOrHold(() -> handleBatchApiCall(call, batchApiCall.get())));
         }
@@ -168,6 +178,9 @@
 
     private void start(Arrival arrival, String service, Optional<ServiceVersion> beganAt) {
         HttpCall call = arrival.call;
+        if (arrival.route.kind() == RouteKind.STREAM) {
+            call.setAnswerKind(AnswerKind.STREAM);
+        }
         RoutedRequestInfo requestInfo = new RoutedRequestInfo(
                 arrival.id,
                 arrival.route,
@@ -198,9 +211,24 @@
                 maxBytes,
                 onBody,
                 () -> refuse(
-                        call,
-                        "",
-                        Refusal.notRun(ErrorCode.TOO_LARGE, "the body has more than " + maxBytes + " bytes")));
+                        call, "", Refusal.notRun(ErrorCode.TOO_LARGE, "the body has more than " + maxBytes + " bytes")),
+                heldBytesGuard::mayHoldMore,
+                () -> refuse(call, "", heldBytesGuard.bodyRefusal()));
+    }
+
+    /** Refuses a request at once; without a body, its end has to be read first, so that the connection stays open. */
+    private RequestBodyHandler refuseUnread(HttpCall call, Refusal refusal) {
+        String id =
+                context.dialects().traffic().parseRequest(call.headers()).id().orElse("");
+        boolean hasBody = HeldBytesGuard.bodyBytes(call.headers()).orElse(1) > 0;
+        if (hasBody) {
+            refuse(call, id, refusal);
+        }
+        return new BodyCollector(0, body -> refuse(call, id, refusal), () -> {});
+    }
+
+    private static boolean readsBatch(BatchApiCall batchApiCall) {
+        return batchApiCall instanceof BatchApiCall.ReadResults || batchApiCall instanceof BatchApiCall.ReadItem;
     }
 
     private void refuse(HttpCall call, String id, Refusal refusal) {
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -52,6 +52,7 @@
     /** Present while an attempt is in progress. */
     private Optional<Exchange> exchange = Optional.empty();
 
+    private final CancellableTask deadlineTask = new CancellableTask(this::deadlineExceeded);
     private boolean finished;
     private long attemptNumber;
 
@@ -67,7 +68,11 @@
         this.call = call;
         this.metadata = metadata;
         this.request = context.core().newRequest(requestInfo);
-        this.relay = new AnswerRelay(call, requestInfo.route(), metadata.lastEventId());
+        this.relay = new AnswerRelay(
+                call,
+                requestInfo.route(),
+                metadata.lastEventId(),
+                context.http().heldBytes());
         this.admission = new RequestAdmission(traffic.slots(), request);
         this.attemptRequests = new AttemptRequests(context.dialects().traffic(), call, body);
         this.log = new RoutedCallLog(context, traffic, request, metadata.firstRequestId());
@@ -93,7 +98,7 @@
         call.onDisconnect(() -> context.loop().execute(this::callerDisconnected));
         long remainingNanos = request.info().deadlineNanos() - context.nowNanos();
         long remainingMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
-        context.loop().after(remainingMillis, this::deadlineExceeded);
+        context.loop().after(remainingMillis, deadlineTask);
         if (!context.stop().acceptsRequest(remainingMillis, context.nowNanos())) {
             refuse(GatewayTraffic.STOPPING_REFUSAL, Optional.empty());
             return;
@@ -368,6 +373,7 @@
 
     private void finish(String end, EventBuilder event) {
         finished = true;
+        deadlineTask.cancel();
         releasePermit();
         traffic.requestEnded();
         context.metrics().requestEnded(request.info().route().name(), end);
--- a/src/main/java/org/gooseberryhill/http/EventSplitter.java
+++ b/src/main/java/org/gooseberryhill/http/EventSplitter.java
@@ -52,6 +52,11 @@
         return false;
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    public int remainderBytes() {
+        return partial.length;
+    }
+
     /** Returns the bytes after the last complete event. */
     public byte[] remainder() {
         return partial.clone();
--- a/src/main/java/org/gooseberryhill/http/HeldBytes.java
+++ b/src/main/java/org/gooseberryhill/http/HeldBytes.java
@@ -28,6 +28,8 @@
             AnswerKind.STREAM, new LongAdder(),
             AnswerKind.PLAIN, new LongAdder());
     private final LongAdder closedBytes = new LongAdder();
+    private final LongAdder refusedRequests = new LongAdder();
+    private final LongAdder refusedBodies = new LongAdder();
 
     /** Creates counts of zero. */
     public HeldBytes(HeldBytesPolicy policy) {
@@ -69,6 +71,21 @@
         return closedBytes.sum();
     }
 
+    /** Counts a request that is refused because of the held bytes; {@code insideBody} tells whether its body had begun. */
+    public void countRefusal(boolean insideBody) {
+        (insideBody ? refusedBodies : refusedRequests).increment();
+    }
+
+    /** Returns how many requests were refused before their body was received. */
+    public long refusedRequests() {
+        return refusedRequests.sum();
+    }
+
+    /** Returns how many requests were refused while their body was received. */
+    public long refusedBodies() {
+        return refusedBodies.sum();
+    }
+
     /** Adds bytes, and closes connections if there are too many now. */
     void add(long added) {
         long total = bytes.addAndGet(added);
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -18,6 +18,8 @@
     PROCESS_DELAYED("process.delayed", Importance.STATE),
     /** Connections beyond the limits, or requests that arrived too slowly, were rejected. */
     CONNECTIONS_REJECTED("connections.rejected", Importance.STATE),
+    /** The bytes held for slow readers reached another level, or requests were refused or connections closed because of them. */
+    HELD_BYTES("held.bytes", Importance.STATE),
     /** Events were dropped by the rate limit. */
     LINES_DROPPED("lines.dropped", Importance.STATE),
 
