--- a/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,11 +10,13 @@
 import java.util.function.Predicate;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.dispatch.FleetEndpoint;
 import org.gooseberryhill.decision.dispatch.InFlight;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
+import org.gooseberryhill.decision.dispatch.RelativeDurations;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.quota.QuotaPolicy;
 import org.gooseberryhill.directory.EndpointEntry;
@@ -104,7 +105,8 @@
         if (overQuota.isPresent()) {
             return PlacementReply.of(new PlacementAnswer.OverQuota(overQuota.get()));
         }
-        PlacementAnswer answer = new PlacementAnswer.Placed(endpoint.key(), placer.facts(endpoint, usable.size()));
+        PlacementAnswer answer =
+                new PlacementAnswer.Placed(endpoint.key(), placer.facts(endpoint, usable.size(), nowNanos));
         query.prompt().ifPresent(prompt -> placer.requestPlaced(endpoint.key(), prompt));
         ledger.addOnline(host, endpoint.key(), 1, nowNanos);
         yieldExcess(endpoint);
@@ -129,14 +131,14 @@
     /**
      * Records the end of an online request of a host, or that a host did not use an assignment.
      *
-     * @param nanos how long the request was in flight
+     * @param timing how long the request was in flight
      */
-    public void onlineEnded(HostId host, EndpointKey endpoint, AttemptEnd end, long nanos, long nowNanos) {
+    public void onlineEnded(HostId host, EndpointKey endpoint, AttemptEnd end, AttemptTiming timing, long nowNanos) {
         ledger.addOnline(host, endpoint, -1, nowNanos);
         recordHealth(endpoint, end, nowNanos);
         if (end == AttemptEnd.ANSWERED) {
             ledger.find(endpoint)
-                    .ifPresent(found -> placer.requestAnswered(found.entry().service(), nanos));
+                    .ifPresent(found -> placer.requestAnswered(found.entry().service(), endpoint, timing, nowNanos));
         }
     }
 
@@ -249,10 +251,9 @@
         int free = usable.stream()
                 .mapToInt(endpoint -> Math.max(0, endpoint.freeSlots()))
                 .sum();
+        RelativeDurations durations = placer.relativeDurations(group.service(), nowNanos);
         while (next.isPresent() && free > reserved) {
-            FleetEndpoint endpoint = usable.stream()
-                    .max(Comparator.comparingInt(FleetEndpoint::freeSlots))
-                    .orElseThrow();
+            FleetEndpoint endpoint = ItemPlacement.choose(usable, durations);
             grant(next.get().owner(), endpoint, waiting.pressure(), nowNanos);
             waiting.takeFirst(next.get().owner());
             free--;
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -283,7 +283,7 @@
                         Optional.of(overloaded.get().facts()));
             }
         }
-        return send(request, chosen.get(), placer.facts(chosen.get(), usable.size()), false, nowNanos);
+        return send(request, chosen.get(), placer.facts(chosen.get(), usable.size(), nowNanos), false, nowNanos);
     }
 
     private DispatchDecision refuseOrWait(RoutedRequest request, long nowNanos) {
@@ -315,7 +315,9 @@
 
     /** Records that an attempt returned the whole answer. */
     public void attemptSucceeded(RoutedRequest request, long nowNanos) {
-        placer.requestAnswered(request.info().service(), request.attemptNanos(nowNanos));
+        AttemptTiming timing = AttemptTiming.ofDuration(request.attemptNanos(nowNanos));
+        request.endpoint()
+                .ifPresent(key -> placer.requestAnswered(request.info().service(), key, timing, nowNanos));
         attemptEnded(request, AttemptEnd.ANSWERED, nowNanos);
         gate.answered(request);
     }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/LeastWaitPlacement.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/LeastWaitPlacement.java
@@ -54,12 +54,12 @@
     private static double cost(FleetEndpoint endpoint, PlacementCase placement) {
         double yieldMillis = endpoint.freeSlots() > 0 ? 0 : YIELD_MILLIS;
         double zoneMillis = endpoint.isIn(placement.zone()) ? 0 : OTHER_ZONE_MILLIS;
-        double loadMillis =
-                FULL_LOAD_MILLIS * endpoint.online() / endpoint.entry().slots();
+        double relativeDuration = placement.relativeDuration(endpoint);
+        double loadMillis = loadMillis(endpoint, relativeDuration);
         double connectMillis = placement.isConnected(endpoint) ? 0 : CONNECT_MILLIS;
         double prefillMillis = PREFILL_MILLIS_PER_TOKEN * placement.prefillTokens(endpoint);
         double warmUpMillis = Math.max(0, endpoint.entry().warmUpLeftMillis());
-        return WaitForecast.waitMillis(endpoint, placement.meanRunMillis())
+        return WaitForecast.waitMillis(endpoint, placement.meanRunMillis() * relativeDuration)
                 + yieldMillis
                 + zoneMillis
                 + connectMillis
@@ -67,4 +67,15 @@
                 + loadMillis
                 + warmUpMillis;
     }
+
+    /**
+     * Returns the cost of the load that the request would make. At equal speeds it orders endpoints by their load alone; at
+     * others the number of requests in flight becomes proportional to the speed.
+     */
+    private static double loadMillis(FleetEndpoint endpoint, double relativeDuration) {
+        return FULL_LOAD_MILLIS
+                * relativeDuration
+                * (endpoint.online() + 1)
+                / endpoint.entry().slots();
+    }
 }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/PlacementCase.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/PlacementCase.java
@@ -16,6 +16,7 @@
  * @param excluded the endpoints to leave out, since they have or had the request
  * @param meanRunMillis the mean time that a request of the service holds its slot
  * @param nowNanos the current time
+ * @param relativeDurations how long requests run at each endpoint, relative to that mean
  */
 public record PlacementCase(
         AvailabilityZone zone,
@@ -24,12 +25,18 @@
         Set<EndpointKey> connected,
         Set<EndpointKey> excluded,
         double meanRunMillis,
-        long nowNanos) {
+        long nowNanos,
+        RelativeDurations relativeDurations) {
     /** Returns whether the host that will send the request keeps an idle connection to an endpoint. */
     boolean isConnected(FleetEndpoint endpoint) {
         return connected.contains(endpoint.key());
     }
 
+    /** Returns the expected duration of requests at an endpoint relative to the mean of the service. */
+    double relativeDuration(FleetEndpoint endpoint) {
+        return relativeDurations.at(endpoint.key());
+    }
+
     /** Returns how many tokens of the prompt an endpoint would have to process; 0 without a prompt. */
     int prefillTokens(FleetEndpoint endpoint) {
         return prompt.map(generationPrompt -> prefixes.prefillTokens(endpoint.key(), generationPrompt))
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RequestPlacer.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RequestPlacer.java
@@ -13,12 +13,19 @@
  */
 public final class RequestPlacer {
     private final DispatchPolicies policies;
+    private final EndpointSpeeds speeds;
     private final Map<String, ServiceRunTime> runTimes = new HashMap<>();
     private final PromptPrefixTracker prefixes = new PromptPrefixTracker();
 
-    /** Creates a placer that knows no run times and no prompts yet. */
+    /** Creates a placer that knows no run times and no prompts yet, and takes all endpoints to be equally fast. */
     public RequestPlacer(DispatchPolicies policies) {
+        this(policies, new UniformEndpointSpeeds());
+    }
+
+    /** Creates a placer that knows no run times and no prompts yet. */
+    public RequestPlacer(DispatchPolicies policies, EndpointSpeeds speeds) {
         this.policies = policies;
+        this.speeds = speeds;
     }
 
     /** Returns the endpoint for a request; empty if none is usable. */
@@ -30,7 +37,8 @@
                 query.connected(),
                 query.excluded(),
                 meanRunMillis(query.service()),
-                nowNanos);
+                nowNanos,
+                speeds.of(query.service(), nowNanos));
         return policies.placement().choose(endpoints, placement);
     }
 
@@ -45,7 +53,7 @@
         double meanRunMillis = meanRunMillis(query.service());
         OverloadCase overload = new OverloadCase(
                 query.service(),
-                WaitForecast.waitMillis(chosen, meanRunMillis),
+                WaitForecast.waitMillis(chosen, meanRunMillis * relativeDuration(chosen, nowNanos)),
                 query.targetLatencyMillis(),
                 query.remainingMillis(),
                 usable.stream().mapToInt(endpoint -> endpoint.entry().slots()).sum(),
@@ -61,8 +69,8 @@
     }
 
     /** Returns the figures by which an endpoint was chosen. */
-    public PlacementFacts facts(FleetEndpoint chosen, int usableCount) {
-        double meanRunMillis = meanRunMillis(chosen.entry().service());
+    public PlacementFacts facts(FleetEndpoint chosen, int usableCount, long nowNanos) {
+        double meanRunMillis = meanRunMillis(chosen.entry().service()) * relativeDuration(chosen, nowNanos);
         return new PlacementFacts(
                 usableCount,
                 chosen.online(),
@@ -77,8 +85,18 @@
     }
 
     /** Records how long a request that was answered completely held its slot. */
-    public void requestAnswered(String service, long nanos) {
-        runTimes.computeIfAbsent(service, key -> new ServiceRunTime()).add(nanos);
+    public void requestAnswered(String service, EndpointKey endpoint, AttemptTiming timing, long nowNanos) {
+        runTimes.computeIfAbsent(service, key -> new ServiceRunTime()).add(timing.nanos());
+        speeds.attemptAnswered(service, endpoint, timing, nowNanos);
+    }
+
+    /** Returns the expected duration of requests at the endpoints of a service, for use at the given time only. */
+    public RelativeDurations relativeDurations(String service, long nowNanos) {
+        return speeds.of(service, nowNanos);
+    }
+
+    private double relativeDuration(FleetEndpoint endpoint, long nowNanos) {
+        return speeds.of(endpoint.entry().service(), nowNanos).at(endpoint.key());
     }
 
     private double meanRunMillis(String service) {
--- a/src/main/java/org/gooseberryhill/gateway/AnswerProgress.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerProgress.java
@@ -10,8 +10,9 @@
  * @param framing how the answer marks its end; empty if no answer began
  * @param lastEventId id of the last complete event of the stream; empty if there is none
  * @param unfinishedBytes number of bytes after the last complete event of the stream; 0 for other answers
+ * @param eventNanos mean time between the last events of the stream; 0 if there were too few, and for other answers
  */
-record AnswerProgress(Optional<BodyFraming> framing, Optional<Long> lastEventId, int unfinishedBytes) {
+record AnswerProgress(Optional<BodyFraming> framing, Optional<Long> lastEventId, int unfinishedBytes, long eventNanos) {
     /** Adds the progress to a log line. */
     void addTo(EventBuilder event) {
         framing.ifPresent(given -> event.with("framing", given));
--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.EventPace;
 import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.EventSplitter;
@@ -69,6 +70,7 @@
         private final long attemptNumber;
         private final ServiceVersion version;
         private final EventSplitter eventSplitter = new EventSplitter();
+        private final EventPace pace = new EventPace();
         private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
         private int status;
         private HttpHeaders headers;
@@ -179,12 +181,16 @@
             return new AnswerProgress(
                     headers == null ? Optional.empty() : Optional.of(framing()),
                     lastEventId,
-                    eventSplitter.remainder().length);
+                    eventSplitter.remainder().length,
+                    pace.eventNanos());
         }
 
         /** Writes events that arrived together in one call, since each write costs a system call. */
         private void relayEvents(List<StreamEvent> arrived) {
-            hasEvents |= !arrived.isEmpty();
+            if (!arrived.isEmpty()) {
+                hasEvents = true;
+                pace.arrived(arrived.size(), System.nanoTime());
+            }
             List<StreamEvent> unseen =
                     arrived.stream().filter(this::recordIfNew).toList();
             if (unseen.isEmpty()) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.SpeedClass;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
 import org.gooseberryhill.metrics.LabeledCounter;
 import org.gooseberryhill.metrics.LabeledHistogram;
@@ -35,6 +36,9 @@
     private final LabeledCounter items =
             metrics.counter("gooseberry_item_runs", "Runs of items of request batches by their end", "end");
 
+    private final LabeledCounter speedChanges = metrics.counter(
+            "gooseberry_endpoint_speed_changes", "Endpoints that became slow, usual or fast, by new class", "to");
+
     /** Returns all metrics for export. */
     MetricRegistry all() {
         return metrics;
@@ -63,6 +67,10 @@
         items.increment(end.name());
     }
 
+    void endpointSpeedChanged(SpeedClass to) {
+        speedChanges.increment(to.name());
+    }
+
     private static String boundedLabel(Set<String> labelValues, String value) {
         if (labelValues.contains(value)) {
             return value;
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -9,6 +9,7 @@
 import org.gooseberryhill.decision.continuation.StreamOrigin;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
 import org.gooseberryhill.decision.dispatch.OverloadFacts;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
@@ -152,7 +153,7 @@
     }
 
     private void returnSlot(EndpointKey endpoint) {
-        traffic.slots().onlineEnded(endpoint, AttemptEnd.DROPPED, 0);
+        traffic.slots().onlineEnded(endpoint, AttemptEnd.DROPPED, AttemptTiming.ofDuration(0));
     }
 
     private void dispatchAfterWait() {
@@ -197,7 +198,7 @@
                 return;
             }
             exchange = Optional.empty();
-            recordAttemptEnd(AttemptEnd.ANSWERED);
+            recordAttemptEnd(AttemptEnd.ANSWERED, progress.eventNanos());
             traffic.crashTracking().requestCompleted(request.info());
             recordServedParts(status, progress);
             context.core().attemptSucceeded(request, context.nowNanos());
@@ -261,7 +262,7 @@
             exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
             log.attemptFailed(endpoint, attempt, end, detail, progress);
-            recordAttemptEnd(end);
+            recordAttemptEnd(end, 0);
             recordAnswerStart();
             if (!relay.isStarted()) {
                 traffic.crashTracking().attemptEnded(request.info().fingerprint(), endpoint, end);
@@ -302,11 +303,11 @@
         request.takePermit().ifPresent(traffic.permits()::release);
     }
 
-    private void recordAttemptEnd(AttemptEnd end) {
+    private void recordAttemptEnd(AttemptEnd end, long eventNanos) {
         long attemptNanos = request.attemptNanos(context.nowNanos());
         request.endpoint().ifPresent(key -> {
             context.metrics().attemptEnded(key.id(), end, seconds(attemptNanos));
-            traffic.slots().onlineEnded(key, end, attemptNanos);
+            traffic.slots().onlineEnded(key, end, new AttemptTiming(attemptNanos, eventNanos));
         });
     }
 
@@ -362,7 +363,8 @@
     private void abandonAttempt() {
         exchange.ifPresent(Exchange::cancel);
         exchange = Optional.empty();
-        request.endpoint().ifPresent(key -> traffic.slots().onlineEnded(key, AttemptEnd.ABANDONED, 0));
+        request.endpoint()
+                .ifPresent(key -> traffic.slots().onlineEnded(key, AttemptEnd.ABANDONED, AttemptTiming.ofDuration(0)));
         context.core().abandoned(request, context.nowNanos());
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -8,6 +8,8 @@
 import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
+import org.gooseberryhill.decision.dispatch.EndpointSpeeds;
+import org.gooseberryhill.decision.dispatch.ObservedEndpointSpeeds;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
 import org.gooseberryhill.decision.quota.CountedSharesQuota;
@@ -28,6 +30,7 @@
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
     private final SlotExchange exchange;
+    private final EndpointSpeedLog speedLog;
     private WorkAnnouncer announcer;
 
     SlotAssignment(GatewayContext context, PeerLinks links, GroupRouting routing, DispatchPolicies policies) {
@@ -36,8 +39,10 @@
         this.routing = routing;
         // Microseconds since the epoch grow faster than an earlier process can have used numbers.
         long firstReservation = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+        EndpointSpeeds speeds = new ObservedEndpointSpeeds();
+        this.speedLog = new EndpointSpeedLog(context, speeds);
         this.coordinator = new SlotCoordinator(
-                new RequestPlacer(policies),
+                new RequestPlacer(policies, speeds),
                 new FluctuationReserve(),
                 new CountedSharesQuota(context.settings().self().id(), context.nowNanos()),
                 order,
@@ -79,6 +84,7 @@
     /** Applies changes of the live hosts, and announces items that were not announced for a while. */
     void slowTick() {
         announcer.tick();
+        speedLog.tick();
     }
 
     /** Reports all work to the coordinators. */
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -12,8 +12,10 @@
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.coordination.WorkReports;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
+import org.gooseberryhill.decision.dispatch.ProcessPauses;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.Host;
@@ -47,6 +49,7 @@
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
     private final AdmissionClient admissions;
+    private final ProcessPauses pauses = new ProcessPauses();
     private GrantReceiver grantReceiver;
 
     SlotExchange(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
@@ -96,8 +99,11 @@
     }
 
     /** Tells the coordinator of an endpoint that a request has ended there, or that an assigned slot is not used. */
-    void onlineEnded(EndpointKey endpoint, AttemptEnd end, long nanos) {
-        tell(endpoint, new CoordinationMessage.OnlineEnded(endpoint, end, nanos));
+    void onlineEnded(EndpointKey endpoint, AttemptEnd end, AttemptTiming timing) {
+        long nowNanos = context.nowNanos();
+        boolean paused = pauses.since(nowNanos - timing.nanos(), nowNanos);
+        AttemptTiming usable = paused ? AttemptTiming.ofDuration(timing.nanos()) : timing;
+        tell(endpoint, new CoordinationMessage.OnlineEnded(endpoint, end, usable));
     }
 
     /** Tells the coordinator of an endpoint of the start or end of an item there. */
@@ -135,6 +141,7 @@
 
     /** Assigns slots that have become free in time without a message, and tells other coordinators of the load. */
     void tick() {
+        pauses.tick(context.nowNanos(), System.currentTimeMillis());
         assignSlots();
         sendLoads();
     }
@@ -156,7 +163,7 @@
     void handle(HostId from, CoordinationMessage message) {
         long nowNanos = context.nowNanos();
         if (message instanceof CoordinationMessage.OnlineEnded ended) {
-            coordinator.onlineEnded(from, ended.endpoint(), ended.end(), ended.nanos(), nowNanos);
+            coordinator.onlineEnded(from, ended.endpoint(), ended.end(), ended.timing(), nowNanos);
         } else if (message instanceof CoordinationMessage.OnlineStarted started) {
             coordinator.onlineStarted(from, started.endpoint(), nowNanos);
         } else if (message instanceof CoordinationMessage.ItemStarted started) {
@@ -270,7 +277,10 @@
             }
             admissions.recordLateAnswer();
             if (placement.reply().answer() instanceof PlacementAnswer.Placed placed) {
-                send(host, new CoordinationMessage.OnlineEnded(placed.endpoint(), AttemptEnd.DROPPED, 0));
+                send(
+                        host,
+                        new CoordinationMessage.OnlineEnded(
+                                placed.endpoint(), AttemptEnd.DROPPED, AttemptTiming.ofDuration(0)));
             }
         }
 
--- a/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
@@ -16,6 +16,7 @@
 import org.gooseberryhill.decision.coordination.ItemTiming;
 import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
@@ -55,10 +56,14 @@
                         CoordinationMessage.OnlineEnded.class,
                         (message, packer) -> {
                             writeKey(packer, message.endpoint());
-                            packer.packString(message.end().name()).packLong(message.nanos());
+                            packer.packString(message.end().name())
+                                    .packLong(message.timing().nanos())
+                                    .packLong(message.timing().eventNanos());
                         },
                         unpacker -> new CoordinationMessage.OnlineEnded(
-                                readKey(unpacker), AttemptEnd.valueOf(unpacker.unpackString()), unpacker.unpackLong())),
+                                readKey(unpacker),
+                                AttemptEnd.valueOf(unpacker.unpackString()),
+                                readAttemptTiming(unpacker))),
                 new CompactCodec<>(
                         32,
                         CoordinationMessage.WorkReport.class,
@@ -76,6 +81,11 @@
                                 QuotaCodecs.readReport(unpacker))));
     }
 
+    /** Reads a timing; hosts of earlier message sets don't send the time between events. */
+    private static AttemptTiming readAttemptTiming(MessageUnpacker unpacker) throws IOException {
+        return new AttemptTiming(unpacker.unpackLong(), unpacker.hasNext() ? unpacker.unpackLong() : 0);
+    }
+
     private static List<CompactCodec<?>> itemCodecs() {
         return List.of(
                 new CompactCodec<>(
--- a/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
@@ -8,6 +8,7 @@
 import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.quota.QuotaReport;
 import org.gooseberryhill.directory.EndpointGroup;
@@ -45,9 +46,9 @@
      *
      * @param endpoint the endpoint
      * @param end how it ended
-     * @param nanos how long the request was in flight, in nanoseconds
+     * @param timing how long the request was in flight; the time between its events is not known to earlier hosts
      */
-    record OnlineEnded(EndpointKey endpoint, AttemptEnd end, long nanos) implements CoordinationMessage {}
+    record OnlineEnded(EndpointKey endpoint, AttemptEnd end, AttemptTiming timing) implements CoordinationMessage {}
 
     /**
      * Asks a coordinator whether the quota of a client account allows a request that the sender places itself; the reply is
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -87,6 +87,8 @@
     LEASE_LOST("lease.lost", Importance.STATE),
     /** An endpoint was temporarily excluded from routing, or included again. */
     ENDPOINT_HEALTH("endpoint.health", Importance.STATE),
+    /** An endpoint has become slow, usual or fast compared with the others of its service. */
+    ENDPOINT_SPEED("endpoint.speed", Importance.STATE),
     /** A connection was made to an endpoint whose connections were lost, to see whether it has crashed. */
     ENDPOINT_CHECKED("endpoint.checked", Importance.STATE),
     /** An endpoint crashed with requests in flight. */
--- a/src/test/java/org/gooseberryhill/decision/coordination/CoordinationFixture.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/CoordinationFixture.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
+import org.gooseberryhill.decision.dispatch.ObservedEndpointSpeeds;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
@@ -36,7 +38,7 @@
 
     CoordinationFixture(int endpoints, int slots) {
         coordinator = new SlotCoordinator(
-                new RequestPlacer(DispatchPolicies.defaults(new Random(1))),
+                new RequestPlacer(DispatchPolicies.defaults(new Random(1)), new ObservedEndpointSpeeds()),
                 new FluctuationReserve(),
                 new EqualSharesQuota(),
                 new FeasibleFirstOrder(),
@@ -78,7 +80,19 @@
     }
 
     void ended(HostId host, EndpointKey endpoint) {
-        coordinator.onlineEnded(host, endpoint, AttemptEnd.ANSWERED, TimeUnit.MILLISECONDS.toNanos(500), nowNanos);
+        coordinator.onlineEnded(
+                host,
+                endpoint,
+                AttemptEnd.ANSWERED,
+                AttemptTiming.ofDuration(TimeUnit.MILLISECONDS.toNanos(500)),
+                nowNanos);
+    }
+
+    /** Records the end of a request whose events came at the given intervals, without a placement. */
+    void ended(EndpointKey endpoint, AttemptEnd end, long eventMillis) {
+        AttemptTiming timing = new AttemptTiming(
+                TimeUnit.MILLISECONDS.toNanos(20 * eventMillis), TimeUnit.MILLISECONDS.toNanos(eventMillis));
+        coordinator.onlineEnded(OWNER, endpoint, end, timing, nowNanos);
     }
 
     /** Announces items with the given slacks, in milliseconds. */
--- a/src/test/java/org/gooseberryhill/decision/coordination/SlotCoordinatorTest.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/SlotCoordinatorTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
@@ -239,7 +240,8 @@
     @Test
     void failuresThatDifferentHostsReportEjectAnEndpointForAll() {
         for (String host : new String[] {"a", "b", "c"}) {
-            fixture.coordinator.onlineEnded(new HostId(host), E0, AttemptEnd.CUT, 0, fixture.nowNanos);
+            fixture.coordinator.onlineEnded(
+                    new HostId(host), E0, AttemptEnd.CUT, AttemptTiming.ofDuration(0), fixture.nowNanos);
         }
 
         for (int i = 0; i < 4; i++) {
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayCall.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayCall.java
@@ -12,6 +12,9 @@
     private static final double MAX_WAIT_SHARE_OF_REMAINING_TIME = 1.0 / 3;
     private static final double ONE_WAY_LATENCY_MILLIS = 1;
 
+    /** Longest pause between two events that callers accept. */
+    private static final double MAX_PAUSE_MILLIS = 400;
+
     /** Share of the target latency after which a refusal is too late for a retry to be on time. */
     private static final double EARLY_SHARE_OF_TARGET = 0.25;
 
@@ -27,6 +30,8 @@
     private Optional<Double> firstEventMillis = Optional.empty();
     private Optional<Double> firstEventMillisOfAttempt = Optional.empty();
     private boolean answered;
+    private long lastEventNanos;
+    private double longestPauseMillis;
 
     ReplayCall(VirtualClock clock, ServingReplay replay, Route route, double promptTokens, int events) {
         this.clock = clock;
@@ -51,6 +56,10 @@
     }
 
     void onEvent() {
+        if (firstEventMillis.isPresent()) {
+            longestPauseMillis = Math.max(longestPauseMillis, millisSince(lastEventNanos));
+        }
+        lastEventNanos = clock.nowNanos();
         if (firstEventMillis.isEmpty()) {
             firstEventMillis = Optional.of(millisSince(startNanos) + ONE_WAY_LATENCY_MILLIS);
             firstEventMillisOfAttempt = Optional.of(millisSince(attemptStartNanos) + ONE_WAY_LATENCY_MILLIS);
@@ -81,6 +90,18 @@
         return answered && refusals == 0 && firstEventMillis.orElseThrow() <= route.targetLatencyMillis();
     }
 
+    /** Returns whether the caller got the whole answer as it needs it, whether or not it was refused before. */
+    boolean isServedInTime() {
+        return answered
+                && firstEventMillis.orElseThrow() <= route.targetLatencyMillis()
+                && longestPauseMillis <= MAX_PAUSE_MILLIS;
+    }
+
+    /** Returns when the call began, in seconds after the beginning of the replay. */
+    double secondsAfterStart() {
+        return (double) (startNanos - VirtualClock.START_NANOS) / TimeUnit.SECONDS.toNanos(1);
+    }
+
     /** Returns whether the call was refused early and then on time, as measured from its second attempt. */
     boolean isOnTimeAfterRefusal() {
         return answered
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.DoubleSupplier;
 import org.gooseberryhill.directory.EndpointEntry;
 
 /**
@@ -26,6 +27,11 @@
     private final ReplayCounts counts;
     private final Deque<Run> queue = new ArrayDeque<>();
     private final List<Run> running = new ArrayList<>();
+    private DoubleSupplier slowdown = () -> 1;
+    private boolean failing;
+    private boolean lost;
+    private int arrivals;
+    private int mostQueued;
 
     ReplayEndpoint(VirtualClock clock, EndpointEntry entry, double tokensPerEvent, ReplayCounts counts) {
         this.clock = clock;
@@ -42,13 +48,50 @@
         return running.size();
     }
 
+    /** Sets by how much longer everything takes at present than usually. */
+    void setSlowdown(DoubleSupplier newSlowdown) {
+        slowdown = newSlowdown;
+    }
+
+    /** Lets the endpoint answer new requests at once with errors, or serve them again. */
+    void setFailing(boolean answersWithErrors) {
+        failing = answersWithErrors;
+    }
+
+    /** Ends the endpoint with all its requests. */
+    void lose() {
+        lost = true;
+        List<Run> cut = new ArrayList<>(running);
+        cut.addAll(queue);
+        cut.forEach(run -> run.cancelled = true);
+        running.clear();
+        queue.clear();
+        cut.forEach(run -> run.listener.onCut());
+    }
+
+    /** Returns the number of requests that arrived, with those that were refused. */
+    int arrivals() {
+        return arrivals;
+    }
+
+    /** Returns the greatest number of requests that waited at a time. */
+    int mostQueued() {
+        return mostQueued;
+    }
+
     /** Starts, queues or refuses a request that arrives. */
     void receive(Run run) {
         counts.arrivals++;
-        if (running.size() < entry.slots()) {
+        arrivals++;
+        if (lost) {
+            run.listener.onCut();
+        } else if (failing) {
+            run.listener.onError();
+        } else if (running.size() < entry.slots()) {
             start(run);
         } else if (queue.size() < MAX_QUEUED) {
             queue.add(run);
+            mostQueued = Math.max(mostQueued, queue.size());
         } else {
             counts.rejectedArrivals++;
             run.listener.onBusy();
@@ -66,7 +109,8 @@
 
     private void start(Run run) {
         running.add(run);
-        clock.schedule(FIRST_TOKEN_MILLIS + run.promptTokens / PROMPT_TOKENS_PER_MILLI, () -> sendEvent(run));
+        double firstEventMillis = FIRST_TOKEN_MILLIS + run.promptTokens / PROMPT_TOKENS_PER_MILLI;
+        clock.schedule(slowdown.getAsDouble() * firstEventMillis, () -> sendEvent(run));
     }
 
     private void sendEvent(Run run) {
@@ -81,7 +125,7 @@
             startNext();
         } else {
             double tokenMillis = TOKEN_MILLIS + TOKEN_MILLIS_PER_RUNNING_REQUEST * running.size();
-            clock.schedule(tokensPerEvent * tokenMillis, () -> sendEvent(run));
+            clock.schedule(slowdown.getAsDouble() * tokensPerEvent * tokenMillis, () -> sendEvent(run));
         }
     }
 
@@ -113,5 +157,15 @@
         void onEnd();
 
         void onBusy();
+
+        /** The endpoint answers with an error instead of running the request. */
+        default void onError() {
+            onBusy();
+        }
+
+        /** The connection ends. */
+        default void onCut() {
+            onBusy();
+        }
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
@@ -21,9 +22,12 @@
 import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.coordination.WorkReports;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
+import org.gooseberryhill.decision.dispatch.EventPace;
 import org.gooseberryhill.decision.dispatch.Fleet;
+import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
@@ -36,6 +40,7 @@
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
@@ -51,8 +56,7 @@
     private static final double TICK_MILLIS = 25;
     private static final double LOADS_MILLIS = 100;
     private static final double REPORT_MILLIS = 1000;
-    private static final int ITEM_PROMPT_TOKENS = 350;
-    private static final String ITEM_EVENT = "w".repeat(70);
+    private static final double PLACEMENT_TIMEOUT_MILLIS = 30;
 
     private final VirtualClock clock;
     private final ReplayNetwork network;
@@ -67,10 +71,11 @@
     private final ItemDispatch items;
     private final ReplayCounts counts;
     private final Map<RoutedRequest, ReplayCall> calls = new IdentityHashMap<>();
-    private final Map<PlacedItem, ItemRun> itemRuns = new IdentityHashMap<>();
+    private final Map<PlacedItem, ReplayItemRun> itemRuns = new IdentityHashMap<>();
     private final List<OwnedBatch> batches = new ArrayList<>();
     private final Map<String, Integer> eventsByItem = new HashMap<>();
     private final Consumer<OwnedBatch> onItemDone;
+    private final ReplayProcess process;
     private boolean itemsChanged;
     private int requestCount;
 
@@ -84,6 +89,7 @@
             ReplayCounts counts,
             Consumer<OwnedBatch> onItemDone) {
         this.clock = clock;
+        this.process = new ReplayProcess(clock);
         this.network = network;
         this.self = self;
         this.random = new Random(self.id().value().hashCode());
@@ -97,7 +103,7 @@
         routing.updateEndpoints(entries);
         reports = new WorkReports(routing);
         coordinator = new SlotCoordinator(
-                new RequestPlacer(policies.requests(random)),
+                new RequestPlacer(policies.requests(random), policies.speeds().get()),
                 policies.reserve(),
                 new EqualSharesQuota(),
                 policies.order(),
@@ -114,6 +120,7 @@
         BatchRoutes batchRoutes = new BatchRoutes();
         batchRoutes.configure(routes);
         items = policies.items(fleet, batchRoutes);
+        every(LOADS_MILLIS, process::tick);
         every(TICK_MILLIS, this::announceItems);
         every(REPORT_MILLIS, this::reportWork);
         every(LOADS_MILLIS, this::sendLoads);
@@ -127,6 +134,25 @@
         return self;
     }
 
+    /** Applies a directory without the endpoints that were lost. */
+    void updateEndpoints(List<EndpointEntry> entries) {
+        fleet.updateDirectory(entries);
+        routing.updateEndpoints(entries);
+        coordinator.updateDirectory(routing.groups(), entries);
+    }
+
+    ReplayProcess process() {
+        return process;
+    }
+
+    void hostLost(HostId other) {
+        coordinator.removeHost(other);
+    }
+
+    boolean coordinates(EndpointGroup group) {
+        return routing.isCoordinator(group);
+    }
+
     /** Handles an attempt of a caller that arrives at this host. */
     void receive(ReplayCall call, Route route, long deadlineNanos) {
         String name = self.id().value() + "-" + requestCount++;
@@ -162,7 +188,7 @@
         clock.schedule(random.nextDouble() * millis, new Runnable() {
             @Override
             public void run() {
-                action.run();
+                process.run(action);
                 clock.schedule(millis, this);
             }
         });
@@ -173,7 +199,7 @@
     }
 
     private void sendToCoordinator(EndpointKey endpoint, Consumer<ReplayHost> action) {
-        send(routing.coordinatorOf(endpoint).orElseThrow().id(), action);
+        routing.coordinatorOf(endpoint).ifPresent(to -> send(to.id(), action));
     }
 
     private void execute(RoutedRequest request, DispatchDecision decision) {
@@ -185,7 +211,7 @@
             }
             send(request, send.endpoint());
         } else if (decision instanceof DispatchDecision.AskGroup ask) {
-            send(routing.coordinator(ask.group()).id(), host -> host.place(this, request, ask));
+            ask(request, ask);
         } else if (decision instanceof DispatchDecision.Refuse refuse) {
             calls.remove(request).onRefused(refuse.refusal().retryAfterMillis().orElse(0L));
         } else if (decision instanceof DispatchDecision.Wait wait) {
@@ -193,11 +219,28 @@
         }
     }
 
-    private void place(ReplayHost asking, RoutedRequest request, DispatchDecision.AskGroup ask) {
+    private void ask(RoutedRequest request, DispatchDecision.AskGroup ask) {
+        AtomicBoolean answered = new AtomicBoolean();
+        send(routing.coordinator(ask.group()).id(), host -> host.place(this, request, ask, answered));
+        clock.schedule(PLACEMENT_TIMEOUT_MILLIS, () -> {
+            if (answered.compareAndSet(false, true)) {
+                execute(request, core.placeWithoutAnswer(request, clock.nowNanos()));
+            }
+        });
+    }
+
+    private void place(
+            ReplayHost asking, RoutedRequest request, DispatchDecision.AskGroup ask, AtomicBoolean answered) {
         PlacementReply reply = coordinator.place(asking.self.id(), ask.group(), ask.query(), clock.nowNanos());
         assign();
         send(asking.self.id(), host -> {
             host.reports.reservationReceived(self.id(), reply.reservation());
+            if (!answered.compareAndSet(false, true)) {
+                if (reply.answer() instanceof PlacementAnswer.Placed placed) {
+                    host.tellEnded(placed.endpoint(), AttemptEnd.DROPPED, AttemptTiming.ofDuration(0));
+                }
+                return;
+            }
             host.execute(request, host.core.placementAnswered(request, reply.answer(), clock.nowNanos()));
         });
     }
@@ -222,9 +265,9 @@
         long reservation = grant.reservation();
         EndpointKey endpoint = grant.endpoint();
         reports.reservationReceived(from, reservation);
-        EndpointEntry entry = fleet.find(endpoint).orElseThrow().entry();
-        Optional<PlacedItem> placed =
-                items.startAt(entry, grant.pressure(), openBatches(), clock.nowNanos(), clock.nowMillis());
+        Optional<PlacedItem> placed = fleet.find(endpoint)
+                .flatMap(found -> items.startAt(
+                        found.entry(), grant.pressure(), openBatches(), clock.nowNanos(), clock.nowMillis()));
         if (placed.isEmpty()) {
             counts.returnedGrants++;
             send(from, host -> {
@@ -239,7 +282,15 @@
             host.coordinator.itemStarted(self.id(), start, clock.nowNanos());
             host.assign();
         });
-        ItemRun run = new ItemRun(placed.get());
+        int totalEvents = eventsByItem.get(
+                placed.get().batch().id() + "/" + placed.get().item().item().id());
+        ReplayItemRun run = new ReplayItemRun(
+                clock,
+                counts,
+                placed.get(),
+                endpoints.get(endpoint),
+                totalEvents,
+                (end, attemptEnd) -> runEnded(placed.get(), end, attemptEnd));
         itemRuns.put(placed.get(), run);
         itemsChanged = true;
         clock.schedule(ONE_WAY_LATENCY_MILLIS, run::start);
@@ -281,42 +332,33 @@
     private void send(RoutedRequest request, EndpointEntry entry) {
         ReplayCall call = calls.get(request);
         ReplayEndpoint endpoint = endpoints.get(entry.key());
-        ReplayEndpoint.Run run =
-                new ReplayEndpoint.Run(call.promptTokens(), call.events(), new ReplayEndpoint.AnswerListener() {
-                    @Override
-                    public void onEvent() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, call::onEvent);
-                    }
-
-                    @Override
-                    public void onEnd() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> handleAnswer(request, entry.key()));
-                    }
-
-                    @Override
-                    public void onBusy() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> handleBusy(request, entry.key()));
-                    }
-                });
+        ReplayAttempt attempt = new ReplayAttempt(
+                clock,
+                process,
+                call,
+                pace -> handleAnswer(request, entry.key(), pace),
+                end -> handleFailure(request, entry.key(), end));
+        ReplayEndpoint.Run run = new ReplayEndpoint.Run(call.promptTokens(), call.events(), attempt);
         clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.receive(run));
     }
 
-    private void handleAnswer(RoutedRequest request, EndpointKey endpoint) {
-        tellEnded(endpoint, AttemptEnd.ANSWERED, request.attemptNanos(clock.nowNanos()));
+    private void handleAnswer(RoutedRequest request, EndpointKey endpoint, EventPace pace) {
+        tellEnded(endpoint, AttemptEnd.ANSWERED, process.timing(request.attemptNanos(clock.nowNanos()), pace));
         core.attemptSucceeded(request, clock.nowNanos());
         calls.remove(request).onAnswered();
     }
 
-    private void handleBusy(RoutedRequest request, EndpointKey endpoint) {
-        tellEnded(endpoint, AttemptEnd.BUSY, 0);
-        execute(request, core.attemptFailed(request, AttemptEnd.BUSY, clock.nowNanos()));
+    private void handleFailure(RoutedRequest request, EndpointKey endpoint, AttemptEnd end) {
+        tellEnded(endpoint, end, AttemptTiming.ofDuration(0));
+        execute(request, core.attemptFailed(request, end, clock.nowNanos()));
     }
 
-    private void tellEnded(EndpointKey endpoint, AttemptEnd end, long nanos) {
-        sendToCoordinator(endpoint, host -> {
-            host.coordinator.onlineEnded(self.id(), endpoint, end, nanos, clock.nowNanos());
-            host.assign();
-        });
+    private void tellEnded(EndpointKey endpoint, AttemptEnd end, AttemptTiming timing) {
+        routing.coordinatorOf(endpoint)
+                .ifPresent(to -> send(to.id(), host -> {
+                    host.coordinator.onlineEnded(self.id(), endpoint, end, timing, clock.nowNanos());
+                    host.assign();
+                }));
     }
 
     private List<ItemTiming> waitingItems() {
@@ -328,71 +370,16 @@
         return batches.stream().filter(batch -> batch.openItemCount() > 0).toList();
     }
 
-    /** A run of a batch item at an endpoint. */
-    private final class ItemRun implements ReplayEndpoint.AnswerListener {
-        private final PlacedItem placed;
-        private final ReplayEndpoint endpoint;
-        private final ReplayEndpoint.Run run;
-        private boolean finished;
-
-        ItemRun(PlacedItem placed) {
-            this.placed = placed;
-            this.endpoint = endpoints.get(placed.endpoint().key());
-            String itemId = placed.item().item().id();
-            int totalEvents = eventsByItem.get(placed.batch().id() + "/" + itemId);
-            int generatedEvents = placed.item().lastEventId().orElse(0L).intValue();
-            this.run = new ReplayEndpoint.Run(ITEM_PROMPT_TOKENS, totalEvents - generatedEvents, this);
-        }
-
-        void start() {
-            if (!finished) {
-                counts.itemRuns++;
-                endpoint.receive(run);
-            }
-        }
-
-        void yieldToOnline() {
-            if (finished) {
-                return;
-            }
-            counts.itemYielded(placed.elapsedNanos(clock.nowNanos()));
-            finish(RunEnd.YIELDED, AttemptEnd.ABANDONED);
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.cancel(run));
-        }
-
-        @Override
-        public void onEvent() {
-            if (!finished) {
-                long next = placed.item().lastEventId().orElse(0L) + 1;
-                placed.item().appendEvent(Optional.of(next), ITEM_EVENT);
-            }
-        }
-
-        @Override
-        public void onEnd() {
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> finish(RunEnd.COMPLETED, AttemptEnd.ANSWERED));
-        }
-
-        @Override
-        public void onBusy() {
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> finish(RunEnd.NOT_RUN, AttemptEnd.BUSY));
-        }
-
-        private void finish(RunEnd end, AttemptEnd attemptEnd) {
-            if (finished) {
-                return;
-            }
-            finished = true;
-            itemRuns.remove(placed);
-            items.runEnded(placed, end, attemptEnd, clock.nowNanos());
-            itemsChanged = true;
-            sendToCoordinator(placed.endpoint().key(), host -> {
-                host.coordinator.itemEnded(self.id(), placed.number(), attemptEnd, clock.nowNanos());
-                host.assign();
-            });
-            if (end == RunEnd.COMPLETED) {
-                onItemDone.accept(placed.batch());
-            }
+    private void runEnded(PlacedItem placed, RunEnd end, AttemptEnd attemptEnd) {
+        itemRuns.remove(placed);
+        items.runEnded(placed, end, attemptEnd, clock.nowNanos());
+        itemsChanged = true;
+        sendToCoordinator(placed.endpoint().key(), host -> {
+            host.coordinator.itemEnded(self.id(), placed.number(), attemptEnd, clock.nowNanos());
+            host.assign();
+        });
+        if (end == RunEnd.COMPLETED) {
+            onItemDone.accept(placed.batch());
         }
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayNetwork.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayNetwork.java
@@ -38,6 +38,11 @@
         }
         counts.messages++;
         double handlingMillis = -MEAN_HANDLING_MILLIS * Math.log(1 - random.nextDouble());
-        clock.schedule(ONE_WAY_LATENCY_MILLIS + handlingMillis, () -> action.accept(hosts.get(to)));
+        clock.schedule(ONE_WAY_LATENCY_MILLIS + handlingMillis, () -> deliver(to, action));
+    }
+
+    private void deliver(HostId to, Consumer<ReplayHost> action) {
+        ReplayHost host = hosts.get(to);
+        host.process().run(() -> action.accept(host));
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -2,14 +2,17 @@
 
 import java.util.Random;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.gooseberryhill.decision.coordination.FeasibleFirstOrder;
 import org.gooseberryhill.decision.coordination.FluctuationReserve;
 import org.gooseberryhill.decision.coordination.GroupRouting;
 import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.gooseberryhill.decision.coordination.SlotReserve;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
+import org.gooseberryhill.decision.dispatch.EndpointSpeeds;
 import org.gooseberryhill.decision.dispatch.Fleet;
 import org.gooseberryhill.decision.dispatch.GroupSelector;
+import org.gooseberryhill.decision.dispatch.ObservedEndpointSpeeds;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.ItemQuarantine;
@@ -22,13 +25,32 @@
  * @param reserve the slots that items leave free
  * @param order the order in which items get slots
  * @param coordinated whether hosts ask coordinators for endpoints, as in the product
+ * @param speeds creates what a coordinator knows of the speed of endpoints
  */
 record ReplayPolicies(
-        Function<Random, DispatchPolicies> requestPolicies, SlotReserve reserve, ItemOrder order, boolean coordinated) {
+        Function<Random, DispatchPolicies> requestPolicies,
+        SlotReserve reserve,
+        ItemOrder order,
+        boolean coordinated,
+        Supplier<EndpointSpeeds> speeds) {
     /** The policies that the product uses. */
     static final ReplayPolicies PRODUCT =
             new ReplayPolicies(DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true);
 
+    /** Creates policies with the product's knowledge of the speed of endpoints. */
+    ReplayPolicies(
+            Function<Random, DispatchPolicies> requestPolicies,
+            SlotReserve reserve,
+            ItemOrder order,
+            boolean coordinated) {
+        this(requestPolicies, reserve, order, coordinated, ObservedEndpointSpeeds::new);
+    }
+
+    /** Returns the product's policies with another knowledge of the speed of endpoints. */
+    static ReplayPolicies withSpeeds(Supplier<EndpointSpeeds> speeds) {
+        return new ReplayPolicies(PRODUCT.requestPolicies, PRODUCT.reserve, PRODUCT.order, PRODUCT.coordinated, speeds);
+    }
+
     /** Returns the product's policies with other ones for online requests. */
     static ReplayPolicies withRequestPolicies(Function<Random, DispatchPolicies> policies) {
         return new ReplayPolicies(policies, new FluctuationReserve(), new FeasibleFirstOrder(), true);
--- a/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
@@ -58,6 +58,7 @@
     private final Route streamRoute = route(RouteKind.STREAM, "/p/", 0);
     private final Route batchRoute = route(RouteKind.BATCH, "/b/", 2);
     private final double startMillis = clock.nowMillis();
+    private List<Double> demandByZone = List.of();
     private int batchCount;
     private int items;
     private int itemsOnTime;
@@ -128,7 +129,59 @@
 
     /** Returns the host that a caller uses; the first ones serve up to twice the mean number of callers. */
     ReplayHost randomHost() {
-        return hosts.get((int) (hosts.size() * random.nextDouble() * Math.max(random.nextDouble(), 0.5)));
+        ReplayHost host;
+        do {
+            host = hosts.get((int) (hosts.size() * random.nextDouble() * Math.max(random.nextDouble(), 0.5)));
+        } while (host.process().isLost() || isOutsideDemand(host));
+        return host;
+    }
+
+    private boolean isOutsideDemand(ReplayHost host) {
+        return !demandByZone.isEmpty() && random.nextDouble() > demandByZone.get(hosts.indexOf(host) % size.zones());
+    }
+
+    /** Sets the demand of the zones, each relative to the one with the greatest demand. */
+    void setDemandByZone(List<Double> demand) {
+        demandByZone = demand;
+    }
+
+    VirtualClock clock() {
+        return clock;
+    }
+
+    List<ReplayEndpoint> endpoints() {
+        return List.copyOf(endpoints.values());
+    }
+
+    List<ReplayHost> hosts() {
+        return hosts;
+    }
+
+    List<ReplayCall> calls() {
+        return calls;
+    }
+
+    /** Ends an endpoint, which all hosts learn at once. */
+    void lose(ReplayEndpoint endpoint) {
+        endpoints.remove(endpoint.entry().key());
+        List<EndpointEntry> entries =
+                endpoints.values().stream().map(ReplayEndpoint::entry).toList();
+        hosts.forEach(host -> host.updateEndpoints(entries));
+        endpoint.lose();
+    }
+
+    /** Ends a host, which the others learn at once; the requests that it had are lost with it. */
+    void lose(ReplayHost lost) {
+        lost.process().lose();
+        List<ReplayHost> left =
+                hosts.stream().filter(host -> !host.process().isLost()).toList();
+        left.forEach(host -> {
+            host.hostLost(lost.host().id());
+            host.setOtherHosts(left.stream()
+                    .filter(other -> other != host)
+                    .map(ReplayHost::host)
+                    .toList());
+        });
     }
 
     /** Returns the outcome of the load so far. */
--- a/src/test/java/org/gooseberryhill/decision/replay/VirtualClock.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/VirtualClock.java
@@ -5,8 +5,10 @@
 
 /** A virtual clock that runs scheduled actions in the order of their times; of equal times, in scheduling order. */
 final class VirtualClock {
+    static final long START_NANOS = TimeUnit.SECONDS.toNanos(1000);
+
     private final PriorityQueue<ScheduledAction> scheduledActions = new PriorityQueue<>();
-    private long nowNanos = TimeUnit.SECONDS.toNanos(1000);
+    private long nowNanos = START_NANOS;
     private long nextSequence;
 
     long nowNanos() {
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +25,7 @@
 import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.OverloadFacts;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementFacts;
@@ -180,7 +182,8 @@
                         new PlacementReply(0, new PlacementAnswer.Overloaded(30, new OverloadFacts(4, 3, 700)))),
                 new CoordinationMessage.Placement(new PlacementReply(0, new PlacementAnswer.NoEndpoint())),
                 new CoordinationMessage.OnlineStarted(key),
-                new CoordinationMessage.OnlineEnded(key, AttemptEnd.CUT, 12_000_000_000L),
+                new CoordinationMessage.OnlineEnded(
+                        key, AttemptEnd.CUT, new AttemptTiming(12_000_000_000L, 29_000_000L)),
                 new CoordinationMessage.ItemStarted(start),
                 new CoordinationMessage.ItemEnded(9, AttemptEnd.ABANDONED),
                 new CoordinationMessage.GrantReturned(8),
@@ -219,6 +222,19 @@
         assertThat(PeerCodec.decode(PeerCodec.encode(frame))).isEqualTo(frame);
     }
 
+    /** Guards against hosts of this version that can't read what hosts of the last one send during an update. */
+    @Test
+    void theEndOfARequestIsReadWithoutTheTimeBetweenItsEvents() throws IOException {
+        PeerMessage message = new CoordinationMessage.OnlineEnded(
+                new EndpointKey("e", 1), AttemptEnd.ANSWERED, AttemptTiming.ofDuration(12));
+        PeerFrame frame = new PeerFrame(5, true, HybridTimestamp.ofMillis(1000), HOST, message);
+        byte[] bytes = PeerCodec.encode(frame);
+
+        byte[] earlier = Arrays.copyOf(bytes, bytes.length - 1);
+
+        assertThat(PeerCodec.decode(earlier)).isEqualTo(frame);
+    }
+
     /** Records that contain arrays are not equal to their copies, so the contents are compared one by one. */
     @Test
     void theBytesOfKeysAndBodiesSurviveARoundTrip() throws IOException {
