--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -9,6 +9,7 @@
 import org.gooseberryhill.decision.continuation.StreamOrigin;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
 import org.gooseberryhill.decision.dispatch.OverloadFacts;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
@@ -157,7 +158,7 @@
     }
 
     private void returnSlot(EndpointKey endpoint) {
-        traffic.slots().onlineEnded(endpoint, AttemptEnd.DROPPED, 0);
+        traffic.slots().onlineEnded(endpoint, AttemptEnd.DROPPED, AttemptTiming.ofDuration(0));
     }
 
     private void dispatchAfterWait() {
@@ -202,7 +203,7 @@
                 return;
             }
             exchange = Optional.empty();
-            recordAttemptEnd(AttemptEnd.ANSWERED);
+            recordAttemptEnd(AttemptEnd.ANSWERED, progress.eventNanos());
             traffic.crashTracking().requestCompleted(request.info());
             recordServedParts(status, progress);
             context.core().attemptSucceeded(request, context.nowNanos());
@@ -266,7 +267,7 @@
             exchange = Optional.empty();
             String endpoint = request.endpoint().map(key -> key.id()).orElse("");
             log.attemptFailed(endpoint, attempt, end, detail, progress);
-            recordAttemptEnd(end);
+            recordAttemptEnd(end, 0);
             recordAnswerStart();
             if (!relay.isStarted()) {
                 traffic.crashTracking().attemptEnded(request.info().fingerprint(), endpoint, end);
@@ -307,11 +308,11 @@
         request.takePermit().ifPresent(traffic.permits()::release);
     }
 
-    private void recordAttemptEnd(AttemptEnd end) {
+    private void recordAttemptEnd(AttemptEnd end, long eventNanos) {
         long attemptNanos = request.attemptNanos(context.nowNanos());
         request.endpoint().ifPresent(key -> {
             context.metrics().attemptEnded(key.id(), end, seconds(attemptNanos));
-            traffic.slots().onlineEnded(key, end, attemptNanos);
+            traffic.slots().onlineEnded(key, end, new AttemptTiming(attemptNanos, eventNanos));
         });
     }
 
@@ -367,7 +368,8 @@
     private void abandonAttempt() {
         exchange.ifPresent(Exchange::cancel);
         exchange = Optional.empty();
-        request.endpoint().ifPresent(key -> traffic.slots().onlineEnded(key, AttemptEnd.ABANDONED, 0));
+        request.endpoint()
+                .ifPresent(key -> traffic.slots().onlineEnded(key, AttemptEnd.ABANDONED, AttemptTiming.ofDuration(0)));
         context.core().abandoned(request, context.nowNanos());
     }
 
