--- a/src/main/java/org/gooseberryhill/directory/EndpointGroup.java
+++ b/src/main/java/org/gooseberryhill/directory/EndpointGroup.java
@@ -4,7 +4,7 @@
  * A part of the endpoints of a service, whose slots one host assigns. Immutable.
  *
  * @param service the service
- * @param number the number of the group within its service, counted from 0
+ * @param number the number of the group within its service
  */
 public record EndpointGroup(String service, int number) {
     private static final int HASH_FACTOR = 31;
