Decide which requests are sent to other zones, and how many

A full group sends requests to any group with room, whatever its zone. Traffic between zones is slower and costs money.

ZonePolicy decides which group gets a request that finds no free slot. AnyZone is the existing way. A coordinator that is named again after it named another group decides itself; the next group in the order would be one of another zone.

--- a/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/GroupRouting.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.gooseberryhill.decision.dispatch.GroupSelector;
 import org.gooseberryhill.decision.ownership.Ownership;
 import org.gooseberryhill.directory.EndpointEntry;
@@ -32,6 +33,7 @@
     private static final long UNRESPONSIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final Host self;
+    private final Function<Collection<EndpointEntry>, EndpointGroups> partition;
     private final Map<HostId, Long> unresponsiveUntilNanos = new HashMap<>();
     private final Map<EndpointGroup, Host> coordinators = new HashMap<>();
     private final Map<String, List<EndpointGroup>> preferred = new HashMap<>();
@@ -40,13 +42,19 @@
 
     /** Creates the view of a host that knows no endpoints and no other hosts. */
     public GroupRouting(Host self) {
+        this(self, EndpointGroups::of);
+    }
+
+    /** Creates the view of a host that uses another partition; all hosts have to use the same. */
+    public GroupRouting(Host self, Function<Collection<EndpointEntry>, EndpointGroups> partition) {
         this.self = self;
+        this.partition = partition;
         this.hosts = List.of(self);
     }
 
     /** Replaces the endpoints; returns whether the groups changed. */
     public boolean updateEndpoints(Collection<EndpointEntry> entries) {
-        EndpointGroups updated = EndpointGroups.of(entries);
+        EndpointGroups updated = partition.apply(entries);
         boolean changed = !updated.hasSameGroups(groups);
         groups = updated;
         if (changed) {
@@ -127,6 +135,11 @@
         return groups.members(group);
     }
 
+    @Override
+    public boolean followsZones(String service) {
+        return groups.of(service).stream().findFirst().flatMap(groups::zoneOf).isPresent();
+    }
+
     private boolean isResponsive(HostId coordinator, long nowNanos) {
         Long untilNanos = unresponsiveUntilNanos.get(coordinator);
         return untilNanos == null || nowNanos - untilNanos >= 0;
--- a/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
@@ -18,6 +18,9 @@
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.quota.QuotaPolicy;
+import org.gooseberryhill.decision.zone.AnyZone;
+import org.gooseberryhill.decision.zone.FullGroup;
+import org.gooseberryhill.decision.zone.ZonePolicy;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointGroups;
@@ -46,6 +49,7 @@
     private final RequestPlacer placer;
     private final SlotReserve reserve;
     private final QuotaPolicy quotas;
+    private final ZonePolicy zones;
     private final Reservations reservations;
     private final Fleet ledger = new Fleet();
     private final ItemOrder order;
@@ -64,10 +68,29 @@
      */
     public SlotCoordinator(
             RequestPlacer placer, SlotReserve reserve, QuotaPolicy quotas, ItemOrder order, long firstReservation) {
+        this(placer, reserve, quotas, order, new AnyZone(), firstReservation);
+    }
+
+    /**
+     * Creates a coordinator that knows no endpoints.
+     *
+     * @param quotas decides whether the quota of a client account allows a request
+     * @param zones decides which group gets a request that finds no free slot
+     * @param firstReservation lower bound of the numbers of its reservations; greater than those of an earlier process of
+     *     the same host
+     */
+    public SlotCoordinator(
+            RequestPlacer placer,
+            SlotReserve reserve,
+            QuotaPolicy quotas,
+            ItemOrder order,
+            ZonePolicy zones,
+            long firstReservation) {
         this.placer = placer;
         this.reserve = reserve;
         this.quotas = quotas;
         this.order = order;
+        this.zones = zones;
         this.runs = new BatchRuns(order);
         this.reservations = new Reservations(firstReservation);
     }
@@ -83,12 +106,15 @@
         List<FleetEndpoint> usable = usableMembers(group, nowNanos);
         Optional<FleetEndpoint> chosen = placer.choose(usable, query, nowNanos);
         if (chosen.isEmpty()) {
-            return PlacementReply.of(new PlacementAnswer.NoEndpoint());
+            return PlacementReply.of(otherGroup(group, query, Double.POSITIVE_INFINITY, nowNanos)
+                    .<PlacementAnswer>map(PlacementAnswer.Elsewhere::new)
+                    .orElseGet(PlacementAnswer.NoEndpoint::new));
         }
         FleetEndpoint endpoint = chosen.get();
         boolean hasRoom = endpoint.online() < endpoint.entry().slots();
-        if (!hasRoom && query.redirectable()) {
-            Optional<EndpointGroup> other = otherLoads.takeRoom(groups.of(query.service()), group, nowNanos);
+        if (!hasRoom) {
+            double waitMillis = placer.facts(endpoint, usable.size()).waitMillis();
+            Optional<EndpointGroup> other = otherGroup(group, query, waitMillis, nowNanos);
             if (other.isPresent()) {
                 return PlacementReply.of(new PlacementAnswer.Elsewhere(other.get()));
             }
@@ -116,6 +142,17 @@
         return new Admission(quotas.admit(account, nowNanos));
     }
 
+    /** Returns the group that is to be asked for a request in place of one without a free slot; empty if it stays. */
+    private Optional<EndpointGroup> otherGroup(
+            EndpointGroup group, PlacementQuery query, double waitMillis, long nowNanos) {
+        return query.redirectable()
+                ? zones.chooseGroup(
+                        new FullGroup(group, groups, waitMillis),
+                        candidates -> otherLoads.takeRoom(candidates, group, nowNanos),
+                        nowNanos)
+                : Optional.empty();
+    }
+
     /** Returns what decides whether the quota of a client account allows a request. */
     public QuotaPolicy quotas() {
         return quotas;
@@ -234,7 +271,13 @@
         return loads;
     }
 
-    private GroupLoad load(EndpointGroup group, long nowNanos) {
+    /** Returns the load of a group as its coordinator has told it lately; empty if it is not known. */
+    Optional<GroupLoad> knownLoad(EndpointGroup group, long nowNanos) {
+        return otherLoads.find(group, nowNanos);
+    }
+
+    /** Returns the load of a group that this host coordinates. */
+    GroupLoad load(EndpointGroup group, long nowNanos) {
         List<FleetEndpoint> usable = usableMembers(group, nowNanos);
         return new GroupLoad(group, slots(usable), online(usable));
     }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -114,6 +114,11 @@
             return new DispatchDecision.Refuse(DispatchRefusals.overQuota(request, overQuota.retryAfterMillis()));
         } else if (answer instanceof PlacementAnswer.Elsewhere elsewhere && request.groupAsked(elsewhere.group())) {
             return ask(request, elsewhere.group(), nowNanos);
+        } else if (answer instanceof PlacementAnswer.Elsewhere elsewhere
+                && groups.followsZones(request.info().service())
+                && request.redirectedBack()) {
+            // The next group would be one of another zone, which has not granted room for the request.
+            return ask(request, elsewhere.group(), nowNanos);
         }
         return placeWithoutAnswer(request, nowNanos);
     }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/GroupSelector.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/GroupSelector.java
@@ -30,4 +30,9 @@
 
     /** Returns the endpoints of a group. */
     List<EndpointEntry> members(EndpointGroup group);
+
+    /** Returns whether each group of a service is of one availability zone. */
+    default boolean followsZones(String service) {
+        return false;
+    }
 }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -29,6 +29,7 @@
     private final Set<EndpointKey> tried = new HashSet<>();
     private final Set<EndpointKey> refusedBy = new HashSet<>();
     private final Set<EndpointGroup> askedGroups = new HashSet<>();
+    private boolean redirectedBack;
     private final List<PastAttempt> pastAttempts = new ArrayList<>();
     private Optional<EndpointEntry> endpoint = Optional.empty();
     private Optional<ServiceVersion> beganAt;
@@ -175,6 +176,7 @@
     /** Begins the choice of an endpoint for the next attempt. */
     void placementStarted() {
         askedGroups.clear();
+        redirectedBack = false;
     }
 
     /** Records that the coordinator of a group is asked for an endpoint; returns false if it was asked before. */
@@ -189,7 +191,17 @@
 
     /** Returns whether the coordinator that is asked now may name another group. */
     boolean isRedirectable() {
-        return askedGroups.size() < MAX_ASKED_GROUPS;
+        return askedGroups.size() < MAX_ASKED_GROUPS && !redirectedBack;
+    }
+
+    /**
+     * Records that a coordinator named a group that was asked before, so that the group is asked once more and has to decide
+     * itself; returns false if this has happened before.
+     */
+    boolean redirectedBack() {
+        boolean first = !redirectedBack;
+        redirectedBack = true;
+        return first;
     }
 
     /** Returns whether the request may wait for an endpoint when none can take it now. */
