Replay loads of zones that differ in demand, endpoints and links

The replay gets zones with their own demand and endpoints, latency by zone, slow and cut links, delayed loads, lost hosts and endpoints, and the time limit of questions to coordinators. Item runs move to a class of their own.

--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayCall.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayCall.java
@@ -18,6 +18,7 @@
     private final VirtualClock clock;
     private final ServingReplay replay;
     private final Route route;
+    private final int zone;
     private final double promptTokens;
     private final int events;
     private final long startNanos;
@@ -28,10 +29,11 @@
     private Optional<Double> firstEventMillisOfAttempt = Optional.empty();
     private boolean answered;
 
-    ReplayCall(VirtualClock clock, ServingReplay replay, Route route, double promptTokens, int events) {
+    ReplayCall(VirtualClock clock, ServingReplay replay, Route route, int zone, double promptTokens, int events) {
         this.clock = clock;
         this.replay = replay;
         this.route = route;
+        this.zone = zone;
         this.promptTokens = promptTokens;
         this.events = events;
         this.startNanos = clock.nowNanos();
@@ -47,7 +49,7 @@
 
     void startAttempt() {
         attemptStartNanos = clock.nowNanos();
-        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> replay.randomHost().receive(this, route, deadlineNanos()));
+        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> replay.randomHost(zone).receive(this, route, deadlineNanos()));
     }
 
     void onEvent() {
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 import org.gooseberryhill.directory.EndpointEntry;
 
 /**
@@ -26,6 +27,7 @@
     private final ReplayCounts counts;
     private final Deque<Run> queue = new ArrayDeque<>();
     private final List<Run> running = new ArrayList<>();
+    private boolean down;
 
     ReplayEndpoint(VirtualClock clock, EndpointEntry entry, double tokensPerEvent, ReplayCounts counts) {
         this.clock = clock;
@@ -38,6 +40,18 @@
         return entry;
     }
 
+    boolean isDown() {
+        return down;
+    }
+
+    /** Ends the endpoint with all that runs there. */
+    void end() {
+        down = true;
+        queue.clear();
+        running.forEach(run -> run.cancelled = true);
+        running.clear();
+    }
+
     int running() {
         return running.size();
     }
@@ -113,5 +127,25 @@
         void onEnd();
 
         void onBusy();
+
+        /** Returns a listener whose actions run as the transport delivers them. */
+        static AnswerListener of(Consumer<Runnable> transport, Runnable onEvent, Runnable onEnd, Runnable onBusy) {
+            return new AnswerListener() {
+                @Override
+                public void onEvent() {
+                    transport.accept(onEvent);
+                }
+
+                @Override
+                public void onEnd() {
+                    transport.accept(onEnd);
+                }
+
+                @Override
+                public void onBusy() {
+                    transport.accept(onBusy);
+                }
+            };
+        }
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -20,10 +20,12 @@
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.coordination.WorkReports;
+import org.gooseberryhill.decision.coordination.ZoneCoordination;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
 import org.gooseberryhill.decision.dispatch.DispatchDecision;
 import org.gooseberryhill.decision.dispatch.Fleet;
+import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
@@ -35,6 +37,9 @@
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
+import org.gooseberryhill.decision.zone.LeaveWhenItPays;
+import org.gooseberryhill.decision.zone.RoomAnswer;
+import org.gooseberryhill.decision.zone.ZonePolicy;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.Host;
@@ -47,12 +52,15 @@
  * endpoints in virtual time.
  */
 final class ReplayHost {
-    private static final double ONE_WAY_LATENCY_MILLIS = ReplayNetwork.ONE_WAY_LATENCY_MILLIS;
+    /** As in the product for a target latency of 300 ms. */
+    private static final double PLACEMENT_TIMEOUT_MILLIS = 30;
+
+    /** Time after which a connection to an endpoint beyond a cut link fails. */
+    private static final double CONNECT_TIMEOUT_MILLIS = 100;
+
     private static final double TICK_MILLIS = 25;
     private static final double LOADS_MILLIS = 100;
     private static final double REPORT_MILLIS = 1000;
-    private static final int ITEM_PROMPT_TOKENS = 350;
-    private static final String ITEM_EVENT = "w".repeat(70);
 
     private final VirtualClock clock;
     private final ReplayNetwork network;
@@ -63,11 +71,12 @@
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
+    private final Optional<ZoneCoordination> zones;
     private final DispatchCore core;
     private final ItemDispatch items;
     private final ReplayCounts counts;
     private final Map<RoutedRequest, ReplayCall> calls = new IdentityHashMap<>();
-    private final Map<PlacedItem, ItemRun> itemRuns = new IdentityHashMap<>();
+    private final Map<PlacedItem, ReplayItemRun> itemRuns = new IdentityHashMap<>();
     private final List<OwnedBatch> batches = new ArrayList<>();
     private final Map<String, Integer> eventsByItem = new HashMap<>();
     private final Consumer<OwnedBatch> onItemDone;
@@ -93,15 +102,20 @@
         List<EndpointEntry> entries =
                 endpoints.values().stream().map(ReplayEndpoint::entry).toList();
         fleet.updateDirectory(entries);
-        routing = new GroupRouting(self);
+        routing = new GroupRouting(self, policies.zones().partition());
         routing.updateEndpoints(entries);
         reports = new WorkReports(routing);
+        ZonePolicy zonePolicy = policies.zones().create();
         coordinator = new SlotCoordinator(
                 new RequestPlacer(policies.requests(random)),
                 policies.reserve(),
                 new EqualSharesQuota(),
                 policies.order(),
+                zonePolicy,
                 0);
+        zones = zonePolicy instanceof LeaveWhenItPays pays
+                ? Optional.of(new ZoneCoordination(routing, coordinator, pays))
+                : Optional.empty();
         coordinator.updateDirectory(routing.groups(), entries);
         core = new DispatchCore(
                 self.zone(),
@@ -119,8 +133,16 @@
         every(LOADS_MILLIS, this::sendLoads);
     }
 
-    void setOtherHosts(List<Host> others) {
-        routing.updateHosts(others);
+    /** Replaces the directory. */
+    void setEndpoints(List<EndpointEntry> entries) {
+        fleet.updateDirectory(entries);
+        routing.updateEndpoints(entries);
+        coordinator.updateDirectory(routing.groups(), entries);
+        reportWork();
+    }
+
+    GroupRouting routing() {
+        return routing;
     }
 
     Host host() {
@@ -173,7 +195,7 @@
     }
 
     private void sendToCoordinator(EndpointKey endpoint, Consumer<ReplayHost> action) {
-        send(routing.coordinatorOf(endpoint).orElseThrow().id(), action);
+        routing.coordinatorOf(endpoint).ifPresent(host -> send(host.id(), action));
     }
 
     private void execute(RoutedRequest request, DispatchDecision decision) {
@@ -183,9 +205,10 @@
                 sendToCoordinator(
                         endpoint, host -> host.coordinator.onlineStarted(self.id(), endpoint, clock.nowNanos()));
             }
+            counts.sent(self.zone(), send.endpoint().zone(), clock.nowMillis());
             send(request, send.endpoint());
         } else if (decision instanceof DispatchDecision.AskGroup ask) {
-            send(routing.coordinator(ask.group()).id(), host -> host.place(this, request, ask));
+            ask(request, ask);
         } else if (decision instanceof DispatchDecision.Refuse refuse) {
             calls.remove(request).onRefused(refuse.refusal().retryAfterMillis().orElse(0L));
         } else if (decision instanceof DispatchDecision.Wait wait) {
@@ -193,13 +216,33 @@
         }
     }
 
-    private void place(ReplayHost asking, RoutedRequest request, DispatchDecision.AskGroup ask) {
-        PlacementReply reply = coordinator.place(asking.self.id(), ask.group(), ask.query(), clock.nowNanos());
-        assign();
-        send(asking.self.id(), host -> {
-            host.reports.reservationReceived(self.id(), reply.reservation());
-            host.execute(request, host.core.placementAnswered(request, reply.answer(), clock.nowNanos()));
+    private void ask(RoutedRequest request, DispatchDecision.AskGroup ask) {
+        HostId asked = routing.coordinator(ask.group()).id();
+        OnceAnswered<PlacementReply> answer = new OnceAnswered<>(
+                reply -> execute(request, core.placementAnswered(request, reply.answer(), clock.nowNanos())),
+                this::returnSlot);
+        send(asked, host -> {
+            PlacementReply reply = host.coordinator.place(self.id(), ask.group(), ask.query(), clock.nowNanos());
+            host.assign();
+            host.send(self.id(), asking -> {
+                reports.reservationReceived(asked, reply.reservation());
+                answer.onAnswer(reply);
+            });
         });
+        if (answer.isAwaited()) {
+            clock.schedule(
+                    PLACEMENT_TIMEOUT_MILLIS,
+                    () -> answer.onTimeout(() -> {
+                        routing.markUnresponsive(asked, clock.nowNanos());
+                        execute(request, core.placeWithoutAnswer(request, clock.nowNanos()));
+                    }));
+        }
+    }
+
+    private void returnSlot(PlacementReply late) {
+        if (late.answer() instanceof PlacementAnswer.Placed placed) {
+            tellEnded(placed.endpoint(), AttemptEnd.DROPPED, 0);
+        }
     }
 
     private void assign() {
@@ -239,10 +282,17 @@
             host.coordinator.itemStarted(self.id(), start, clock.nowNanos());
             host.assign();
         });
-        ItemRun run = new ItemRun(placed.get());
+        ReplayItemRun run = new ReplayItemRun(
+                clock,
+                counts,
+                placed.get(),
+                endpoints.get(endpoint),
+                eventsByItem,
+                network.toMillis(self, entry),
+                this::itemEnded);
         itemRuns.put(placed.get(), run);
         itemsChanged = true;
-        clock.schedule(ONE_WAY_LATENCY_MILLIS, run::start);
+        clock.schedule(network.toMillis(self, entry), run::start);
     }
 
     private void announceItems() {
@@ -274,31 +324,37 @@
         }
         routing.groups().all().stream()
                 .filter(group -> !routing.isCoordinator(group))
-                .forEach(group -> send(
-                        routing.coordinator(group).id(), host -> host.coordinator.groupLoads(loads, clock.nowNanos())));
+                .forEach(group -> network.sendLoads(
+                        self.id(),
+                        routing.coordinator(group).id(),
+                        host -> host.coordinator.groupLoads(loads, clock.nowNanos())));
+        zones.ifPresent(decision -> decision.dueQuestions(clock.nowNanos()).forEach(this::askForRoom));
+    }
+
+    private void askForRoom(ZoneCoordination.Question question) {
+        long askedNanos = clock.nowNanos();
+        send(question.to().id(), host -> {
+            RoomAnswer answer = host.zones.orElseThrow().answer(self.id(), question.query(), clock.nowNanos());
+            host.send(
+                    self.id(), asking -> zones.orElseThrow().answered(question, answer, askedNanos, clock.nowNanos()));
+        });
     }
 
     private void send(RoutedRequest request, EndpointEntry entry) {
         ReplayCall call = calls.get(request);
         ReplayEndpoint endpoint = endpoints.get(entry.key());
-        ReplayEndpoint.Run run =
-                new ReplayEndpoint.Run(call.promptTokens(), call.events(), new ReplayEndpoint.AnswerListener() {
-                    @Override
-                    public void onEvent() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, call::onEvent);
-                    }
-
-                    @Override
-                    public void onEnd() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> handleAnswer(request, entry.key()));
-                    }
-
-                    @Override
-                    public void onBusy() {
-                        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> handleBusy(request, entry.key()));
-                    }
-                });
-        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.receive(run));
+        ReplayEndpoint.AnswerListener listener = ReplayEndpoint.AnswerListener.of(
+                action -> network.sendAnswer(self, entry.zone(), action),
+                call::onEvent,
+                () -> handleAnswer(request, entry.key()),
+                () -> handleFailure(request, entry.key(), AttemptEnd.BUSY));
+        if (network.isCut(self.zone(), entry.zone()) || endpoint.isDown()) {
+            double millis = endpoint.isDown() ? network.toMillis(self, entry) : CONNECT_TIMEOUT_MILLIS;
+            clock.schedule(millis, () -> handleFailure(request, entry.key(), AttemptEnd.UNREACHABLE));
+            return;
+        }
+        ReplayEndpoint.Run run = new ReplayEndpoint.Run(call.promptTokens(), call.events(), listener);
+        clock.schedule(network.toMillis(self, entry), () -> endpoint.receive(run));
     }
 
     private void handleAnswer(RoutedRequest request, EndpointKey endpoint) {
@@ -307,9 +363,9 @@
         calls.remove(request).onAnswered();
     }
 
-    private void handleBusy(RoutedRequest request, EndpointKey endpoint) {
-        tellEnded(endpoint, AttemptEnd.BUSY, 0);
-        execute(request, core.attemptFailed(request, AttemptEnd.BUSY, clock.nowNanos()));
+    private void handleFailure(RoutedRequest request, EndpointKey endpoint, AttemptEnd end) {
+        tellEnded(endpoint, end, 0);
+        execute(request, core.attemptFailed(request, end, clock.nowNanos()));
     }
 
     private void tellEnded(EndpointKey endpoint, AttemptEnd end, long nanos) {
@@ -328,71 +384,17 @@
         return batches.stream().filter(batch -> batch.openItemCount() > 0).toList();
     }
 
-    /** A run of a batch item at an endpoint. */
-    private final class ItemRun implements ReplayEndpoint.AnswerListener {
-        private final PlacedItem placed;
-        private final ReplayEndpoint endpoint;
-        private final ReplayEndpoint.Run run;
-        private boolean finished;
-
-        ItemRun(PlacedItem placed) {
-            this.placed = placed;
-            this.endpoint = endpoints.get(placed.endpoint().key());
-            String itemId = placed.item().item().id();
-            int totalEvents = eventsByItem.get(placed.batch().id() + "/" + itemId);
-            int generatedEvents = placed.item().lastEventId().orElse(0L).intValue();
-            this.run = new ReplayEndpoint.Run(ITEM_PROMPT_TOKENS, totalEvents - generatedEvents, this);
-        }
-
-        void start() {
-            if (!finished) {
-                counts.itemRuns++;
-                endpoint.receive(run);
-            }
-        }
-
-        void yieldToOnline() {
-            if (finished) {
-                return;
-            }
-            counts.itemYielded(placed.elapsedNanos(clock.nowNanos()));
-            finish(RunEnd.YIELDED, AttemptEnd.ABANDONED);
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.cancel(run));
-        }
-
-        @Override
-        public void onEvent() {
-            if (!finished) {
-                long next = placed.item().lastEventId().orElse(0L) + 1;
-                placed.item().appendEvent(Optional.of(next), ITEM_EVENT);
-            }
-        }
-
-        @Override
-        public void onEnd() {
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> finish(RunEnd.COMPLETED, AttemptEnd.ANSWERED));
-        }
-
-        @Override
-        public void onBusy() {
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> finish(RunEnd.NOT_RUN, AttemptEnd.BUSY));
-        }
-
-        private void finish(RunEnd end, AttemptEnd attemptEnd) {
-            if (finished) {
-                return;
-            }
-            finished = true;
-            itemRuns.remove(placed);
-            items.runEnded(placed, end, attemptEnd, clock.nowNanos());
-            itemsChanged = true;
-            sendToCoordinator(placed.endpoint().key(), host -> {
-                host.coordinator.itemEnded(self.id(), placed.number(), attemptEnd, clock.nowNanos());
-                host.assign();
-            });
-            if (end == RunEnd.COMPLETED) {
-                onItemDone.accept(placed.batch());
-            }
+    private void itemEnded(ReplayItemRun run, RunEnd end, AttemptEnd attemptEnd) {
+        PlacedItem placed = run.placed();
+        itemRuns.remove(placed);
+        items.runEnded(placed, end, attemptEnd, clock.nowNanos());
+        itemsChanged = true;
+        sendToCoordinator(placed.endpoint().key(), host -> {
+            host.coordinator.itemEnded(self.id(), placed.number(), attemptEnd, clock.nowNanos());
+            host.assign();
+        });
+        if (end == RunEnd.COMPLETED) {
+            onItemDone.accept(placed.batch());
         }
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -22,18 +22,37 @@
  * @param reserve the slots that items leave free
  * @param order the order in which items get slots
  * @param coordinated whether hosts ask coordinators for endpoints, as in the product
+ * @param zones how a zone is chosen
  */
 record ReplayPolicies(
-        Function<Random, DispatchPolicies> requestPolicies, SlotReserve reserve, ItemOrder order, boolean coordinated) {
+        Function<Random, DispatchPolicies> requestPolicies,
+        SlotReserve reserve,
+        ItemOrder order,
+        boolean coordinated,
+        ReplayZonePolicy zones) {
     /** The policies that the product uses. */
     static final ReplayPolicies PRODUCT =
             new ReplayPolicies(DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true);
 
+    ReplayPolicies(
+            Function<Random, DispatchPolicies> requestPolicies,
+            SlotReserve reserve,
+            ItemOrder order,
+            boolean coordinated) {
+        this(requestPolicies, reserve, order, coordinated, ReplayZonePolicy.WHEN_IT_PAYS);
+    }
+
     /** Returns the product's policies with other ones for online requests. */
     static ReplayPolicies withRequestPolicies(Function<Random, DispatchPolicies> policies) {
         return new ReplayPolicies(policies, new FluctuationReserve(), new FeasibleFirstOrder(), true);
     }
 
+    /** Returns the product's policies with another way to choose a zone. */
+    static ReplayPolicies withZones(ReplayZonePolicy zones) {
+        return new ReplayPolicies(
+                DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true, zones);
+    }
+
     DispatchPolicies requests(Random random) {
         return requestPolicies.apply(random);
     }
--- a/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import org.gooseberryhill.decision.coordination.GroupRouting;
 import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
@@ -45,11 +47,15 @@
 
     private static final double MILLIS_PER_SECOND = 1000;
 
+    private static final double HOST_LOSS_MILLIS = 1100;
+    private static final double REGISTRATION_MILLIS = 2000;
     private static final double SAMPLE_MILLIS = 50;
     private static final double EVENTS_DEVIATION = 0.25;
 
     private final VirtualClock clock = new VirtualClock();
     private final ReplaySize size;
+    private final Optional<ReplayZones> zones;
+    private final ReplayNetwork network;
     private final ReplayCounts counts = new ReplayCounts();
     private final Random random;
     private final Map<EndpointKey, ReplayEndpoint> endpoints = new LinkedHashMap<>();
@@ -63,14 +69,31 @@
     private int itemsOnTime;
 
     ServingReplay(ReplaySize size, ReplayPolicies policies, long seed) {
+        this(size, Optional.empty(), policies, seed);
+    }
+
+    ServingReplay(ReplaySize size, ReplayZones zones, ReplayPolicies policies, long seed) {
+        this(size, Optional.of(zones), policies, seed);
+    }
+
+    private ServingReplay(ReplaySize size, Optional<ReplayZones> zones, ReplayPolicies policies, long seed) {
         this.size = size;
+        this.zones = zones;
         random = new Random(seed);
         for (int i = 0; i < size.endpoints(); i++) {
             EndpointEntry entry = new EndpointEntry(
-                    "e" + i, 1, SERVICE, "v1", new Address("10.0.0.1", 8000 + i), zone(i), size.slots(), false, 0);
+                    "e" + i,
+                    1,
+                    SERVICE,
+                    "v1",
+                    new Address("10.0.0.1", 8000 + i),
+                    zoneOfEndpoint(i),
+                    size.slots(),
+                    false,
+                    0);
             endpoints.put(entry.key(), new ReplayEndpoint(clock, entry, size.tokensPerEvent(), counts));
         }
-        ReplayNetwork network = new ReplayNetwork(clock, counts, new Random(seed));
+        network = new ReplayNetwork(clock, counts, new Random(seed), zones);
         RouteTable routes = new RouteTable(
                 new RouteConfiguration(1, List.of(streamRoute, batchRoute), Map.of(), ClientLimits.DEFAULT));
         for (int i = 0; i < size.hosts(); i++) {
@@ -85,13 +108,63 @@
         Map<HostId, ReplayHost> byId = new HashMap<>();
         hosts.forEach(host -> byId.put(host.host().id(), host));
         network.setHosts(byId);
-        hosts.forEach(host -> host.setOtherHosts(hosts.stream()
-                .filter(other -> other != host)
-                .map(ReplayHost::host)
-                .toList()));
+        updateHosts();
         clock.schedule(SAMPLE_MILLIS, this::sample);
     }
 
+    private void updateHosts() {
+        hosts.forEach(host -> host.routing()
+                .updateHosts(hosts.stream()
+                        .filter(other -> other != host)
+                        .map(ReplayHost::host)
+                        .toList()));
+    }
+
+    /** Returns the network, whose links may be changed. */
+    ReplayNetwork network() {
+        return network;
+    }
+
+    VirtualClock clock() {
+        return clock;
+    }
+
+    /** Returns the number of the time since the start, in milliseconds. */
+    long elapsedMillis(long atMillis) {
+        return (long) (atMillis - startMillis);
+    }
+
+    /** Loses the host that coordinates the first group; the others know it after about the time that membership takes. */
+    void loseCoordinator() {
+        GroupRouting routing = hosts.get(0).routing();
+        HostId lost = routing.coordinator(routing.groups().of(SERVICE).get(0)).id();
+        network.lose(lost);
+        hosts.removeIf(host -> host.host().id().equals(lost));
+        clock.schedule(HOST_LOSS_MILLIS, this::updateHosts);
+    }
+
+    /** Ends all endpoints of a zone; their registrations lapse later. */
+    void loseEndpoints(int zone) {
+        List<EndpointEntry> left = new ArrayList<>();
+        for (ReplayEndpoint endpoint : endpoints.values()) {
+            if (endpoint.entry().zone().equals(zone(zone))) {
+                endpoint.end();
+            } else {
+                left.add(endpoint.entry());
+            }
+        }
+        clock.schedule(REGISTRATION_MILLIS, () -> setEndpoints(left));
+    }
+
+    /** Replaces the directory of all hosts, which learn of it within some milliseconds of each other. */
+    void setEndpoints(List<EndpointEntry> entries) {
+        hosts.forEach(host -> clock.schedule(20 * random.nextDouble(), () -> host.setEndpoints(entries)));
+    }
+
+    List<EndpointEntry> entries() {
+        return endpoints.values().stream().map(ReplayEndpoint::entry).toList();
+    }
+
     ReplayCounts counts() {
         return counts;
     }
@@ -107,7 +180,7 @@
         double expectedStreams = 0;
         double expectedBatches = 0;
         while (clock.nowMillis() < untilMillis) {
-            expectedStreams += streamsPerSecond * streamRateFactor() / MILLIS_PER_SECOND;
+            expectedStreams += streamsPerSecond * relativeRate() / MILLIS_PER_SECOND;
             expectedBatches += batchesPerSecond / MILLIS_PER_SECOND;
             while (expectedStreams > random.nextDouble()) {
                 expectedStreams--;
@@ -131,6 +204,18 @@
         return hosts.get((int) (hosts.size() * random.nextDouble() * Math.max(random.nextDouble(), 0.5)));
     }
 
+    /** Returns the host that a caller in a zone uses. */
+    ReplayHost randomHost(int zone) {
+        if (zones.isEmpty()) {
+            return randomHost();
+        }
+        ReplayHost host = randomHost();
+        while (!host.host().zone().equals(zone(zone))) {
+            host = randomHost();
+        }
+        return host;
+    }
+
     /** Returns the outcome of the load so far. */
     ReplayResult result() {
         return new ReplayResult(
@@ -147,6 +232,28 @@
         return (int) calls.stream().filter(condition).count();
     }
 
+    private double relativeRate() {
+        double factor = streamRateFactor();
+        return zones.map(all -> IntStream.range(0, all.count())
+                        .mapToDouble(zone -> all.relativeRate(zone, factor))
+                        .sum())
+                .orElse(factor);
+    }
+
+    private int randomZone() {
+        if (zones.isEmpty()) {
+            return 0;
+        }
+        double factor = streamRateFactor();
+        double left = random.nextDouble() * relativeRate();
+        int zone = 0;
+        while (zone < zones.get().count() - 1 && left >= zones.get().relativeRate(zone, factor)) {
+            left -= zones.get().relativeRate(zone, factor);
+            zone++;
+        }
+        return zone;
+    }
+
     private double streamRateFactor() {
         double millisIntoPeriod = (clock.nowMillis() - startMillis) % LOAD_PERIOD_MILLIS;
         return millisIntoPeriod >= TROUGH_MILLIS ? PEAK_RATE_FACTOR : TROUGH_RATE_FACTOR;
@@ -155,7 +262,7 @@
     private void startCall() {
         double promptTokens = 150 + 600 * random.nextDouble();
         int events = events(size.streamEvents());
-        ReplayCall call = new ReplayCall(clock, this, streamRoute, promptTokens, events);
+        ReplayCall call = new ReplayCall(clock, this, streamRoute, randomZone(), promptTokens, events);
         calls.add(call);
         call.startAttempt();
     }
@@ -190,7 +297,11 @@
         return (int) Math.max(5, mean * (1 + EVENTS_DEVIATION * random.nextGaussian()));
     }
 
-    private AvailabilityZone zone(int number) {
+    private AvailabilityZone zoneOfEndpoint(int number) {
+        return zones.map(all -> zone(all.zoneOfEndpoint(number))).orElseGet(() -> zone(number));
+    }
+
+    AvailabilityZone zone(int number) {
         return new AvailabilityZone("zone-" + number % size.zones());
     }
 
