--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayAttempt.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayAttempt.java
@@ -7,20 +7,25 @@
 /** An attempt of a streamed request at an endpoint, as its host receives the answer. */
 final class ReplayAttempt implements ReplayEndpoint.AnswerListener {
     private final VirtualClock clock;
-    private final ReplayProcess process;
+    private final Consumer<Runnable> transport;
     private final ReplayCall call;
     private final Consumer<EventPace> onAnswered;
     private final Consumer<AttemptEnd> onFailed;
     private final EventPace pace = new EventPace();
 
+    /**
+     * Creates an attempt.
+     *
+     * @param transport runs an action of the host when a part of the answer has arrived there
+     */
     ReplayAttempt(
             VirtualClock clock,
-            ReplayProcess process,
+            Consumer<Runnable> transport,
             ReplayCall call,
             Consumer<EventPace> onAnswered,
             Consumer<AttemptEnd> onFailed) {
         this.clock = clock;
-        this.process = process;
+        this.transport = transport;
         this.call = call;
         this.onAnswered = onAnswered;
         this.onFailed = onFailed;
@@ -55,6 +60,6 @@
     }
 
     private void receive(Runnable action) {
-        clock.schedule(ReplayNetwork.ONE_WAY_LATENCY_MILLIS, () -> process.run(action));
+        transport.accept(action);
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayEndpoint.java
@@ -32,6 +32,7 @@
     private boolean lost;
     private int arrivals;
     private int mostQueued;
+    private boolean down;
 
     ReplayEndpoint(VirtualClock clock, EndpointEntry entry, double tokensPerEvent, ReplayCounts counts) {
         this.clock = clock;
@@ -44,6 +45,18 @@
         return entry;
     }
 
+    boolean isDown() {
+        return down;
+    }
+
+    /** Ends the endpoint with all that runs there. */
+    void end() {
+        down = true;
+        queue.clear();
+        running.forEach(run -> run.cancelled = true);
+        running.clear();
+    }
+
     int running() {
         return running.size();
     }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
@@ -21,6 +20,7 @@
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.coordination.WorkReports;
+import org.gooseberryhill.decision.coordination.ZoneCoordination;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
@@ -39,6 +39,9 @@
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
+import org.gooseberryhill.decision.zone.LeaveWhenItPays;
+import org.gooseberryhill.decision.zone.RoomAnswer;
+import org.gooseberryhill.decision.zone.ZonePolicy;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
@@ -52,11 +55,15 @@
  * endpoints in virtual time.
  */
 final class ReplayHost {
-    private static final double ONE_WAY_LATENCY_MILLIS = ReplayNetwork.ONE_WAY_LATENCY_MILLIS;
+    /** As in the product for a target latency of 300 ms. */
+    private static final double PLACEMENT_TIMEOUT_MILLIS = 30;
+
+    /** Time after which a connection to an endpoint beyond a cut link fails. */
+    private static final double CONNECT_TIMEOUT_MILLIS = 100;
+
     private static final double TICK_MILLIS = 25;
     private static final double LOADS_MILLIS = 100;
     private static final double REPORT_MILLIS = 1000;
-    private static final double PLACEMENT_TIMEOUT_MILLIS = 30;
 
     private final VirtualClock clock;
     private final ReplayNetwork network;
@@ -67,6 +74,7 @@
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
+    private final Optional<ZoneCoordination> zones;
     private final DispatchCore core;
     private final ItemDispatch items;
     private final ReplayCounts counts;
@@ -99,15 +107,20 @@
         List<EndpointEntry> entries =
                 endpoints.values().stream().map(ReplayEndpoint::entry).toList();
         fleet.updateDirectory(entries);
-        routing = new GroupRouting(self);
+        routing = new GroupRouting(self, policies.zones().partition());
         routing.updateEndpoints(entries);
         reports = new WorkReports(routing);
+        ZonePolicy zonePolicy = policies.zones().create();
         coordinator = new SlotCoordinator(
                 new RequestPlacer(policies.requests(random), policies.speeds().get()),
                 policies.reserve(),
                 new EqualSharesQuota(),
                 policies.order(),
+                zonePolicy,
                 0);
+        zones = zonePolicy instanceof LeaveWhenItPays pays
+                ? Optional.of(new ZoneCoordination(routing, coordinator, pays))
+                : Optional.empty();
         coordinator.updateDirectory(routing.groups(), entries);
         core = new DispatchCore(
                 self.zone(),
@@ -126,19 +139,20 @@
         every(LOADS_MILLIS, this::sendLoads);
     }
 
-    void setOtherHosts(List<Host> others) {
-        routing.updateHosts(others);
+    /** Replaces the directory. */
+    void setEndpoints(List<EndpointEntry> entries) {
+        fleet.updateDirectory(entries);
+        routing.updateEndpoints(entries);
+        coordinator.updateDirectory(routing.groups(), entries);
+        reportWork();
     }
 
-    Host host() {
-        return self;
+    GroupRouting routing() {
+        return routing;
     }
 
-    /** Applies a directory without the endpoints that were lost. */
-    void updateEndpoints(List<EndpointEntry> entries) {
-        fleet.updateDirectory(entries);
-        routing.updateEndpoints(entries);
-        coordinator.updateDirectory(routing.groups(), entries);
+    Host host() {
+        return self;
     }
 
     ReplayProcess process() {
@@ -199,7 +213,7 @@
     }
 
     private void sendToCoordinator(EndpointKey endpoint, Consumer<ReplayHost> action) {
-        routing.coordinatorOf(endpoint).ifPresent(to -> send(to.id(), action));
+        routing.coordinatorOf(endpoint).ifPresent(host -> send(host.id(), action));
     }
 
     private void execute(RoutedRequest request, DispatchDecision decision) {
@@ -209,6 +223,7 @@
                 sendToCoordinator(
                         endpoint, host -> host.coordinator.onlineStarted(self.id(), endpoint, clock.nowNanos()));
             }
+            counts.sent(self.zone(), send.endpoint().zone(), clock.nowMillis());
             send(request, send.endpoint());
         } else if (decision instanceof DispatchDecision.AskGroup ask) {
             ask(request, ask);
@@ -220,29 +235,32 @@
     }
 
     private void ask(RoutedRequest request, DispatchDecision.AskGroup ask) {
-        AtomicBoolean answered = new AtomicBoolean();
-        send(routing.coordinator(ask.group()).id(), host -> host.place(this, request, ask, answered));
-        clock.schedule(PLACEMENT_TIMEOUT_MILLIS, () -> {
-            if (answered.compareAndSet(false, true)) {
-                execute(request, core.placeWithoutAnswer(request, clock.nowNanos()));
-            }
+        HostId asked = routing.coordinator(ask.group()).id();
+        OnceAnswered<PlacementReply> answer = new OnceAnswered<>(
+                reply -> execute(request, core.placementAnswered(request, reply.answer(), clock.nowNanos())),
+                this::returnSlot);
+        send(asked, host -> {
+            PlacementReply reply = host.coordinator.place(self.id(), ask.group(), ask.query(), clock.nowNanos());
+            host.assign();
+            host.send(self.id(), asking -> {
+                reports.reservationReceived(asked, reply.reservation());
+                answer.onAnswer(reply);
+            });
         });
+        if (answer.isAwaited()) {
+            clock.schedule(
+                    PLACEMENT_TIMEOUT_MILLIS,
+                    () -> answer.onTimeout(() -> {
+                        routing.markUnresponsive(asked, clock.nowNanos());
+                        execute(request, core.placeWithoutAnswer(request, clock.nowNanos()));
+                    }));
+        }
     }
 
-    private void place(
-            ReplayHost asking, RoutedRequest request, DispatchDecision.AskGroup ask, AtomicBoolean answered) {
-        PlacementReply reply = coordinator.place(asking.self.id(), ask.group(), ask.query(), clock.nowNanos());
-        assign();
-        send(asking.self.id(), host -> {
-            host.reports.reservationReceived(self.id(), reply.reservation());
-            if (!answered.compareAndSet(false, true)) {
-                if (reply.answer() instanceof PlacementAnswer.Placed placed) {
-                    host.tellEnded(placed.endpoint(), AttemptEnd.DROPPED, AttemptTiming.ofDuration(0));
-                }
-                return;
-            }
-            host.execute(request, host.core.placementAnswered(request, reply.answer(), clock.nowNanos()));
-        });
+    private void returnSlot(PlacementReply late) {
+        if (late.answer() instanceof PlacementAnswer.Placed placed) {
+            tellEnded(placed.endpoint(), AttemptEnd.DROPPED, AttemptTiming.ofDuration(0));
+        }
     }
 
     private void assign() {
@@ -282,18 +300,17 @@
             host.coordinator.itemStarted(self.id(), start, clock.nowNanos());
             host.assign();
         });
-        int totalEvents = eventsByItem.get(
-                placed.get().batch().id() + "/" + placed.get().item().item().id());
         ReplayItemRun run = new ReplayItemRun(
                 clock,
                 counts,
                 placed.get(),
                 endpoints.get(endpoint),
-                totalEvents,
-                (end, attemptEnd) -> runEnded(placed.get(), end, attemptEnd));
+                eventsByItem,
+                network.toMillis(self, endpoints.get(endpoint).entry()),
+                this::itemEnded);
         itemRuns.put(placed.get(), run);
         itemsChanged = true;
-        clock.schedule(ONE_WAY_LATENCY_MILLIS, run::start);
+        clock.schedule(network.toMillis(self, endpoints.get(endpoint).entry()), run::start);
     }
 
     private void announceItems() {
@@ -325,21 +342,38 @@
         }
         routing.groups().all().stream()
                 .filter(group -> !routing.isCoordinator(group))
-                .forEach(group -> send(
-                        routing.coordinator(group).id(), host -> host.coordinator.groupLoads(loads, clock.nowNanos())));
+                .forEach(group -> network.sendLoads(
+                        self.id(),
+                        routing.coordinator(group).id(),
+                        host -> host.coordinator.groupLoads(loads, clock.nowNanos())));
+        zones.ifPresent(decision -> decision.dueQuestions(clock.nowNanos()).forEach(this::askForRoom));
+    }
+
+    private void askForRoom(ZoneCoordination.Question question) {
+        long askedNanos = clock.nowNanos();
+        send(question.to().id(), host -> {
+            RoomAnswer answer = host.zones.orElseThrow().answer(self.id(), question.query(), clock.nowNanos());
+            host.send(
+                    self.id(), asking -> zones.orElseThrow().answered(question, answer, askedNanos, clock.nowNanos()));
+        });
     }
 
     private void send(RoutedRequest request, EndpointEntry entry) {
         ReplayCall call = calls.get(request);
         ReplayEndpoint endpoint = endpoints.get(entry.key());
+        if (network.isCut(self.zone(), entry.zone()) || endpoint.isDown()) {
+            double millis = endpoint.isDown() ? network.toMillis(self, entry) : CONNECT_TIMEOUT_MILLIS;
+            clock.schedule(millis, () -> handleFailure(request, entry.key(), AttemptEnd.UNREACHABLE));
+            return;
+        }
         ReplayAttempt attempt = new ReplayAttempt(
                 clock,
-                process,
+                action -> network.sendAnswer(self, entry.zone(), () -> process.run(action)),
                 call,
                 pace -> handleAnswer(request, entry.key(), pace),
                 end -> handleFailure(request, entry.key(), end));
         ReplayEndpoint.Run run = new ReplayEndpoint.Run(call.promptTokens(), call.events(), attempt);
-        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.receive(run));
+        clock.schedule(network.toMillis(self, entry), () -> endpoint.receive(run));
     }
 
     private void handleAnswer(RoutedRequest request, EndpointKey endpoint, EventPace pace) {
@@ -370,7 +404,8 @@
         return batches.stream().filter(batch -> batch.openItemCount() > 0).toList();
     }
 
-    private void runEnded(PlacedItem placed, RunEnd end, AttemptEnd attemptEnd) {
+    private void itemEnded(ReplayItemRun run, RunEnd end, AttemptEnd attemptEnd) {
+        PlacedItem placed = run.placed();
         itemRuns.remove(placed);
         items.runEnded(placed, end, attemptEnd, clock.nowNanos());
         itemsChanged = true;
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayItemRun.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayItemRun.java
@@ -1,7 +1,7 @@
 package org.gooseberryhill.decision.replay;
 
+import java.util.Map;
 import java.util.Optional;
-import java.util.function.BiConsumer;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
@@ -15,32 +15,35 @@
     private final ReplayCounts counts;
     private final PlacedItem placed;
     private final ReplayEndpoint endpoint;
+    private final double oneWayMillis;
+    private final EndListener listener;
     private final ReplayEndpoint.Run run;
-    private final BiConsumer<RunEnd, AttemptEnd> onFinished;
     private boolean finished;
 
-    /**
-     * Creates a run.
-     *
-     * @param totalEvents number of events of the whole item
-     * @param onFinished called once, when the run has ended
-     */
     ReplayItemRun(
             VirtualClock clock,
             ReplayCounts counts,
             PlacedItem placed,
             ReplayEndpoint endpoint,
-            int totalEvents,
-            BiConsumer<RunEnd, AttemptEnd> onFinished) {
+            Map<String, Integer> eventsByItem,
+            double oneWayMillis,
+            EndListener listener) {
         this.clock = clock;
         this.counts = counts;
         this.placed = placed;
         this.endpoint = endpoint;
-        this.onFinished = onFinished;
+        this.oneWayMillis = oneWayMillis;
+        this.listener = listener;
+        int totalEvents = eventsByItem.get(
+                placed.batch().id() + "/" + placed.item().item().id());
         int generatedEvents = placed.item().lastEventId().orElse(0L).intValue();
         this.run = new ReplayEndpoint.Run(ITEM_PROMPT_TOKENS, totalEvents - generatedEvents, this);
     }
 
+    PlacedItem placed() {
+        return placed;
+    }
+
     void start() {
         if (!finished) {
             counts.itemRuns++;
@@ -54,7 +57,7 @@
         }
         counts.itemYielded(placed.elapsedNanos(clock.nowNanos()));
         finish(RunEnd.YIELDED, AttemptEnd.ABANDONED);
-        clock.schedule(ReplayNetwork.ONE_WAY_LATENCY_MILLIS, () -> endpoint.cancel(run));
+        clock.schedule(oneWayMillis, () -> endpoint.cancel(run));
     }
 
     @Override
@@ -67,22 +70,23 @@
 
     @Override
     public void onEnd() {
-        finishLater(RunEnd.COMPLETED, AttemptEnd.ANSWERED);
+        clock.schedule(oneWayMillis, () -> finish(RunEnd.COMPLETED, AttemptEnd.ANSWERED));
     }
 
     @Override
     public void onBusy() {
-        finishLater(RunEnd.NOT_RUN, AttemptEnd.BUSY);
-    }
-
-    private void finishLater(RunEnd end, AttemptEnd attemptEnd) {
-        clock.schedule(ReplayNetwork.ONE_WAY_LATENCY_MILLIS, () -> finish(end, attemptEnd));
+        clock.schedule(oneWayMillis, () -> finish(RunEnd.NOT_RUN, AttemptEnd.BUSY));
     }
 
     private void finish(RunEnd end, AttemptEnd attemptEnd) {
         if (!finished) {
             finished = true;
-            onFinished.accept(end, attemptEnd);
+            listener.onEnded(this, end, attemptEnd);
         }
     }
+
+    /** Receives the end of a run. */
+    interface EndListener {
+        void onEnded(ReplayItemRun run, RunEnd end, AttemptEnd attemptEnd);
+    }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -26,29 +26,38 @@
  * @param order the order in which items get slots
  * @param coordinated whether hosts ask coordinators for endpoints, as in the product
  * @param speeds creates what a coordinator knows of the speed of endpoints
+ * @param zones how a zone is chosen
  */
 record ReplayPolicies(
         Function<Random, DispatchPolicies> requestPolicies,
         SlotReserve reserve,
         ItemOrder order,
         boolean coordinated,
-        Supplier<EndpointSpeeds> speeds) {
+        Supplier<EndpointSpeeds> speeds,
+        ReplayZonePolicy zones) {
     /** The policies that the product uses. */
     static final ReplayPolicies PRODUCT =
             new ReplayPolicies(DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true);
 
-    /** Creates policies with the product's knowledge of the speed of endpoints. */
+    /** Creates policies with the product's knowledge of endpoints and choice of zones. */
     ReplayPolicies(
             Function<Random, DispatchPolicies> requestPolicies,
             SlotReserve reserve,
             ItemOrder order,
             boolean coordinated) {
-        this(requestPolicies, reserve, order, coordinated, ObservedEndpointSpeeds::new);
+        this(
+                requestPolicies,
+                reserve,
+                order,
+                coordinated,
+                ObservedEndpointSpeeds::new,
+                ReplayZonePolicy.WHEN_IT_PAYS);
     }
 
     /** Returns the product's policies with another knowledge of the speed of endpoints. */
     static ReplayPolicies withSpeeds(Supplier<EndpointSpeeds> speeds) {
-        return new ReplayPolicies(PRODUCT.requestPolicies, PRODUCT.reserve, PRODUCT.order, PRODUCT.coordinated, speeds);
+        return new ReplayPolicies(
+                PRODUCT.requestPolicies, PRODUCT.reserve, PRODUCT.order, PRODUCT.coordinated, speeds, PRODUCT.zones);
     }
 
     /** Returns the product's policies with other ones for online requests. */
@@ -56,6 +65,12 @@
         return new ReplayPolicies(policies, new FluctuationReserve(), new FeasibleFirstOrder(), true);
     }
 
+    /** Returns the product's policies with another way to choose a zone. */
+    static ReplayPolicies withZones(ReplayZonePolicy zones) {
+        return new ReplayPolicies(
+                PRODUCT.requestPolicies, PRODUCT.reserve, PRODUCT.order, PRODUCT.coordinated, PRODUCT.speeds, zones);
+    }
+
     DispatchPolicies requests(Random random) {
         return requestPolicies.apply(random);
     }
