Let gateways ask other zones for room and send requests there

The decision had no messages, settings, log lines or counters.

Coordinators ask with messages 60 and 61, which belong to message set 5 and go only to hosts that registered it. GOOSEBERRY_ZONE_CROSSING_PRICE_MILLIS is the price, 5 by default; a value that is no integer of at least 0 is reported like other settings. zone.sending-started and zone.sending-ended name service, zones, reason, wait, cost and number of requests; attempt.sent names zone and who chose the endpoint, and gooseberry_zone_attempts counts the same with six label pairs.

Ruled out: fields at the end of the loads, which are sent ten times a second whether a zone needs room or not.

--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -113,6 +113,7 @@
         } else if (answer instanceof PlacementAnswer.OverQuota overQuota) {
             return new DispatchDecision.Refuse(DispatchRefusals.overQuota(request, overQuota.retryAfterMillis()));
         } else if (answer instanceof PlacementAnswer.Elsewhere elsewhere && request.groupAsked(elsewhere.group())) {
+            request.redirected();
             return ask(request, elsewhere.group(), nowNanos);
         } else if (answer instanceof PlacementAnswer.Elsewhere elsewhere
                 && groups.followsZones(request.info().service())
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RoutedRequest.java
@@ -30,6 +30,7 @@
     private final Set<EndpointKey> refusedBy = new HashSet<>();
     private final Set<EndpointGroup> askedGroups = new HashSet<>();
     private boolean redirectedBack;
+    private boolean redirected;
     private final List<PastAttempt> pastAttempts = new ArrayList<>();
     private Optional<EndpointEntry> endpoint = Optional.empty();
     private Optional<ServiceVersion> beganAt;
@@ -177,6 +178,7 @@
     void placementStarted() {
         askedGroups.clear();
         redirectedBack = false;
+        redirected = false;
     }
 
     /** Records that the coordinator of a group is asked for an endpoint; returns false if it was asked before. */
@@ -184,6 +186,16 @@
         return askedGroups.size() < MAX_ASKED_GROUPS && askedGroups.add(group);
     }
 
+    /** Records that a coordinator names another group. */
+    void redirected() {
+        redirected = true;
+    }
+
+    /** Returns whether a coordinator has named another group for the latest attempt. */
+    public boolean wasRedirected() {
+        return redirected;
+    }
+
     /** Returns the groups whose coordinators were asked for the next attempt. */
     Set<EndpointGroup> askedGroups() {
         return askedGroups;
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMessageHandler.java
@@ -66,6 +66,10 @@
             reply.complete(slots.admissions().answer(request));
             return;
         }
+        if (message instanceof CoordinationMessage.RoomRequest request) {
+            reply.complete(slots.zones().answer(from, request));
+            return;
+        }
         if (message instanceof GatewayMessage.StreamOriginRequest request) {
             reply.complete(traffic.streamOrigins().answer(request));
             return;
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
@@ -32,6 +32,11 @@
             "route");
     private final LabeledHistogram attemptLatency =
             metrics.histogram("gooseberry_attempt_seconds", "How long attempts lasted, by endpoint", "endpoint");
+    private final LabeledCounter zones = metrics.counter(
+            "gooseberry_zone_attempts",
+            "Attempts by whether the endpoint is in the zone of this host, and who chose it",
+            "zone",
+            "chosen");
     private final LabeledCounter items =
             metrics.counter("gooseberry_item_runs", "Runs of items of request batches by their end", "end");
 
@@ -59,6 +64,11 @@
         attemptLatency.observe(seconds, label);
     }
 
+    /** Counts an attempt by its zone, and by who chose its endpoint. */
+    void attemptSent(boolean ownZone, EndpointChoice choice) {
+        zones.increment(ownZone ? "own" : "other", choice.label());
+    }
+
     void itemRunEnded(RunEnd end) {
         items.increment(end.name());
     }
--- a/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param resultRetentionMillis time for which a finished batch is kept
  * @param connectionLimits limits of the connections from callers
  * @param submissionCopies number of hosts that must store a submission on disk for it to survive all tolerated losses
+ * @param zoneCrossingPriceMillis what sending a request to another zone costs beyond the time, in milliseconds of wait
  */
 public record GatewaySettings(
         Host self,
@@ -30,7 +31,11 @@
         int storeTimeoutMillis,
         long resultRetentionMillis,
         ConnectionLimits connectionLimits,
-        int submissionCopies) {
+        int submissionCopies,
+        long zoneCrossingPriceMillis) {
+    /** The price if none is set: a request leaves its zone rather than wait for several round trips between zones. */
+    public static final long DEFAULT_ZONE_CROSSING_PRICE_MILLIS = 5;
+
     /** Returns these settings, with the values that may change while the process runs taken from newer ones. */
     GatewaySettings reloaded(GatewaySettings newer) {
         return new GatewaySettings(
@@ -43,6 +48,7 @@
                 newer.storeTimeoutMillis,
                 resultRetentionMillis,
                 connectionLimits,
-                newer.submissionCopies);
+                newer.submissionCopies,
+                newer.zoneCrossingPriceMillis);
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
+++ b/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
@@ -106,6 +106,11 @@
         return roster.gatewaysThatUnderstand(ListedHost.PROMPT_PARTS_MESSAGE_SET, context.nowNanos());
     }
 
+    /** Returns the other gateways that understand messages on the room of zones and are not known to be lost. */
+    List<Host> gatewaysWithZoneRoom() {
+        return roster.gatewaysThatUnderstand(ListedHost.ZONE_ROOM_MESSAGE_SET, context.nowNanos());
+    }
+
     /** Returns whether more than half of the gateways, this one included, are known to be alive. */
     boolean isInTouchWithMost() {
         int known = gateways().size() + 1;
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
@@ -43,6 +43,9 @@
      */
     void attemptSent(
             EndpointEntry endpoint, long attempt, Optional<Long> lastEventId, PlacementFacts facts, boolean assigned) {
+        boolean ownZone = endpoint.zone().equals(context.settings().self().zone());
+        EndpointChoice choice = EndpointChoice.of(request, assigned);
+        context.metrics().attemptSent(ownZone, choice);
         EventBuilder event = context.timeline()
                 .event(EventKind.ATTEMPT_SENT)
                 .request(request.info().id())
@@ -57,6 +60,9 @@
                 .with("slots", facts.slots())
                 .with("waitMillis", facts.waitMillis())
                 .with("assigned", assigned)
+                .with("zone", endpoint.zone().name())
+                .with("ownZone", ownZone)
+                .with("chosen", choice.label())
                 .with("sinceArrivalMillis", sinceArrivalMillis())
                 .with("directoryAgeMillis", traffic.directoryAgeMillis())
                 .write();
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -7,6 +7,7 @@
 import org.gooseberryhill.decision.coordination.GroupRouting;
 import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
+import org.gooseberryhill.decision.coordination.ZoneCoordination;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
@@ -15,6 +16,8 @@
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.ItemQuarantine;
 import org.gooseberryhill.decision.requestbatch.RestartAfterEqualWait;
+import org.gooseberryhill.decision.zone.CrossingCost;
+import org.gooseberryhill.decision.zone.LeaveWhenItPays;
 import org.gooseberryhill.directory.EndpointEntry;
 
 /**
@@ -27,6 +30,7 @@
     private final PeerLinks links;
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
+    private final LeaveWhenItPays zones;
     private final SlotExchange exchange;
     private WorkAnnouncer announcer;
 
@@ -36,13 +40,21 @@
         this.routing = routing;
         // Microseconds since the epoch grow faster than an earlier process can have used numbers.
         long firstReservation = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
+        this.zones =
+                new LeaveWhenItPays(new CrossingCost(() -> context.settings().zoneCrossingPriceMillis()));
         this.coordinator = new SlotCoordinator(
                 new RequestPlacer(policies),
                 new FluctuationReserve(),
                 new CountedSharesQuota(context.settings().self().id(), context.nowNanos()),
                 order,
+                zones,
                 firstReservation);
-        this.exchange = new SlotExchange(context, links, routing, coordinator);
+        this.exchange = new SlotExchange(
+                context,
+                links,
+                routing,
+                coordinator,
+                new ZoneExchange(context, links, new ZoneCoordination(routing, coordinator, zones), zones));
     }
 
     /** Returns the exchange of messages with coordinators. */
@@ -66,6 +78,7 @@
     void endpointsChanged(Collection<EndpointEntry> entries) {
         boolean groupsChanged = routing.updateEndpoints(entries);
         coordinator.updateDirectory(routing.groups(), entries);
+        zones.retain(routing.groups());
         if (groupsChanged) {
             announcer.reportAll();
         }
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -47,9 +47,16 @@
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
     private final AdmissionClient admissions;
+    private final ZoneExchange zones;
     private GrantReceiver grantReceiver;
 
-    SlotExchange(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
+    SlotExchange(
+            GatewayContext context,
+            PeerLinks links,
+            GroupRouting routing,
+            SlotCoordinator coordinator,
+            ZoneExchange zones) {
+        this.zones = zones;
         this.context = context;
         this.links = links;
         this.routing = routing;
@@ -128,6 +135,11 @@
         return admissions;
     }
 
+    /** Returns what asks the coordinators of other zones for room. */
+    ZoneExchange zones() {
+        return zones;
+    }
+
     /** Returns what this host has received from coordinators, and which they are. */
     WorkReports reports() {
         return reports;
@@ -137,6 +149,7 @@
     void tick() {
         assignSlots();
         sendLoads();
+        zones.tick();
     }
 
     /** Removes a lost host from the counts. */
--- a/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
@@ -30,6 +30,7 @@
     static List<CompactCodec<?>> all() {
         List<CompactCodec<?>> codecs = new ArrayList<>(requestCodecs());
         codecs.addAll(itemCodecs());
+        codecs.addAll(ZoneCodecs.all());
         return codecs;
     }
 
--- a/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
@@ -10,6 +10,8 @@
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.quota.QuotaReport;
+import org.gooseberryhill.decision.zone.RoomAnswer;
+import org.gooseberryhill.decision.zone.RoomQuery;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 
@@ -123,6 +125,21 @@
      */
     record ItemsYield(List<Long> runs) implements CoordinationMessage {}
 
+    /**
+     * Asks a coordinator whether its groups take requests of another zone; the reply is {@link RoomReply}. Sent only to hosts
+     * whose message set contains it.
+     *
+     * @param query the question
+     */
+    record RoomRequest(RoomQuery query) implements CoordinationMessage {}
+
+    /**
+     * Returns how many requests of another zone the sender's groups take.
+     *
+     * @param answer the answer
+     */
+    record RoomReply(RoomAnswer answer) implements CoordinationMessage {}
+
     /**
      * Tells the coordinators of other groups how loaded the sender's groups are, and which requests of client accounts the sender
      * was asked to admit.
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -55,6 +55,10 @@
     ADMISSION_UNANSWERED("admission.unanswered", Importance.STATE),
     /** The coordinator of a group of endpoints did not answer in time. */
     COORDINATOR_UNANSWERED("coordinator.unanswered", Importance.STATE),
+    /** A coordinator starts sending requests to endpoints of another zone. */
+    ZONE_SENDING_STARTED("zone.sending-started", Importance.STATE),
+    /** A coordinator has sent no request to endpoints of another zone for a while. */
+    ZONE_SENDING_ENDED("zone.sending-ended", Importance.STATE),
     /** The record of software versions was not written; the host tries again. */
     VERSION_RECORD_UNWRITTEN("version-record.unwritten", Importance.STATE),
     /** The record of software versions in the key-value store can't be decoded. */
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -41,6 +41,11 @@
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.ItemState;
+import org.gooseberryhill.decision.zone.GroupRoom;
+import org.gooseberryhill.decision.zone.RoomAnswer;
+import org.gooseberryhill.decision.zone.RoomQuery;
+import org.gooseberryhill.decision.zone.ZoneLoad;
+import org.gooseberryhill.decision.zone.ZonePair;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.directory.ServiceVersion;
@@ -196,6 +201,16 @@
                 new CoordinationMessage.AdmissionReturned("studio"));
     }
 
+    static Stream<PeerMessage> zoneMessages() {
+        return Stream.of(
+                new CoordinationMessage.RoomRequest(new RoomQuery(
+                        new ZonePair("s", new AvailabilityZone("a"), new AvailabilityZone("b")),
+                        new ZoneLoad(168, 150))),
+                new CoordinationMessage.RoomReply(RoomAnswer.DENIED),
+                new CoordinationMessage.RoomReply(
+                        new RoomAnswer(true, List.of(new GroupRoom(new EndpointGroup("s", 1000), 7)))));
+    }
+
     static Stream<PeerMessage> quarantineMessages() {
         EndpointKey key = new EndpointKey("e", 5);
         PromptPartKey part = new PromptPartKey(new ServiceVersion("s", "v1"), "m", "p");
@@ -212,7 +227,7 @@
     }
 
     @ParameterizedTest
-    @MethodSource({"messages", "gatewayMessages", "coordinationMessages", "quarantineMessages"})
+    @MethodSource({"messages", "gatewayMessages", "coordinationMessages", "zoneMessages", "quarantineMessages"})
     void aMessageSurvivesARoundTrip(PeerMessage message) throws IOException {
         PeerFrame frame = new PeerFrame(5, true, HybridTimestamp.ofMillis(1000), HOST, message);
 
