--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -23,6 +23,7 @@
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.dialect.Dialects;
 import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointGroups;
 import org.gooseberryhill.external.KeyValueStoreFactory;
 import org.gooseberryhill.http.HttpClient;
 import org.gooseberryhill.http.HttpLimits;
@@ -126,7 +127,9 @@
         Random random = new Random(seed);
         HttpClient http = new HttpClient(group, HeldBytesGuard.newCounts(settings));
         Fleet fleet = new Fleet();
-        this.routing = new GroupRouting(settings.self());
+        this.routing = new GroupRouting(
+                settings.self(),
+                settings.zoneCrossingPriceMillis().isPresent() ? EndpointGroups::of : EndpointGroups::spanningZones);
         this.store = new RelayingKeyValueStore(
                 storeFactory.create(http), storeReachability, this::relayStoreCall, this::storeReachabilityChanged);
         DispatchPolicies policies = DispatchPolicies.defaults(random);
--- a/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
@@ -20,6 +20,8 @@
  * @param connectionLimits limits of the connections from callers
  * @param submissionCopies number of hosts that must store a submission on disk for it to survive all tolerated losses
  * @param memoryLimitBytes memory at which the process is killed, if it is known
+ * @param zoneCrossingPriceMillis what sending a request to another zone costs beyond the time, in milliseconds of wait; empty if
+ *     zones make no difference
  */
 public record GatewaySettings(
         Host self,
@@ -32,7 +34,8 @@
         long resultRetentionMillis,
         ConnectionLimits connectionLimits,
         int submissionCopies,
-        Optional<Long> memoryLimitBytes) {
+        Optional<Long> memoryLimitBytes,
+        Optional<Long> zoneCrossingPriceMillis) {
     /** Returns these settings, with the values that may change while the process runs taken from newer ones. */
     GatewaySettings reloaded(GatewaySettings newer) {
         return new GatewaySettings(
@@ -46,6 +49,7 @@
                 resultRetentionMillis,
                 connectionLimits,
                 newer.submissionCopies,
-                memoryLimitBytes);
+                memoryLimitBytes,
+                newer.zoneCrossingPriceMillis);
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -7,6 +7,7 @@
 import org.gooseberryhill.decision.coordination.GroupRouting;
 import org.gooseberryhill.decision.coordination.ItemOrder;
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
+import org.gooseberryhill.decision.coordination.ZoneCoordination;
 import org.gooseberryhill.decision.dispatch.DispatchPolicies;
 import org.gooseberryhill.decision.dispatch.EndpointSpeeds;
 import org.gooseberryhill.decision.dispatch.ObservedEndpointSpeeds;
@@ -17,6 +18,8 @@
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.ItemQuarantine;
 import org.gooseberryhill.decision.requestbatch.RestartAfterEqualWait;
+import org.gooseberryhill.decision.zone.CrossingCost;
+import org.gooseberryhill.decision.zone.LeaveWhenItPays;
 import org.gooseberryhill.directory.EndpointEntry;
 
 /**
@@ -29,6 +32,7 @@
     private final PeerLinks links;
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
+    private final LeaveWhenItPays zones;
     private final SlotExchange exchange;
     private final EndpointSpeedLog speedLog;
     private WorkAnnouncer announcer;
@@ -41,13 +45,21 @@
         long firstReservation = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
         EndpointSpeeds speeds = new ObservedEndpointSpeeds();
         this.speedLog = new EndpointSpeedLog(context, speeds);
+        this.zones =
+                new LeaveWhenItPays(new CrossingCost(() -> context.settings().zoneCrossingPriceMillis().orElse(0L)));
         this.coordinator = new SlotCoordinator(
                 new RequestPlacer(policies, speeds),
                 new FluctuationReserve(),
                 new CountedSharesQuota(context.settings().self().id(), context.nowNanos()),
                 order,
+                zones,
                 firstReservation);
-        this.exchange = new SlotExchange(context, links, routing, coordinator);
+        this.exchange = new SlotExchange(
+                context,
+                links,
+                routing,
+                coordinator,
+                new ZoneExchange(context, links, new ZoneCoordination(routing, coordinator, zones), zones));
     }
 
     /** Returns the exchange of messages with coordinators. */
@@ -71,6 +83,7 @@
     void endpointsChanged(Collection<EndpointEntry> entries) {
         boolean groupsChanged = routing.updateEndpoints(entries);
         coordinator.updateDirectory(routing.groups(), entries);
+        zones.retain(routing.groups());
         if (groupsChanged) {
             announcer.reportAll();
         }
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -56,9 +56,16 @@
     private final LoadAnnouncements announcements = new LoadAnnouncements();
     private final Queue<ReceivedLoads> receivedLoads = new ConcurrentLinkedQueue<>();
     private final ProcessPauses pauses = new ProcessPauses();
+    private final ZoneExchange zones;
     private GrantReceiver grantReceiver;
 
-    SlotExchange(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
+    SlotExchange(
+            GatewayContext context,
+            PeerLinks links,
+            GroupRouting routing,
+            SlotCoordinator coordinator,
+            ZoneExchange zones) {
+        this.zones = zones;
         this.context = context;
         this.links = links;
         this.routing = routing;
@@ -141,6 +148,11 @@
         return admissions;
     }
 
+    /** Returns what asks the coordinators of other zones for room. */
+    ZoneExchange zones() {
+        return zones;
+    }
+
     /** Returns what this host has received from coordinators, and which they are. */
     WorkReports reports() {
         return reports;
@@ -152,6 +164,7 @@
         pauses.tick(context.nowNanos(), System.currentTimeMillis());
         assignSlots();
         sendLoads();
+        zones.tick();
     }
 
     /**
