Ignore the end of a run of an item whose owner a coordinator does not know

The end of a run goes to the present coordinator of the endpoint. After a change of the groups that may be one which has no runs of the owner yet, and removing from the immutable empty map threw UnsupportedOperationException in the handling of the message. The end is now ignored; reports follow within a second.

--- a/src/main/java/org/gooseberryhill/decision/coordination/BatchRuns.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/BatchRuns.java
@@ -32,10 +32,11 @@
 
     /** Removes a run and returns its endpoint; empty if the run is not known. */
     Optional<EndpointKey> remove(HostId owner, long number) {
-        Run run = byOwner.getOrDefault(owner, Map.of()).remove(number);
-        if (run == null) {
+        Map<Long, Run> runs = byOwner.get(owner);
+        if (runs == null || !runs.containsKey(number)) {
             return Optional.empty();
         }
+        Run run = runs.remove(number);
         byEndpoint.get(run.start.endpoint()).remove(run);
         return Optional.of(run.start.endpoint());
     }
--- a/src/test/java/org/gooseberryhill/decision/coordination/SlotCoordinatorTest.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/SlotCoordinatorTest.java
@@ -258,4 +258,13 @@
                 .isEmpty();
         assertThat(fixture.grants()).hasSize(1);
     }
+
+    /** Guards against a successor that fails at the end of a run which only its predecessor knew. */
+    @Test
+    void theEndOfARunOfAnUnknownOwnerIsIgnored() {
+        fixture.coordinator.itemEnded(CoordinationFixture.OWNER, 7, AttemptEnd.ANSWERED, fixture.nowNanos);
+
+        fixture.announce(CoordinationFixture.OWNER, 0, 9000);
+        assertThat(fixture.grants()).hasSize(1);
+    }
 }
