Count calls to the key-value store by purpose and outcome

The number of calls alone does not show which part of a host makes them. CountedKeyValueStore counts each direct call as watch, lease, host_list, directory, configuration, record, batch or relayed, with the outcome answered, not_done or unknown. The total stays as it was.

--- a/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
@@ -43,6 +43,11 @@
 
     private final LabeledCounter speedChanges = metrics.counter(
             "gooseberry_endpoint_speed_changes", "Endpoints that became slow, usual or fast, by new class", "to");
+    private final LabeledCounter storeCalls = metrics.counter(
+            "gooseberry_store_calls_by_purpose",
+            "Calls to the key-value store by purpose and outcome",
+            "purpose",
+            "outcome");
 
     /** Returns all metrics for export. */
     MetricRegistry all() {
@@ -81,6 +86,10 @@
         speedChanges.increment(to.name());
     }
 
+    void storeCalled(StoreCallPurpose purpose, String outcome) {
+        storeCalls.increment(purpose.label(), outcome);
+    }
+
     private static String boundedLabel(Set<String> labelValues, String value) {
         if (labelValues.contains(value)) {
             return value;
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -84,6 +84,7 @@
     private volatile GatewaySettings settings;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private final StoreReachability storeReachability = new StoreReachability();
     private final RelayingKeyValueStore store;
     private final GatewayContext context;
@@ -130,8 +131,9 @@
         this.routing = new GroupRouting(
                 settings.self(),
                 settings.zoneCrossingPriceMillis().isPresent() ? EndpointGroups::of : EndpointGroups::spanningZones);
+        CountedKeyValueStore directStore = CountedKeyValueStore.create(storeFactory.create(http), dialects, metrics);
         this.store = new RelayingKeyValueStore(
-                storeFactory.create(http), storeReachability, this::relayStoreCall, this::storeReachabilityChanged);
+                directStore, storeReachability, this::relayStoreCall, this::storeReachabilityChanged);
         DispatchPolicies policies = DispatchPolicies.defaults(random);
         this.context = new GatewayContext(
                 () -> this.settings,
@@ -145,7 +147,7 @@
                 createCore(http, policies, fleet),
                 new PlannedStop(STOP_GRACE_MILLIS, settings.stopBoundMillis()),
                 new Timeline(settings.self().id().value(), clock, log),
-                new GatewayMetrics());
+                metrics);
         this.tickTasks = new TickTasks(context.loop(), TICK_PERIOD_MILLIS);
         this.delayLog = new DelayLog(context, group, TICK_PERIOD_MILLIS);
         this.links = new PeerLinks(context);
@@ -295,7 +297,6 @@
     }
 
     private void startMetrics(Address address) {
-        GatewayMetrics metrics = context.metrics();
         traffic.addGauges();
         metrics.gauge("gooseberry_items_in_progress", "Items of request batches that run", runner::runningItems);
         metrics.gauge("gooseberry_batches_open", "Request batches that this host runs", handOver::openBatchCount);
@@ -309,7 +310,10 @@
         registration.start();
         views.start();
         context.loop().every(TICK_PERIOD_MILLIS, this::tick);
-        tickTasks.add(SLOW_TICK_PERIOD_MILLIS, this::slowTick);
+        tickTasks.add(SLOW_TICK_PERIOD_MILLIS, probes::tick);
+        tickTasks.add(SLOW_TICK_PERIOD_MILLIS, assignment::slowTick);
+        tickTasks.add(SLOW_TICK_PERIOD_MILLIS, traffic.streamOrigins()::tick);
+        tickTasks.add(SLOW_TICK_PERIOD_MILLIS, traffic.promptParts()::tick);
         tickTasks.add(TAKEOVER_PERIOD_MILLIS, takeover::tick);
         tickTasks.add(HEARTBEAT_PERIOD_MILLIS, heartbeats::send);
         tickTasks.add(HEARTBEAT_PERIOD_MILLIS, assignment::reportAll);
@@ -331,13 +335,6 @@
         tickTasks.runDue();
     }
 
-    private void slowTick() {
-        probes.tick();
-        assignment.slowTick();
-        traffic.streamOrigins().tick();
-        traffic.promptParts().tick();
-    }
-
     private void updateReadiness() {
         boolean canRoute = views.areLoaded() && !table.configuration().isEmpty();
         readiness.update(canRoute, context.stop().phase() != PlannedStop.Phase.SERVING);
--- a/src/main/java/org/gooseberryhill/gateway/RelayingKeyValueStore.java
+++ b/src/main/java/org/gooseberryhill/gateway/RelayingKeyValueStore.java
@@ -26,16 +26,18 @@
     private static final long UNREACHED_WAIT_MILLIS = 50;
 
     private final PollingKeyValueStore directStore;
+    private final PollingKeyValueStore storeForPeers;
     private final StoreReachability storeReachability;
     private final Relay relay;
     private final ReachabilityListener reachabilityListener;
 
     RelayingKeyValueStore(
-            PollingKeyValueStore directStore,
+            CountedKeyValueStore directStore,
             StoreReachability storeReachability,
             Relay relay,
             ReachabilityListener reachabilityListener) {
         this.directStore = directStore;
+        this.storeForPeers = directStore.forOtherHosts();
         this.storeReachability = storeReachability;
         this.relay = relay;
         this.reachabilityListener = reachabilityListener;
@@ -116,13 +118,13 @@
     CompletableFuture<PeerMessage> callForPeer(GatewayMessage.StoreCall call) {
         if (call.readKey().isPresent()) {
             return toStoreAnswer(
-                    directStore.read(call.readKey().get()),
+                    storeForPeers.read(call.readKey().get()),
                     read -> new GatewayMessage.StoreAnswer(
                             Optional.empty(), Optional.of(read), Optional.empty(), Optional.empty(), Optional.empty()));
         }
         if (call.listPrefix().isPresent()) {
             return toStoreAnswer(
-                    directStore.list(call.listPrefix().get(), call.mayBeStale()),
+                    storeForPeers.list(call.listPrefix().get(), call.mayBeStale()),
                     listing -> new GatewayMessage.StoreAnswer(
                             Optional.empty(),
                             Optional.empty(),
@@ -132,7 +134,7 @@
         }
         if (call.write().isPresent()) {
             return toStoreAnswer(
-                    directStore.write(call.write().get()),
+                    storeForPeers.write(call.write().get()),
                     written -> new GatewayMessage.StoreAnswer(
                             Optional.empty(),
                             Optional.empty(),
@@ -141,8 +143,8 @@
                             Optional.empty()));
         }
         CompletableFuture<Long> lease = call.grantTtlMillis().isPresent()
-                ? directStore.grantLease(call.grantTtlMillis().get())
-                : directStore.renewLease(call.renewLeaseId().orElseThrow());
+                ? storeForPeers.grantLease(call.grantTtlMillis().get())
+                : storeForPeers.renewLease(call.renewLeaseId().orElseThrow());
         return toStoreAnswer(
                 lease,
                 value -> new GatewayMessage.StoreAnswer(
