Share slots between client accounts by weight while they are contended

Cause: an account that sends many times its usual rate makes the requests of all accounts wait and be refused alike. Change: decision/share with the order of arrival as baseline and weighted shares; the coordinator of a group asks it for each placement. Requests of accounts above their shares get free slots beyond a few kept ones, and are otherwise refused at once. The replay of whole fleets gets accounts, lost hosts and lost messages. Open in this state: the replays of a lost coordinator, of an account at one host, and of one that comes back fail.

--- a/src/main/java/org/gooseberryhill/decision/coordination/GroupLoads.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/GroupLoads.java
@@ -38,6 +38,15 @@
      * its next load is known.
      */
     Optional<EndpointGroup> takeRoom(List<EndpointGroup> groups, EndpointGroup own, long nowNanos) {
+        return takeRoom(groups, own, false, nowNanos);
+    }
+
+    /**
+     * Returns the group with the most room for a request that finds no free slot in its own.
+     *
+     * @param preferred whether all groups leave slots free for such a request, so that any free slot is enough
+     */
+    Optional<EndpointGroup> takeRoom(List<EndpointGroup> groups, EndpointGroup own, boolean preferred, long nowNanos) {
         Known best = null;
         for (EndpointGroup group : groups) {
             Known known = byGroup.get(group);
@@ -46,7 +55,8 @@
                 best = known;
             }
         }
-        if (best == null || best.room() <= Math.sqrt(best.load.online())) {
+        double taken = best == null || preferred ? 0 : Math.sqrt(best.load.online());
+        if (best == null || best.room() <= taken) {
             return Optional.empty();
         }
         best.sent++;
--- a/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
@@ -18,6 +18,10 @@
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.quota.QuotaPolicy;
+import org.gooseberryhill.decision.share.AccountShares;
+import org.gooseberryhill.decision.share.ArrivalOrder;
+import org.gooseberryhill.decision.share.ShareCase;
+import org.gooseberryhill.decision.share.WaitAllowance;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointGroups;
@@ -54,6 +58,7 @@
     private final GroupLoads otherLoads = new GroupLoads();
     private final List<CoordinatorCommand> commands = new ArrayList<>();
     private EndpointGroups groups = EndpointGroups.NONE;
+    private AccountShares shares = new ArrivalOrder();
 
     /**
      * Creates a coordinator that knows no endpoints.
@@ -86,17 +91,23 @@
             return PlacementReply.of(new PlacementAnswer.NoEndpoint());
         }
         FleetEndpoint endpoint = chosen.get();
-        boolean hasRoom = endpoint.online() < endpoint.entry().slots();
+        Optional<ShareCase> share =
+                shares.isActive() ? Optional.of(shareCase(query, usable, nowNanos)) : Optional.empty();
+        WaitAllowance allowance = share.map(shares::allow).orElse(WaitAllowance.WHOLE);
+        boolean hasRoom = endpoint.online() < endpoint.entry().slots()
+                && allowance.excess().isEmpty();
         if (!hasRoom && query.redirectable()) {
-            Optional<EndpointGroup> other = otherLoads.takeRoom(groups.of(query.service()), group, nowNanos);
+            Optional<EndpointGroup> other =
+                    otherLoads.takeRoom(groups.of(query.service()), group, allowance.preferred(), nowNanos);
             if (other.isPresent()) {
                 return PlacementReply.of(new PlacementAnswer.Elsewhere(other.get()));
             }
         }
         if (query.refusable()) {
             Optional<PlacementAnswer.Overloaded> overloaded =
-                    placer.refuseOverloaded(endpoint, usable, 1, query, nowNanos);
+                    placer.refuseOverloaded(endpoint, usable, 1, query, allowance, nowNanos);
             if (overloaded.isPresent()) {
+                share.ifPresent(request -> shares.refused(request, allowance));
                 return PlacementReply.of(overloaded.get());
             }
         }
@@ -106,11 +117,22 @@
         }
         PlacementAnswer answer = new PlacementAnswer.Placed(endpoint.key(), placer.facts(endpoint, usable.size()));
         query.prompt().ifPresent(prompt -> placer.requestPlaced(endpoint.key(), prompt));
+        share.ifPresent(request -> shares.placed(request, allowance));
         ledger.addOnline(host, endpoint.key(), 1, nowNanos);
         yieldExcess(endpoint);
         return new PlacementReply(reservations.add(host, endpoint.key(), false, nowNanos), answer);
     }
 
+    /** Replaces what decides on requests by the account that sent them; at first, all are treated alike. */
+    public void shareBy(AccountShares newShares) {
+        shares = newShares;
+    }
+
+    /** Returns what decides on requests by the account that sent them. */
+    public AccountShares shares() {
+        return shares;
+    }
+
     /** Decides whether a request may run that a host places itself, and counts it if so. */
     public Admission admit(String account, long nowNanos) {
         return new Admission(quotas.admit(account, nowNanos));
@@ -234,6 +256,15 @@
         return loads;
     }
 
+    private static ShareCase shareCase(PlacementQuery query, List<FleetEndpoint> usable, long nowNanos) {
+        int slots = slots(usable);
+        int taken = usable.stream()
+                .mapToInt(
+                        endpoint -> Math.min(endpoint.online(), endpoint.entry().slots()))
+                .sum();
+        return new ShareCase(query.service(), query.sender(), slots - taken, slots, query.remainingMillis(), nowNanos);
+    }
+
     private GroupLoad load(EndpointGroup group, long nowNanos) {
         List<FleetEndpoint> usable = usableMembers(group, nowNanos);
         return new GroupLoad(group, slots(usable), online(usable));
--- a/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/DispatchCore.java
@@ -369,6 +369,7 @@
                 request.remainingMillis(nowNanos),
                 request.isRefusable(),
                 request.isRedirectable(),
-                request.quotaAccount());
+                request.quotaAccount(),
+                request.info().caller().accountName());
     }
 }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/PlacementQuery.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/PlacementQuery.java
@@ -19,6 +19,7 @@
  * @param refusable whether the request may be refused because of load; false once an endpoint may have run it
  * @param redirectable whether the request may be sent to another group
  * @param account the client account whose quota the request counts against; empty if it counts against none, or was counted
+ * @param sender the client account that sent the request, counted or not; empty if none did
  */
 public record PlacementQuery(
         String service,
@@ -30,4 +31,31 @@
         long remainingMillis,
         boolean refusable,
         boolean redirectable,
-        Optional<String> account) {}
+        Optional<String> account,
+        Optional<String> sender) {
+    /** Creates the query of a request whose sender is known only if its quota is still to be checked. */
+    public PlacementQuery(
+            String service,
+            AvailabilityZone zone,
+            Optional<Prompt> prompt,
+            Set<EndpointKey> excluded,
+            Set<EndpointKey> connected,
+            long targetLatencyMillis,
+            long remainingMillis,
+            boolean refusable,
+            boolean redirectable,
+            Optional<String> account) {
+        this(
+                service,
+                zone,
+                prompt,
+                excluded,
+                connected,
+                targetLatencyMillis,
+                remainingMillis,
+                refusable,
+                redirectable,
+                account,
+                account);
+    }
+}
--- a/src/main/java/org/gooseberryhill/decision/dispatch/RequestPlacer.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/RequestPlacer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.gooseberryhill.contract.Prompt;
+import org.gooseberryhill.decision.share.WaitAllowance;
 import org.gooseberryhill.directory.EndpointKey;
 
 /**
@@ -42,6 +43,24 @@
      */
     public Optional<PlacementAnswer.Overloaded> refuseOverloaded(
             FleetEndpoint chosen, List<FleetEndpoint> usable, int hostCount, PlacementQuery query, long nowNanos) {
+        return refuseOverloaded(chosen, usable, hostCount, query, WaitAllowance.WHOLE, nowNanos);
+    }
+
+    /**
+     * Returns the refusal of a request that would have to wait for too long at the endpoint that was chosen for it, or that its
+     * account's share does not allow.
+     *
+     * @param usable the usable endpoints that the choice was made from
+     * @param hostCount number of hosts that share these endpoints without knowing of each other's refusals
+     * @param allowance how much of the longest wait the request may use
+     */
+    public Optional<PlacementAnswer.Overloaded> refuseOverloaded(
+            FleetEndpoint chosen,
+            List<FleetEndpoint> usable,
+            int hostCount,
+            PlacementQuery query,
+            WaitAllowance allowance,
+            long nowNanos) {
         double meanRunMillis = meanRunMillis(query.service());
         OverloadCase overload = new OverloadCase(
                 query.service(),
@@ -52,7 +71,15 @@
                 meanRunMillis,
                 hostCount,
                 nowNanos);
-        double longestWaitMillis = policies.overload().longestWaitMillis(overload);
+        double anyWaitMillis = policies.overload().longestWaitMillis(overload);
+        double longestWaitMillis = allowance.preferred()
+                ? policies.overload().longestTransientWaitMillis(overload)
+                : allowance.waitShare() * anyWaitMillis;
+        if (allowance.excess().isPresent()) {
+            WaitAllowance.Excess excess = allowance.excess().get();
+            OverloadFacts facts = OverloadFacts.of(overload, longestWaitMillis);
+            return Optional.of(new PlacementAnswer.Overloaded(excess.retryAfterMillis(), facts.with(excess.facts())));
+        }
         if (overload.waitMillis() <= longestWaitMillis) {
             return Optional.empty();
         }
--- a/src/main/java/org/gooseberryhill/decision/dispatch/StandingQueuePolicy.java
+++ b/src/main/java/org/gooseberryhill/decision/dispatch/StandingQueuePolicy.java
@@ -45,6 +45,11 @@
         return Math.min(share * overload.targetLatencyMillis(), overload.remainingMillis());
     }
 
+    @Override
+    public double longestTransientWaitMillis(OverloadCase overload) {
+        return Math.min(TRANSIENT_SHARE_OF_TARGET * overload.targetLatencyMillis(), overload.remainingMillis());
+    }
+
     private boolean isStanding(OverloadCase overload) {
         Long freeNanos = lastFreeNanosByService.get(overload.service());
         if (freeNanos == null) {
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayCall.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayCall.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.route.Route;
 
 /**
@@ -18,6 +19,7 @@
     private final VirtualClock clock;
     private final ServingReplay replay;
     private final Route route;
+    private final Caller caller;
     private final double promptTokens;
     private final int events;
     private final long startNanos;
@@ -28,15 +30,38 @@
     private Optional<Double> firstEventMillisOfAttempt = Optional.empty();
     private boolean answered;
 
-    ReplayCall(VirtualClock clock, ServingReplay replay, Route route, double promptTokens, int events) {
+    ReplayCall(VirtualClock clock, ServingReplay replay, Route route, Caller caller, double promptTokens, int events) {
         this.clock = clock;
         this.replay = replay;
         this.route = route;
+        this.caller = caller;
         this.promptTokens = promptTokens;
         this.events = events;
         this.startNanos = clock.nowNanos();
     }
 
+    Caller caller() {
+        return caller;
+    }
+
+    /** Returns the name of the account that sends the call; empty if none does. */
+    String account() {
+        return caller.accountName().orElse("");
+    }
+
+    long startNanos() {
+        return startNanos;
+    }
+
+    boolean isRefused() {
+        return refusals > 0;
+    }
+
+    /** Returns the time from the call to its first event, retries included; empty if there was none. */
+    Optional<Double> firstEventMillis() {
+        return firstEventMillis;
+    }
+
     double promptTokens() {
         return promptTokens;
     }
@@ -47,7 +72,7 @@
 
     void startAttempt() {
         attemptStartNanos = clock.nowNanos();
-        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> replay.randomHost().receive(this, route, deadlineNanos()));
+        clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> replay.hostOf(this).receive(this, route, deadlineNanos()));
     }
 
     void onEvent() {
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.decision.coordination.CoordinatorCommand;
 import org.gooseberryhill.decision.coordination.GroupLoad;
@@ -51,8 +51,7 @@
     private static final double TICK_MILLIS = 25;
     private static final double LOADS_MILLIS = 100;
     private static final double REPORT_MILLIS = 1000;
-    private static final int ITEM_PROMPT_TOKENS = 350;
-    private static final String ITEM_EVENT = "w".repeat(70);
+    private static final double PLACEMENT_TIMEOUT_MILLIS = 30;
 
     private final VirtualClock clock;
     private final ReplayNetwork network;
@@ -67,7 +66,7 @@
     private final ItemDispatch items;
     private final ReplayCounts counts;
     private final Map<RoutedRequest, ReplayCall> calls = new IdentityHashMap<>();
-    private final Map<PlacedItem, ItemRun> itemRuns = new IdentityHashMap<>();
+    private final Map<PlacedItem, ReplayItemRun> itemRuns = new IdentityHashMap<>();
     private final List<OwnedBatch> batches = new ArrayList<>();
     private final Map<String, Integer> eventsByItem = new HashMap<>();
     private final Consumer<OwnedBatch> onItemDone;
@@ -103,6 +102,7 @@
                 policies.order(),
                 0);
         coordinator.updateDirectory(routing.groups(), entries);
+        coordinator.shareBy(policies.shares().apply(random));
         core = new DispatchCore(
                 self.zone(),
                 policies.requests(random),
@@ -123,6 +123,17 @@
         routing.updateHosts(others);
     }
 
+    /** Removes a host that was found to be lost. */
+    void removeHost(Host lost, List<Host> others) {
+        routing.updateHosts(others);
+        coordinator.removeHost(lost.id());
+    }
+
+    /** Returns the number of groups that this host coordinates. */
+    long coordinatedGroups() {
+        return routing.groups().all().stream().filter(routing::isCoordinator).count();
+    }
+
     Host host() {
         return self;
     }
@@ -134,7 +145,7 @@
                 name,
                 route,
                 ServingReplay.SERVICE,
-                Caller.UNATTRIBUTED,
+                call.caller(),
                 Optional.empty(),
                 Optional.empty(),
                 Lazy.of(() -> Fingerprint.of(name, new byte[0])),
@@ -185,7 +196,9 @@
             }
             send(request, send.endpoint());
         } else if (decision instanceof DispatchDecision.AskGroup ask) {
-            send(routing.coordinator(ask.group()).id(), host -> host.place(this, request, ask));
+            Host asked = routing.coordinator(ask.group());
+            Runnable onAnswer = expectAnswer(request, asked);
+            send(asked.id(), host -> host.place(this, request, ask, onAnswer));
         } else if (decision instanceof DispatchDecision.Refuse refuse) {
             calls.remove(request).onRefused(refuse.refusal().retryAfterMillis().orElse(0L));
         } else if (decision instanceof DispatchDecision.Wait wait) {
@@ -193,10 +206,23 @@
         }
     }
 
-    private void place(ReplayHost asking, RoutedRequest request, DispatchDecision.AskGroup ask) {
+    /** Places a request without its coordinator if no answer comes in time; the result is run when the answer comes. */
+    private Runnable expectAnswer(RoutedRequest request, Host asked) {
+        AtomicBoolean answered = new AtomicBoolean();
+        clock.schedule(PLACEMENT_TIMEOUT_MILLIS, () -> {
+            if (answered.compareAndSet(false, true)) {
+                routing.markUnresponsive(asked.id(), clock.nowNanos());
+                execute(request, core.placeWithoutAnswer(request, clock.nowNanos()));
+            }
+        });
+        return () -> answered.set(true);
+    }
+
+    private void place(ReplayHost asking, RoutedRequest request, DispatchDecision.AskGroup ask, Runnable onAnswer) {
         PlacementReply reply = coordinator.place(asking.self.id(), ask.group(), ask.query(), clock.nowNanos());
         assign();
         send(asking.self.id(), host -> {
+            onAnswer.run();
             host.reports.reservationReceived(self.id(), reply.reservation());
             host.execute(request, host.core.placementAnswered(request, reply.answer(), clock.nowNanos()));
         });
@@ -239,7 +265,14 @@
             host.coordinator.itemStarted(self.id(), start, clock.nowNanos());
             host.assign();
         });
-        ItemRun run = new ItemRun(placed.get());
+        String itemId = placed.get().item().item().id();
+        ReplayItemRun run = new ReplayItemRun(
+                clock,
+                counts,
+                placed.get(),
+                endpoints.get(endpoint),
+                eventsByItem.get(placed.get().batch().id() + "/" + itemId),
+                this::itemFinished);
         itemRuns.put(placed.get(), run);
         itemsChanged = true;
         clock.schedule(ONE_WAY_LATENCY_MILLIS, run::start);
@@ -276,6 +309,14 @@
                 .filter(group -> !routing.isCoordinator(group))
                 .forEach(group -> send(
                         routing.coordinator(group).id(), host -> host.coordinator.groupLoads(loads, clock.nowNanos())));
+        coordinator
+                .shares()
+                .report(clock.nowNanos())
+                .ifPresent(report -> routing.coordinators().stream()
+                        .filter(host -> !host.id().equals(self.id()))
+                        .forEach(to -> send(
+                                to.id(),
+                                host -> host.coordinator.shares().record(self.id(), report, clock.nowNanos()))));
     }
 
     private void send(RoutedRequest request, EndpointEntry entry) {
@@ -328,71 +369,16 @@
         return batches.stream().filter(batch -> batch.openItemCount() > 0).toList();
     }
 
-    /** A run of a batch item at an endpoint. */
-    private final class ItemRun implements ReplayEndpoint.AnswerListener {
-        private final PlacedItem placed;
-        private final ReplayEndpoint endpoint;
-        private final ReplayEndpoint.Run run;
-        private boolean finished;
-
-        ItemRun(PlacedItem placed) {
-            this.placed = placed;
-            this.endpoint = endpoints.get(placed.endpoint().key());
-            String itemId = placed.item().item().id();
-            int totalEvents = eventsByItem.get(placed.batch().id() + "/" + itemId);
-            int generatedEvents = placed.item().lastEventId().orElse(0L).intValue();
-            this.run = new ReplayEndpoint.Run(ITEM_PROMPT_TOKENS, totalEvents - generatedEvents, this);
-        }
-
-        void start() {
-            if (!finished) {
-                counts.itemRuns++;
-                endpoint.receive(run);
-            }
-        }
-
-        void yieldToOnline() {
-            if (finished) {
-                return;
-            }
-            counts.itemYielded(placed.elapsedNanos(clock.nowNanos()));
-            finish(RunEnd.YIELDED, AttemptEnd.ABANDONED);
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> endpoint.cancel(run));
-        }
-
-        @Override
-        public void onEvent() {
-            if (!finished) {
-                long next = placed.item().lastEventId().orElse(0L) + 1;
-                placed.item().appendEvent(Optional.of(next), ITEM_EVENT);
-            }
-        }
-
-        @Override
-        public void onEnd() {
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> finish(RunEnd.COMPLETED, AttemptEnd.ANSWERED));
-        }
-
-        @Override
-        public void onBusy() {
-            clock.schedule(ONE_WAY_LATENCY_MILLIS, () -> finish(RunEnd.NOT_RUN, AttemptEnd.BUSY));
-        }
-
-        private void finish(RunEnd end, AttemptEnd attemptEnd) {
-            if (finished) {
-                return;
-            }
-            finished = true;
-            itemRuns.remove(placed);
-            items.runEnded(placed, end, attemptEnd, clock.nowNanos());
-            itemsChanged = true;
-            sendToCoordinator(placed.endpoint().key(), host -> {
-                host.coordinator.itemEnded(self.id(), placed.number(), attemptEnd, clock.nowNanos());
-                host.assign();
-            });
-            if (end == RunEnd.COMPLETED) {
-                onItemDone.accept(placed.batch());
-            }
+    private void itemFinished(PlacedItem placed, RunEnd end, AttemptEnd attemptEnd) {
+        itemRuns.remove(placed);
+        items.runEnded(placed, end, attemptEnd, clock.nowNanos());
+        itemsChanged = true;
+        sendToCoordinator(placed.endpoint().key(), host -> {
+            host.coordinator.itemEnded(self.id(), placed.number(), attemptEnd, clock.nowNanos());
+            host.assign();
+        });
+        if (end == RunEnd.COMPLETED) {
+            onItemDone.accept(placed.batch());
         }
     }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayNetwork.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayNetwork.java
@@ -1,7 +1,9 @@
 package org.gooseberryhill.decision.replay;
 
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.gooseberryhill.host.HostId;
 
@@ -18,7 +20,9 @@
     private final VirtualClock clock;
     private final ReplayCounts counts;
     private final Random random;
+    private final Set<HostId> lostHosts = new HashSet<>();
     private Map<HostId, ReplayHost> hosts = Map.of();
+    private double lossShare;
 
     ReplayNetwork(VirtualClock clock, ReplayCounts counts, Random random) {
         this.clock = clock;
@@ -30,6 +34,20 @@
         hosts = all;
     }
 
+    /** Loses a share of all messages from now on. */
+    void setLossShare(double share) {
+        lossShare = share;
+    }
+
+    /** Loses all messages from and to a host from now on. */
+    void loseHost(HostId host) {
+        lostHosts.add(host);
+    }
+
+    private boolean isLost(HostId from, HostId to) {
+        return lostHosts.contains(from) || lostHosts.contains(to) || lossShare > 0 && random.nextDouble() < lossShare;
+    }
+
     /** Runs an action at a host when a message to it has arrived and is handled; at the sending host at once. */
     void send(HostId from, HostId to, Consumer<ReplayHost> action) {
         if (to.equals(from)) {
@@ -37,6 +55,9 @@
             return;
         }
         counts.messages++;
+        if (isLost(from, to)) {
+            return;
+        }
         double handlingMillis = -MEAN_HANDLING_MILLIS * Math.log(1 - random.nextDouble());
         clock.schedule(ONE_WAY_LATENCY_MILLIS + handlingMillis, () -> action.accept(hosts.get(to)));
     }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -14,6 +14,8 @@
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.ItemQuarantine;
 import org.gooseberryhill.decision.requestbatch.RestartNever;
+import org.gooseberryhill.decision.share.AccountShares;
+import org.gooseberryhill.decision.share.ArrivalOrder;
 
 /**
  * The policies of all hosts in a replay. Immutable.
@@ -22,13 +24,33 @@
  * @param reserve the slots that items leave free
  * @param order the order in which items get slots
  * @param coordinated whether hosts ask coordinators for endpoints, as in the product
+ * @param shares creates what decides on requests by the account that sent them, from a random source
  */
 record ReplayPolicies(
-        Function<Random, DispatchPolicies> requestPolicies, SlotReserve reserve, ItemOrder order, boolean coordinated) {
+        Function<Random, DispatchPolicies> requestPolicies,
+        SlotReserve reserve,
+        ItemOrder order,
+        boolean coordinated,
+        Function<Random, AccountShares> shares) {
     /** The policies that the product uses. */
     static final ReplayPolicies PRODUCT =
             new ReplayPolicies(DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true);
 
+    /** Creates the policies of a deployment without client accounts. */
+    ReplayPolicies(
+            Function<Random, DispatchPolicies> requestPolicies,
+            SlotReserve reserve,
+            ItemOrder order,
+            boolean coordinated) {
+        this(requestPolicies, reserve, order, coordinated, random -> new ArrivalOrder());
+    }
+
+    /** Returns the product's policies with another decision on requests by the account that sent them. */
+    static ReplayPolicies withShares(Function<Random, AccountShares> shares) {
+        return new ReplayPolicies(
+                DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true, shares);
+    }
+
     /** Returns the product's policies with other ones for online requests. */
     static ReplayPolicies withRequestPolicies(Function<Random, DispatchPolicies> policies) {
         return new ReplayPolicies(policies, new FluctuationReserve(), new FeasibleFirstOrder(), true);
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplaySize.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplaySize.java
@@ -31,4 +31,12 @@
 
     /** As many hosts as a small part of the large deployment, with more batches than the slots can complete in time. */
     static final ReplaySize OVERLOADED = new ReplaySize(15, 7, 5, 7, 6, 34, 231, 31, 2.44);
+
+    /**
+     * Returns a deployment of many client accounts whose requests hold a slot for 0.75 s: 62 endpoints and 304 streams a second for each
+     * 60 hosts, and few batches.
+     */
+    static ReplaySize ofCompetingAccounts(int hosts) {
+        return new ReplaySize(hosts, Math.round(hosts * 62 / 60f), 4, 8, 10, 20, 130, hosts * 304 / 60.0, hosts * 0.02);
+    }
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.decision.replay;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -58,6 +59,8 @@
     private final Route streamRoute = route(RouteKind.STREAM, "/p/", 0);
     private final Route batchRoute = route(RouteKind.BATCH, "/b/", 2);
     private final double startMillis = clock.nowMillis();
+    private final ReplayNetwork network;
+    private AccountLoad accounts = AccountLoad.NONE;
     private int batchCount;
     private int items;
     private int itemsOnTime;
@@ -70,7 +73,7 @@
                     "e" + i, 1, SERVICE, "v1", new Address("10.0.0.1", 8000 + i), zone(i), size.slots(), false, 0);
             endpoints.put(entry.key(), new ReplayEndpoint(clock, entry, size.tokensPerEvent(), counts));
         }
-        ReplayNetwork network = new ReplayNetwork(clock, counts, new Random(seed));
+        network = new ReplayNetwork(clock, counts, new Random(seed));
         RouteTable routes = new RouteTable(
                 new RouteConfiguration(1, List.of(streamRoute, batchRoute), Map.of(), ClientLimits.DEFAULT));
         for (int i = 0; i < size.hosts(); i++) {
@@ -92,6 +95,42 @@
         clock.schedule(SAMPLE_MILLIS, this::sample);
     }
 
+    /** Replaces the accounts that send calls from now on. */
+    void setAccounts(AccountLoad newAccounts) {
+        accounts = newAccounts;
+    }
+
+    /** Loses a share of the messages between hosts from now on. */
+    void setLossShare(double share) {
+        network.setLossShare(share);
+    }
+
+    /** Loses the host that coordinates most groups; the others notice after a while. */
+    void loseCoordinator(double noticedAfterMillis) {
+        ReplayHost lost = hosts.stream()
+                .max(Comparator.comparingLong(ReplayHost::coordinatedGroups))
+                .orElseThrow();
+        hosts.remove(lost);
+        network.loseHost(lost.host().id());
+        clock.schedule(
+                noticedAfterMillis,
+                () -> hosts.forEach(host -> host.removeHost(
+                        lost.host(),
+                        hosts.stream()
+                                .filter(other -> other != host)
+                                .map(ReplayHost::host)
+                                .toList())));
+    }
+
+    /** Returns the calls that have started so far. */
+    List<ReplayCall> calls() {
+        return calls;
+    }
+
+    long nowNanos() {
+        return clock.nowNanos();
+    }
+
     ReplayCounts counts() {
         return counts;
     }
@@ -107,7 +146,7 @@
         double expectedStreams = 0;
         double expectedBatches = 0;
         while (clock.nowMillis() < untilMillis) {
-            expectedStreams += streamsPerSecond * streamRateFactor() / MILLIS_PER_SECOND;
+            expectedStreams += streamsPerSecond * accounts.rateFactor() * streamRateFactor() / MILLIS_PER_SECOND;
             expectedBatches += batchesPerSecond / MILLIS_PER_SECOND;
             while (expectedStreams > random.nextDouble()) {
                 expectedStreams--;
@@ -131,6 +170,13 @@
         return hosts.get((int) (hosts.size() * random.nextDouble() * Math.max(random.nextDouble(), 0.5)));
     }
 
+    /** Returns the host that the account of a call uses; a random one if it uses all. */
+    ReplayHost hostOf(ReplayCall call) {
+        return accounts.pinned(call.account())
+                .map(number -> hosts.get(number % hosts.size()))
+                .orElseGet(this::randomHost);
+    }
+
     /** Returns the outcome of the load so far. */
     ReplayResult result() {
         return new ReplayResult(
@@ -155,7 +201,7 @@
     private void startCall() {
         double promptTokens = 150 + 600 * random.nextDouble();
         int events = events(size.streamEvents());
-        ReplayCall call = new ReplayCall(clock, this, streamRoute, promptTokens, events);
+        ReplayCall call = new ReplayCall(clock, this, streamRoute, accounts.next(random), promptTokens, events);
         calls.add(call);
         call.startAttempt();
     }
