Ignore the end of a run of an owner that the coordinator does not know

Cause: removing from an immutable empty map throws, so a coordinator that replaced a lost one failed at the end of a run that it never heard of. Change: an unknown owner is treated like an unknown run. Ruled out: recording runs at their end, which would count them after it.

--- a/src/main/java/org/gooseberryhill/decision/coordination/BatchRuns.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/BatchRuns.java
@@ -32,7 +32,8 @@
 
     /** Removes a run and returns its endpoint; empty if the run is not known. */
     Optional<EndpointKey> remove(HostId owner, long number) {
-        Run run = byOwner.getOrDefault(owner, Map.of()).remove(number);
+        Map<Long, Run> runs = byOwner.get(owner);
+        Run run = runs == null ? null : runs.remove(number);
         if (run == null) {
             return Optional.empty();
         }
--- a/src/test/java/org/gooseberryhill/decision/coordination/SlotCoordinatorTest.java
+++ b/src/test/java/org/gooseberryhill/decision/coordination/SlotCoordinatorTest.java
@@ -19,6 +19,16 @@
 
     private final CoordinationFixture fixture = new CoordinationFixture(2, 4);
 
+    /** Guards against a coordinator that has replaced a lost one and fails at the end of a run that it never heard of. */
+    @Test
+    void theEndOfARunOfAnUnknownOwnerChangesNothing() {
+        CoordinationFixture unknown = new CoordinationFixture(1, 2);
+
+        unknown.coordinator.itemEnded(CoordinationFixture.OWNER, 7, AttemptEnd.ANSWERED, unknown.nowNanos);
+
+        assertThat(unknown.grants()).isEmpty();
+    }
+
     /** Guards against two hosts that choose the same free slot by reports that cross. */
     @Test
     void requestsOfAllHostsFillEachSlotOnceBeforeAnyWaits() {
