Exchange the use of slots by account between coordinators; log and count refusals above a share

Cause: coordinators knew only their own requests of an account, and no line or counter told why an account was refused. In force if the configuration has accounts. Ruled out: longer load messages, which every coordinator would send also while nothing is contended.

--- a/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
+++ b/src/main/java/org/gooseberryhill/gateway/AdmissionClient.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.gooseberryhill.account.AccountQuota;
@@ -11,6 +12,7 @@
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.dispatch.Admission;
 import org.gooseberryhill.decision.quota.LocalAllowance;
+import org.gooseberryhill.decision.share.ConfiguredShares;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.peer.CoordinationMessage;
@@ -31,6 +33,7 @@
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
     private final LocalAllowance localAllowance;
+    private final Random random = new Random();
 
     AdmissionClient(GatewayContext context, PeerLinks links, GroupRouting routing, SlotCoordinator coordinator) {
         this.context = context;
@@ -48,6 +51,7 @@
                         ClientAccount::name, account -> account.quota().get()));
         coordinator.quotas().configure(quotas, context.nowNanos());
         localAllowance.configure(quotas);
+        coordinator.shareBy(ConfiguredShares.of(coordinator.shares(), !accounts.isEmpty(), quotas, random));
     }
 
     /** Asks whether a request of an account may run; the receiver gets nothing if nobody can tell. */
--- a/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayMetrics.java
@@ -3,7 +3,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
+import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
+import org.gooseberryhill.decision.dispatch.OverloadFacts;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
 import org.gooseberryhill.metrics.LabeledCounter;
 import org.gooseberryhill.metrics.LabeledHistogram;
@@ -18,10 +20,12 @@
     private static final int MAX_LABEL_VALUES = 64;
 
     private static final String OTHER_LABEL = "other";
+    private static final String NO_ACCOUNT_LABEL = "none";
 
     private final MetricRegistry metrics = new MetricRegistry();
     private final Set<String> routes = ConcurrentHashMap.newKeySet();
     private final Set<String> endpoints = ConcurrentHashMap.newKeySet();
+    private final Set<String> accounts = ConcurrentHashMap.newKeySet();
     private final LabeledCounter requests =
             metrics.counter("gooseberry_routed_requests", "Routed requests by route and end", "route", "end");
     private final LabeledCounter attempts = metrics.counter(
@@ -35,6 +39,12 @@
     private final LabeledCounter items =
             metrics.counter("gooseberry_item_runs", "Runs of items of request batches by their end", "end");
 
+    private final LabeledCounter refusedForLoad = metrics.counter(
+            "gooseberry_refused_for_load",
+            "Requests refused because of load by client account, and whether it was above its share",
+            "account",
+            "share");
+
     /** Returns all metrics for export. */
     MetricRegistry all() {
         return metrics;
@@ -59,6 +69,15 @@
         attemptLatency.observe(seconds, label);
     }
 
+    /** Counts a refusal because of load; nothing is counted for a configuration without accounts. */
+    void refusedForLoad(Caller caller, OverloadFacts facts) {
+        if (caller.attributed()) {
+            String account = caller.accountName().orElse(NO_ACCOUNT_LABEL);
+            refusedForLoad.increment(
+                    boundedLabel(accounts, account), facts.share().isPresent() ? "above" : "within");
+        }
+    }
+
     void itemRunEnded(RunEnd end) {
         items.increment(end.name());
     }
--- a/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
+++ b/src/main/java/org/gooseberryhill/gateway/PeerLinks.java
@@ -106,6 +106,11 @@
         return roster.gatewaysThatUnderstand(ListedHost.PROMPT_PARTS_MESSAGE_SET, context.nowNanos());
     }
 
+    /** Returns the other gateways that understand messages on the use of slots by account and are not known to be lost. */
+    List<Host> gatewaysWithAccountUse() {
+        return roster.gatewaysThatUnderstand(ListedHost.ACCOUNT_USE_MESSAGE_SET, context.nowNanos());
+    }
+
     /** Returns whether more than half of the gateways, this one included, are known to be alive. */
     boolean isInTouchWithMost() {
         int known = gateways().size() + 1;
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -325,9 +325,17 @@
                 .with("code", refusal.code().wireName())
                 .with("reason", refusal.message())
                 .with("retryAfterMillis", refusal.retryAfterMillis().orElse(0L));
+        overload.ifPresent(
+                facts -> context.metrics().refusedForLoad(request.info().caller(), facts));
         overload.ifPresent(facts -> event.with("waitMillis", facts.waitMillis())
                 .with("longestWaitMillis", facts.longestWaitMillis())
                 .with("meanRunMillis", facts.meanRunMillis()));
+        overload.flatMap(OverloadFacts::share)
+                .ifPresent(share -> event.with("askedPerSecond", Math.round(share.askedPerSecond()))
+                        .with("placedPerSecond", Math.round(share.placedPerSecond()))
+                        .with("sharePerSecond", Math.round(share.sharePerSecond()))
+                        .with("freeSlots", share.freeSlots())
+                        .with("keptSlots", share.keptSlots()));
         admission.refused(refusal);
         finish(refusal.code().wireName(), event);
     }
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -14,13 +14,17 @@
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
+import org.gooseberryhill.decision.share.AccountUseReport;
+import org.gooseberryhill.decision.share.ShareChange;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.Address;
 import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.peer.PeerLane;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.timeline.EventBuilder;
 import org.gooseberryhill.timeline.EventKind;
 
 /**
@@ -173,6 +177,9 @@
             coordinator.groupLoads(loads.loads(), nowNanos);
             coordinator.quotas().record(from, loads.quotaReport(), nowNanos);
             return;
+        } else if (message instanceof CoordinationMessage.AccountUse use) {
+            coordinator.shares().record(from, use.report(), nowNanos);
+            return;
         } else if (message instanceof CoordinationMessage.AdmissionReturned returned) {
             coordinator.quotas().giveBack(returned.account(), nowNanos);
             return;
@@ -224,6 +231,34 @@
         CoordinationMessage message =
                 new CoordinationMessage.GroupLoads(loads, coordinator.quotas().takeReport(context.nowNanos()));
         context.peers().postAll(others.stream().map(Host::address).toList(), PeerLane.CONTROL, message);
+        sendAccountUse(others);
+    }
+
+    private void sendAccountUse(Set<Host> others) {
+        Optional<AccountUseReport> report = coordinator.shares().report(context.nowNanos());
+        coordinator.shares().takeChanges().forEach(this::log);
+        if (report.isEmpty()) {
+            return;
+        }
+        List<Address> receivers = links.gatewaysWithAccountUse().stream()
+                .filter(others::contains)
+                .map(Host::address)
+                .toList();
+        context.peers().postAll(receivers, PeerLane.CONTROL, new CoordinationMessage.AccountUse(report.get()));
+    }
+
+    private void log(ShareChange change) {
+        EventBuilder event = context.timeline()
+                .event(change.begun() ? EventKind.SHARES_EXCEEDED : EventKind.SHARES_KEPT)
+                .with("service", change.service());
+        if (change.begun()) {
+            event.with("account", change.account())
+                    .with("askedPerSecond", Math.round(change.use().askedPerSecond()))
+                    .with("placedPerSecond", Math.round(change.use().placedPerSecond()))
+                    .with("usualPerSecond", Math.round(change.use().usualPerSecond()))
+                    .with("sharePerSecond", Math.round(change.sharePerSecond()));
+        }
+        event.write();
     }
 
     private boolean isSelf(HostId host) {
--- a/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CompactCodecs.java
@@ -57,6 +57,7 @@
         SubmissionCodecs.all().forEach(CompactCodecs::add);
         StoreCallCodecs.all().forEach(CompactCodecs::add);
         QuotaCodecs.all().forEach(CompactCodecs::add);
+        AccountShareCodecs.all().forEach(CompactCodecs::add);
         StreamOriginCodecs.all().forEach(CompactCodecs::add);
         QuarantineCodecs.all().forEach(CompactCodecs::add);
         return true;
--- a/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationCodecs.java
@@ -146,21 +146,34 @@
                 .packBoolean(query.refusable())
                 .packBoolean(query.redirectable());
         CompactFields.writeOptional(packer, query.account(), MessagePacker::packString);
+        CompactFields.writeOptional(packer, query.sender(), MessagePacker::packString);
     }
 
     private static CoordinationMessage.PlacementRequest readRequest(MessageUnpacker unpacker) throws IOException {
         EndpointGroup group = readGroup(unpacker);
+        AvailabilityZone zone = new AvailabilityZone(unpacker.unpackString());
+        Optional<Prompt> prompt = readPrompt(unpacker);
+        Set<EndpointKey> excluded = readKeys(unpacker);
+        Set<EndpointKey> connected = readKeys(unpacker);
+        long targetLatencyMillis = unpacker.unpackLong();
+        long remainingMillis = unpacker.unpackLong();
+        boolean refusable = unpacker.unpackBoolean();
+        boolean redirectable = unpacker.unpackBoolean();
+        Optional<String> account = readAccount(unpacker);
+        // Hosts of earlier versions name the sender only if its quota is still to be checked.
+        Optional<String> sender = unpacker.hasNext() ? readAccount(unpacker) : account;
         PlacementQuery query = new PlacementQuery(
                 group.service(),
-                new AvailabilityZone(unpacker.unpackString()),
-                readPrompt(unpacker),
-                readKeys(unpacker),
-                readKeys(unpacker),
-                unpacker.unpackLong(),
-                unpacker.unpackLong(),
-                unpacker.unpackBoolean(),
-                unpacker.unpackBoolean(),
-                readAccount(unpacker));
+                zone,
+                prompt,
+                excluded,
+                connected,
+                targetLatencyMillis,
+                remainingMillis,
+                refusable,
+                redirectable,
+                account,
+                sender);
         return new CoordinationMessage.PlacementRequest(group, query);
     }
 
--- a/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
@@ -10,6 +10,7 @@
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.quota.QuotaReport;
+import org.gooseberryhill.decision.share.AccountUseReport;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 
@@ -131,4 +132,11 @@
      * @param quotaReport the requests since the last message
      */
     record GroupLoads(List<GroupLoad> loads, QuotaReport quotaReport) implements CoordinationMessage {}
+
+    /**
+     * Tells the coordinators of other groups which client accounts use the sender's slots; sent while slots are contended.
+     *
+     * @param report the use of slots by account, in place of that of the last message
+     */
+    record AccountUse(AccountUseReport report) implements CoordinationMessage {}
 }
--- a/src/main/java/org/gooseberryhill/peer/PlacementAnswerCodec.java
+++ b/src/main/java/org/gooseberryhill/peer/PlacementAnswerCodec.java
@@ -37,6 +37,7 @@
                     .packLong(facts.waitMillis())
                     .packLong(facts.longestWaitMillis())
                     .packLong(facts.meanRunMillis());
+            AccountShareCodecs.writeFacts(packer, facts.share());
         } else if (reply.answer() instanceof PlacementAnswer.OverQuota overQuota) {
             packer.packInt(OVER_QUOTA).packLong(overQuota.retryAfterMillis());
         } else {
@@ -64,7 +65,11 @@
             case OVERLOADED ->
                 new PlacementAnswer.Overloaded(
                         unpacker.unpackLong(),
-                        new OverloadFacts(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong()));
+                        new OverloadFacts(
+                                unpacker.unpackLong(),
+                                unpacker.unpackLong(),
+                                unpacker.unpackLong(),
+                                AccountShareCodecs.readFacts(unpacker)));
             case OVER_QUOTA -> new PlacementAnswer.OverQuota(unpacker.unpackLong());
             case NO_ENDPOINT -> new PlacementAnswer.NoEndpoint();
             default -> throw new IOException("unknown kind of placement: " + kind);
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -53,6 +53,10 @@
     PEER_SILENT("peer.silent", Importance.STATE),
     /** No coordinator told in time whether a client account's quota allows a request. */
     ADMISSION_UNANSWERED("admission.unanswered", Importance.STATE),
+    /** Slots of a service are contended, and an account asks for more than its share. */
+    SHARES_EXCEEDED("shares.exceeded", Importance.STATE),
+    /** The slots of a service are not contended any more. */
+    SHARES_KEPT("shares.kept", Importance.STATE),
     /** The coordinator of a group of endpoints did not answer in time. */
     COORDINATOR_UNANSWERED("coordinator.unanswered", Importance.STATE),
     /** The record of software versions was not written; the host tries again. */
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -41,6 +41,10 @@
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.ItemState;
+import org.gooseberryhill.decision.share.AccountUse;
+import org.gooseberryhill.decision.share.AccountUseReport;
+import org.gooseberryhill.decision.share.ServiceUse;
+import org.gooseberryhill.decision.share.ShareFacts;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.directory.ServiceVersion;
@@ -196,6 +200,16 @@
                 new CoordinationMessage.AdmissionReturned("studio"));
     }
 
+    static List<PeerMessage> accountUseMessages() {
+        return List.of(
+                new CoordinationMessage.AccountUse(new AccountUseReport(Map.of(
+                        "s", new ServiceUse(1200, Map.of("", new AccountUse(4, 2, 0.5)), new AccountUse(1, 1, 1.5))))),
+                new CoordinationMessage.Placement(new PlacementReply(
+                        0,
+                        new PlacementAnswer.Overloaded(
+                                30, new OverloadFacts(4, 3, 700, Optional.of(new ShareFacts(90, 40, 38.5, 2, 5)))))));
+    }
+
     static Stream<PeerMessage> quarantineMessages() {
         EndpointKey key = new EndpointKey("e", 5);
         PromptPartKey part = new PromptPartKey(new ServiceVersion("s", "v1"), "m", "p");
@@ -212,7 +226,7 @@
     }
 
     @ParameterizedTest
-    @MethodSource({"messages", "gatewayMessages", "coordinationMessages", "quarantineMessages"})
+    @MethodSource({"messages", "gatewayMessages", "coordinationMessages", "accountUseMessages", "quarantineMessages"})
     void aMessageSurvivesARoundTrip(PeerMessage message) throws IOException {
         PeerFrame frame = new PeerFrame(5, true, HybridTimestamp.ofMillis(1000), HOST, message);
 
@@ -248,7 +262,7 @@
 
     /** Guards against callers that wait for the mapper's first use: a third of a second of processor time. */
     @ParameterizedTest
-    @MethodSource({"gatewayMessages", "quarantineMessages"})
+    @MethodSource({"gatewayMessages", "accountUseMessages", "quarantineMessages"})
     void gatewayMessagesHaveACompactCodec(PeerMessage message) {
         assertThat(CompactCodecs.of(message)).isPresent();
     }
