Merge the shares of client accounts

Account use is told with each sample of loads, also while unchanged loads are not repeated. A request of an account above its share goes to another group by the choice of zones. The replays of accounts, zones and speeds share one way to lose hosts.

--- a/src/main/java/org/gooseberryhill/decision/coordination/GroupLoads.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/GroupLoads.java
@@ -38,6 +38,16 @@
      * its next load is known.
      */
     Optional<EndpointGroup> takeRoom(List<EndpointGroup> groups, EndpointGroup own, long nowNanos) {
+        return takeRoom(groups, own, 1, nowNanos);
+    }
+
+    /**
+     * Returns the group with the most room for a request that finds no free slot in its own.
+     *
+     * @param fluctuations free slots that the other group must have beyond, as a multiple of the square root of its requests
+     */
+    Optional<EndpointGroup> takeRoom(
+            List<EndpointGroup> groups, EndpointGroup own, double fluctuations, long nowNanos) {
         Known best = null;
         for (EndpointGroup group : groups) {
             Known known = byGroup.get(group);
@@ -46,7 +56,8 @@
                 best = known;
             }
         }
-        if (best == null || best.room() <= Math.sqrt(best.load.online())) {
+        double taken = best == null ? 0 : fluctuations * Math.sqrt(best.load.online());
+        if (best == null || best.room() <= taken) {
             return Optional.empty();
         }
         best.sent++;
--- a/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
+++ b/src/main/java/org/gooseberryhill/decision/coordination/SlotCoordinator.java
@@ -19,6 +19,10 @@
 import org.gooseberryhill.decision.dispatch.RelativeDurations;
 import org.gooseberryhill.decision.dispatch.RequestPlacer;
 import org.gooseberryhill.decision.quota.QuotaPolicy;
+import org.gooseberryhill.decision.share.AccountShares;
+import org.gooseberryhill.decision.share.ArrivalOrder;
+import org.gooseberryhill.decision.share.ShareCase;
+import org.gooseberryhill.decision.share.WaitAllowance;
 import org.gooseberryhill.decision.zone.AnyZone;
 import org.gooseberryhill.decision.zone.FullGroup;
 import org.gooseberryhill.decision.zone.ZonePolicy;
@@ -59,6 +63,7 @@
     private final GroupLoads otherLoads = new GroupLoads();
     private final List<CoordinatorCommand> commands = new ArrayList<>();
     private EndpointGroups groups = EndpointGroups.NONE;
+    private AccountShares shares = new ArrivalOrder();
 
     /**
      * Creates a coordinator that knows no endpoints.
@@ -107,23 +112,29 @@
         List<FleetEndpoint> usable = usableMembers(group, nowNanos);
         Optional<FleetEndpoint> chosen = placer.choose(usable, query, nowNanos);
         if (chosen.isEmpty()) {
-            return PlacementReply.of(otherGroup(group, query, Double.POSITIVE_INFINITY, nowNanos)
+            return PlacementReply.of(otherGroup(group, query, Double.POSITIVE_INFINITY, 1, nowNanos)
                     .<PlacementAnswer>map(PlacementAnswer.Elsewhere::new)
                     .orElseGet(PlacementAnswer.NoEndpoint::new));
         }
         FleetEndpoint endpoint = chosen.get();
-        boolean hasRoom = endpoint.online() < endpoint.entry().slots();
+        Optional<ShareCase> share =
+                shares.isActive() ? Optional.of(shareCase(query, usable, nowNanos)) : Optional.empty();
+        WaitAllowance allowance = share.map(shares::allow).orElse(WaitAllowance.WHOLE);
+        boolean hasRoom = endpoint.online() < endpoint.entry().slots()
+                && allowance.excess().isEmpty();
         if (!hasRoom) {
             double waitMillis = placer.facts(endpoint, usable.size(), nowNanos).waitMillis();
-            Optional<EndpointGroup> other = otherGroup(group, query, waitMillis, nowNanos);
+            Optional<EndpointGroup> other =
+                    otherGroup(group, query, waitMillis, allowance.roomFluctuations(), nowNanos);
             if (other.isPresent()) {
                 return PlacementReply.of(new PlacementAnswer.Elsewhere(other.get()));
             }
         }
         if (query.refusable()) {
             Optional<PlacementAnswer.Overloaded> overloaded =
-                    placer.refuseOverloaded(endpoint, usable, 1, query, nowNanos);
+                    placer.refuseOverloaded(endpoint, usable, 1, query, allowance, nowNanos);
             if (overloaded.isPresent()) {
+                share.ifPresent(request -> shares.refused(request, allowance));
                 return PlacementReply.of(overloaded.get());
             }
         }
@@ -134,11 +145,22 @@
         PlacementAnswer answer =
                 new PlacementAnswer.Placed(endpoint.key(), placer.facts(endpoint, usable.size(), nowNanos));
         query.prompt().ifPresent(prompt -> placer.requestPlaced(endpoint.key(), prompt));
+        share.ifPresent(request -> shares.placed(request, allowance));
         ledger.addOnline(host, endpoint.key(), 1, nowNanos);
         yieldExcess(endpoint);
         return new PlacementReply(reservations.add(host, endpoint.key(), false, nowNanos), answer);
     }
 
+    /** Replaces what decides on requests by the account that sent them; at first, all are treated alike. */
+    public void shareBy(AccountShares newShares) {
+        shares = newShares;
+    }
+
+    /** Returns what decides on requests by the account that sent them. */
+    public AccountShares shares() {
+        return shares;
+    }
+
     /** Decides whether a request may run that a host places itself, and counts it if so. */
     public Admission admit(String account, long nowNanos) {
         return new Admission(quotas.admit(account, nowNanos));
@@ -146,11 +168,11 @@
 
     /** Returns the group that is to be asked for a request in place of one without a free slot; empty if it stays. */
     private Optional<EndpointGroup> otherGroup(
-            EndpointGroup group, PlacementQuery query, double waitMillis, long nowNanos) {
+            EndpointGroup group, PlacementQuery query, double waitMillis, double roomFluctuations, long nowNanos) {
         return query.redirectable()
                 ? zones.chooseGroup(
                         new FullGroup(group, groups, waitMillis),
-                        candidates -> otherLoads.takeRoom(candidates, group, nowNanos),
+                        candidates -> otherLoads.takeRoom(candidates, group, roomFluctuations, nowNanos),
                         nowNanos)
                 : Optional.empty();
     }
@@ -278,6 +300,15 @@
         return otherLoads.find(group, nowNanos);
     }
 
+    private static ShareCase shareCase(PlacementQuery query, List<FleetEndpoint> usable, long nowNanos) {
+        int slots = slots(usable);
+        int taken = usable.stream()
+                .mapToInt(
+                        endpoint -> Math.min(endpoint.online(), endpoint.entry().slots()))
+                .sum();
+        return new ShareCase(query.service(), query.sender(), slots - taken, slots, query.remainingMillis(), nowNanos);
+    }
+
     /** Returns the load of a group that this host coordinates. */
     GroupLoad load(EndpointGroup group, long nowNanos) {
         List<FleetEndpoint> usable = usableMembers(group, nowNanos);
--- a/src/main/java/org/gooseberryhill/decision/membership/ListedHost.java
+++ b/src/main/java/org/gooseberryhill/decision/membership/ListedHost.java
@@ -19,6 +19,9 @@
     /** The first set with messages on parts of prompts that may crash endpoints. */
     public static final int PROMPT_PARTS_MESSAGE_SET = 3;
 
+    /** The first set with messages on the use of slots by client account. */
+    public static final int ACCOUNT_USE_MESSAGE_SET = 4;
+
     /** The first set with messages on the room that zones have for requests of each other. */
     public static final int ZONE_ROOM_MESSAGE_SET = 5;
 
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -23,7 +23,6 @@
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.dialect.Dialects;
 import org.gooseberryhill.directory.EndpointEntry;
-import org.gooseberryhill.directory.EndpointGroups;
 import org.gooseberryhill.external.KeyValueStoreFactory;
 import org.gooseberryhill.http.HttpClient;
 import org.gooseberryhill.http.HttpLimits;
@@ -128,9 +127,7 @@
         Random random = new Random(seed);
         HttpClient http = new HttpClient(group, HeldBytesGuard.newCounts(settings));
         Fleet fleet = new Fleet();
-        this.routing = new GroupRouting(
-                settings.self(),
-                settings.zoneCrossingPriceMillis().isPresent() ? EndpointGroups::of : EndpointGroups::spanningZones);
+        this.routing = new GroupRouting(settings.self(), settings.groupPartition());
         CountedKeyValueStore directStore = CountedKeyValueStore.create(storeFactory.create(http), dialects, metrics);
         this.store = new RelayingKeyValueStore(
                 directStore, storeReachability, this::relayStoreCall, this::storeReachabilityChanged);
--- a/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
@@ -1,7 +1,11 @@
 package org.gooseberryhill.gateway;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
+import org.gooseberryhill.directory.EndpointEntry;
+import org.gooseberryhill.directory.EndpointGroups;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.http.ConnectionLimits;
 import org.gooseberryhill.link.Address;
@@ -36,6 +40,11 @@
         int submissionCopies,
         Optional<Long> memoryLimitBytes,
         Optional<Long> zoneCrossingPriceMillis) {
+    /** Returns how endpoints are divided into groups; all hosts have to use the same way. */
+    Function<Collection<EndpointEntry>, EndpointGroups> groupPartition() {
+        return zoneCrossingPriceMillis.isPresent() ? EndpointGroups::of : EndpointGroups::spanningZones;
+    }
+
     /** Returns these settings, with the values that may change while the process runs taken from newer ones. */
     GatewaySettings reloaded(GatewaySettings newer) {
         return new GatewaySettings(
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -331,9 +331,12 @@
                 .with("code", refusal.code().wireName())
                 .with("reason", refusal.message())
                 .with("retryAfterMillis", refusal.retryAfterMillis().orElse(0L));
+        overload.ifPresent(
+                facts -> context.metrics().refusedForLoad(request.info().caller(), facts));
         overload.ifPresent(facts -> event.with("waitMillis", facts.waitMillis())
                 .with("longestWaitMillis", facts.longestWaitMillis())
                 .with("meanRunMillis", facts.meanRunMillis()));
+        overload.flatMap(OverloadFacts::share).ifPresent(share -> ShareLogFields.addTo(event, share));
         admission.refused(refusal);
         finish(refusal.code().wireName(), event);
     }
--- a/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotAssignment.java
@@ -45,8 +45,8 @@
         long firstReservation = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
         EndpointSpeeds speeds = new ObservedEndpointSpeeds();
         this.speedLog = new EndpointSpeedLog(context, speeds);
-        this.zones =
-                new LeaveWhenItPays(new CrossingCost(() -> context.settings().zoneCrossingPriceMillis().orElse(0L)));
+        this.zones = new LeaveWhenItPays(new CrossingCost(
+                () -> context.settings().zoneCrossingPriceMillis().orElse(0L)));
         this.coordinator = new SlotCoordinator(
                 new RequestPlacer(policies, speeds),
                 new FluctuationReserve(),
--- a/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
+++ b/src/main/java/org/gooseberryhill/gateway/SlotExchange.java
@@ -18,15 +18,19 @@
 import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.PlacementAnswer;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
-import org.gooseberryhill.decision.quota.QuotaReport;
 import org.gooseberryhill.decision.dispatch.ProcessPauses;
+import org.gooseberryhill.decision.quota.QuotaReport;
+import org.gooseberryhill.decision.share.AccountUseReport;
+import org.gooseberryhill.decision.share.ShareChange;
 import org.gooseberryhill.directory.EndpointGroup;
 import org.gooseberryhill.directory.EndpointKey;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.link.Address;
 import org.gooseberryhill.peer.CoordinationMessage;
 import org.gooseberryhill.peer.PeerLane;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.timeline.EventBuilder;
 import org.gooseberryhill.timeline.EventKind;
 
 /**
@@ -222,6 +226,9 @@
         } else if (message instanceof CoordinationMessage.GroupLoads loads) {
             applyLoads(from, loads, nowNanos);
             return;
+        } else if (message instanceof CoordinationMessage.AccountUse use) {
+            coordinator.shares().record(from, use.report(), nowNanos);
+            return;
         } else if (message instanceof CoordinationMessage.AdmissionReturned returned) {
             coordinator.quotas().giveBack(returned.account(), nowNanos);
             return;
@@ -275,6 +282,7 @@
         long nowNanos = context.nowNanos();
         coordinator.quotas().updateParticipants(otherIds, links.isInTouchWithMost(), nowNanos);
         QuotaReport report = coordinator.quotas().takeReport(nowNanos);
+        sendAccountUse(others);
         boolean quotaActivity = !report.activities().isEmpty();
         if (!announcements.isDue(loads, otherIds, quotaActivity, admissions.areQuotasInUse(), nowNanos)) {
             return;
@@ -283,6 +291,33 @@
         context.peers().postAll(others.stream().map(Host::address).toList(), PeerLane.CONTROL, message);
     }
 
+    private void sendAccountUse(Set<Host> others) {
+        Optional<AccountUseReport> report = coordinator.shares().report(context.nowNanos());
+        coordinator.shares().takeChanges().forEach(this::log);
+        if (report.isEmpty()) {
+            return;
+        }
+        List<Address> receivers = links.gatewaysWithAccountUse().stream()
+                .filter(others::contains)
+                .map(Host::address)
+                .toList();
+        context.peers().postAll(receivers, PeerLane.CONTROL, new CoordinationMessage.AccountUse(report.get()));
+    }
+
+    private void log(ShareChange change) {
+        EventBuilder event = context.timeline()
+                .event(change.begun() ? EventKind.SHARES_EXCEEDED : EventKind.SHARES_KEPT)
+                .with("service", change.service());
+        if (change.begun()) {
+            event.with("account", change.account())
+                    .with("askedPerSecond", Math.round(change.use().askedPerSecond()))
+                    .with("placedPerSecond", Math.round(change.use().placedPerSecond()))
+                    .with("usualPerSecond", Math.round(change.use().usualPerSecond()))
+                    .with("sharePerSecond", Math.round(change.sharePerSecond()));
+        }
+        event.write();
+    }
+
     private boolean isSelf(HostId host) {
         return host.equals(context.settings().self().id());
     }
--- a/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
+++ b/src/main/java/org/gooseberryhill/peer/CoordinationMessage.java
@@ -11,6 +11,7 @@
 import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.PlacementQuery;
 import org.gooseberryhill.decision.quota.QuotaReport;
+import org.gooseberryhill.decision.share.AccountUseReport;
 import org.gooseberryhill.decision.zone.RoomAnswer;
 import org.gooseberryhill.decision.zone.RoomQuery;
 import org.gooseberryhill.directory.EndpointGroup;
@@ -149,4 +150,11 @@
      * @param quotaReport the requests since the last message
      */
     record GroupLoads(List<GroupLoad> loads, QuotaReport quotaReport) implements CoordinationMessage {}
+
+    /**
+     * Tells the coordinators of other groups which client accounts use the sender's slots; sent while slots are contended.
+     *
+     * @param report the use of slots by account, in place of that of the last message
+     */
+    record AccountUse(AccountUseReport report) implements CoordinationMessage {}
 }
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayHost.java
@@ -9,10 +9,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
-import org.gooseberryhill.account.Caller;
 import org.gooseberryhill.contract.Fingerprint;
 import org.gooseberryhill.decision.coordination.CoordinatorCommand;
-import org.gooseberryhill.decision.coordination.GroupLoad;
 import org.gooseberryhill.decision.coordination.GroupRouting;
 import org.gooseberryhill.decision.coordination.ItemStart;
 import org.gooseberryhill.decision.coordination.ItemTiming;
@@ -20,7 +18,6 @@
 import org.gooseberryhill.decision.coordination.SlotCoordinator;
 import org.gooseberryhill.decision.coordination.WaitingItems;
 import org.gooseberryhill.decision.coordination.WorkReports;
-import org.gooseberryhill.decision.coordination.ZoneCoordination;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.AttemptTiming;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
@@ -39,8 +36,6 @@
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
-import org.gooseberryhill.decision.zone.LeaveWhenItPays;
-import org.gooseberryhill.decision.zone.RoomAnswer;
 import org.gooseberryhill.decision.zone.ZonePolicy;
 import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.EndpointGroup;
@@ -74,7 +69,7 @@
     private final GroupRouting routing;
     private final SlotCoordinator coordinator;
     private final WorkReports reports;
-    private final Optional<ZoneCoordination> zones;
+    private final ReplayLoadExchange loads;
     private final DispatchCore core;
     private final ItemDispatch items;
     private final ReplayCounts counts;
@@ -118,10 +113,9 @@
                 policies.order(),
                 zonePolicy,
                 0);
-        zones = zonePolicy instanceof LeaveWhenItPays pays
-                ? Optional.of(new ZoneCoordination(routing, coordinator, pays))
-                : Optional.empty();
+        loads = new ReplayLoadExchange(clock, network, self.id(), routing, coordinator, zonePolicy);
         coordinator.updateDirectory(routing.groups(), entries);
+        coordinator.shareBy(policies.shares().apply(random));
         core = new DispatchCore(
                 self.zone(),
                 policies.requests(random),
@@ -136,7 +130,7 @@
         every(LOADS_MILLIS, process::tick);
         every(TICK_MILLIS, this::announceItems);
         every(REPORT_MILLIS, this::reportWork);
-        every(LOADS_MILLIS, this::sendLoads);
+        every(LOADS_MILLIS, loads::send);
     }
 
     /** Replaces the directory. */
@@ -151,6 +145,16 @@
         return routing;
     }
 
+    /** Removes a host that was found to be lost. */
+    void removeHost(HostId lost, List<Host> others) {
+        routing.updateHosts(others);
+        coordinator.removeHost(lost);
+    }
+
+    ReplayLoadExchange loads() {
+        return loads;
+    }
+
     Host host() {
         return self;
     }
@@ -159,10 +163,6 @@
         return process;
     }
 
-    void hostLost(HostId other) {
-        coordinator.removeHost(other);
-    }
-
     boolean coordinates(EndpointGroup group) {
         return routing.isCoordinator(group);
     }
@@ -174,7 +174,7 @@
                 name,
                 route,
                 ServingReplay.SERVICE,
-                Caller.UNATTRIBUTED,
+                call.caller(),
                 Optional.empty(),
                 Optional.empty(),
                 Lazy.of(() -> Fingerprint.of(name, new byte[0])),
@@ -335,29 +335,6 @@
         itemsChanged = true;
     }
 
-    private void sendLoads() {
-        List<GroupLoad> loads = coordinator.sampleLoads(routing::isCoordinator, clock.nowNanos());
-        if (loads.isEmpty()) {
-            return;
-        }
-        routing.groups().all().stream()
-                .filter(group -> !routing.isCoordinator(group))
-                .forEach(group -> network.sendLoads(
-                        self.id(),
-                        routing.coordinator(group).id(),
-                        host -> host.coordinator.groupLoads(loads, clock.nowNanos())));
-        zones.ifPresent(decision -> decision.dueQuestions(clock.nowNanos()).forEach(this::askForRoom));
-    }
-
-    private void askForRoom(ZoneCoordination.Question question) {
-        long askedNanos = clock.nowNanos();
-        send(question.to().id(), host -> {
-            RoomAnswer answer = host.zones.orElseThrow().answer(self.id(), question.query(), clock.nowNanos());
-            host.send(
-                    self.id(), asking -> zones.orElseThrow().answered(question, answer, askedNanos, clock.nowNanos()));
-        });
-    }
-
     private void send(RoutedRequest request, EndpointEntry entry) {
         ReplayCall call = calls.get(request);
         ReplayEndpoint endpoint = endpoints.get(entry.key());
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayNetwork.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayNetwork.java
@@ -32,6 +32,7 @@
     private final Set<HostId> lost = new HashSet<>();
     private Map<HostId, ReplayHost> hosts = Map.of();
     private double loadsDelayMillis;
+    private double lossShare;
 
     ReplayNetwork(VirtualClock clock, ReplayCounts counts, Random random, Optional<ReplayZones> zones) {
         this.clock = clock;
@@ -60,6 +61,11 @@
         loadsDelayMillis = millis;
     }
 
+    /** Loses a share of all messages from now on. */
+    void setLossShare(double share) {
+        lossShare = share;
+    }
+
     /** Loses a host with all that it sends and receives from now on. */
     void lose(HostId host) {
         lost.add(host);
@@ -115,7 +121,7 @@
         AvailabilityZone fromZone = hosts.get(from).host().zone();
         AvailabilityZone toZone = hosts.get(to).host().zone();
         double handlingMillis = -MEAN_HANDLING_MILLIS * Math.log(1 - random.nextDouble());
-        if (isCut(fromZone, toZone) || isLost(from)) {
+        if (isCut(fromZone, toZone) || isLost(from) || (lossShare > 0 && random.nextDouble() < lossShare)) {
             return;
         }
         clock.schedule(delayMillis + oneWayMillis(fromZone, toZone) + handlingMillis, () -> {
--- a/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ReplayPolicies.java
@@ -17,6 +17,8 @@
 import org.gooseberryhill.decision.requestbatch.ItemDispatch;
 import org.gooseberryhill.decision.requestbatch.ItemQuarantine;
 import org.gooseberryhill.decision.requestbatch.RestartNever;
+import org.gooseberryhill.decision.share.AccountShares;
+import org.gooseberryhill.decision.share.ArrivalOrder;
 
 /**
  * The policies of all hosts in a replay. Immutable.
@@ -27,6 +29,7 @@
  * @param coordinated whether hosts ask coordinators for endpoints, as in the product
  * @param speeds creates what a coordinator knows of the speed of endpoints
  * @param zones how a zone is chosen
+ * @param shares creates what decides on requests by the account that sent them, from a random source
  */
 record ReplayPolicies(
         Function<Random, DispatchPolicies> requestPolicies,
@@ -34,12 +37,13 @@
         ItemOrder order,
         boolean coordinated,
         Supplier<EndpointSpeeds> speeds,
-        ReplayZonePolicy zones) {
+        ReplayZonePolicy zones,
+        Function<Random, AccountShares> shares) {
     /** The policies that the product uses. */
     static final ReplayPolicies PRODUCT =
             new ReplayPolicies(DispatchPolicies::defaults, new FluctuationReserve(), new FeasibleFirstOrder(), true);
 
-    /** Creates policies with the product's knowledge of endpoints and choice of zones. */
+    /** Creates policies with the product's knowledge of endpoints and choice of zones, without client accounts. */
     ReplayPolicies(
             Function<Random, DispatchPolicies> requestPolicies,
             SlotReserve reserve,
@@ -51,13 +55,32 @@
                 order,
                 coordinated,
                 ObservedEndpointSpeeds::new,
-                ReplayZonePolicy.WHEN_IT_PAYS);
+                ReplayZonePolicy.WHEN_IT_PAYS,
+                random -> new ArrivalOrder());
+    }
+
+    /** Returns the product's policies with another decision on requests by the account that sent them. */
+    static ReplayPolicies withShares(Function<Random, AccountShares> shares) {
+        return new ReplayPolicies(
+                PRODUCT.requestPolicies,
+                PRODUCT.reserve,
+                PRODUCT.order,
+                PRODUCT.coordinated,
+                PRODUCT.speeds,
+                PRODUCT.zones,
+                shares);
     }
 
     /** Returns the product's policies with another knowledge of the speed of endpoints. */
     static ReplayPolicies withSpeeds(Supplier<EndpointSpeeds> speeds) {
         return new ReplayPolicies(
-                PRODUCT.requestPolicies, PRODUCT.reserve, PRODUCT.order, PRODUCT.coordinated, speeds, PRODUCT.zones);
+                PRODUCT.requestPolicies,
+                PRODUCT.reserve,
+                PRODUCT.order,
+                PRODUCT.coordinated,
+                speeds,
+                PRODUCT.zones,
+                PRODUCT.shares);
     }
 
     /** Returns the product's policies with other ones for online requests. */
@@ -68,7 +91,13 @@
     /** Returns the product's policies with another way to choose a zone. */
     static ReplayPolicies withZones(ReplayZonePolicy zones) {
         return new ReplayPolicies(
-                PRODUCT.requestPolicies, PRODUCT.reserve, PRODUCT.order, PRODUCT.coordinated, PRODUCT.speeds, zones);
+                PRODUCT.requestPolicies,
+                PRODUCT.reserve,
+                PRODUCT.order,
+                PRODUCT.coordinated,
+                PRODUCT.speeds,
+                zones,
+                PRODUCT.shares);
     }
 
     DispatchPolicies requests(Random random) {
--- a/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/ServingReplay.java
@@ -65,6 +65,7 @@
     private final Route batchRoute = route(RouteKind.BATCH, "/b/", 2);
     private final double startMillis = clock.nowMillis();
     private List<Double> demandByZone = List.of();
+    private AccountLoad accounts = AccountLoad.NONE;
     private int batchCount;
     private int items;
     private int itemsOnTime;
@@ -109,16 +110,15 @@
         Map<HostId, ReplayHost> byId = new HashMap<>();
         hosts.forEach(host -> byId.put(host.host().id(), host));
         network.setHosts(byId);
-        updateHosts();
+        hosts.forEach(host -> host.routing().updateHosts(othersOf(host)));
         clock.schedule(SAMPLE_MILLIS, this::sample);
     }
 
-    private void updateHosts() {
-        hosts.forEach(host -> host.routing()
-                .updateHosts(hosts.stream()
-                        .filter(other -> other != host)
-                        .map(ReplayHost::host)
-                        .toList()));
+    private List<Host> othersOf(ReplayHost host) {
+        return hosts.stream()
+                .filter(other -> other != host && !other.process().isLost())
+                .map(ReplayHost::host)
+                .toList();
     }
 
     /** Returns the network, whose links may be changed. */
@@ -141,7 +141,7 @@
         HostId lost = routing.coordinator(routing.groups().of(SERVICE).get(0)).id();
         network.lose(lost);
         hosts.removeIf(host -> host.host().id().equals(lost));
-        clock.schedule(HOST_LOSS_MILLIS, this::updateHosts);
+        clock.schedule(HOST_LOSS_MILLIS, () -> hosts.forEach(host -> host.removeHost(lost, othersOf(host))));
     }
 
     /** Ends all endpoints of a zone; their registrations lapse later. */
@@ -162,6 +162,11 @@
         hosts.forEach(host -> clock.schedule(20 * random.nextDouble(), () -> host.setEndpoints(entries)));
     }
 
+    /** Replaces the accounts that send calls from now on. */
+    void setAccounts(AccountLoad newAccounts) {
+        accounts = newAccounts;
+    }
+
     List<EndpointEntry> entries() {
         return endpoints.values().stream().map(ReplayEndpoint::entry).toList();
     }
@@ -181,7 +186,7 @@
         double expectedStreams = 0;
         double expectedBatches = 0;
         while (clock.nowMillis() < untilMillis) {
-            expectedStreams += streamsPerSecond * relativeRate() / MILLIS_PER_SECOND;
+            expectedStreams += streamsPerSecond * accounts.rateFactor() * relativeRate() / MILLIS_PER_SECOND;
             expectedBatches += batchesPerSecond / MILLIS_PER_SECOND;
             while (expectedStreams > random.nextDouble()) {
                 expectedStreams--;
@@ -242,15 +247,9 @@
     /** Ends a host, which the others learn at once; the requests that it had are lost with it. */
     void lose(ReplayHost lost) {
         lost.process().lose();
-        List<ReplayHost> left =
-                hosts.stream().filter(host -> !host.process().isLost()).toList();
-        left.forEach(host -> {
-            host.hostLost(lost.host().id());
-            host.routing().updateHosts(left.stream()
-                    .filter(other -> other != host)
-                    .map(ReplayHost::host)
-                    .toList());
-        });
+        hosts.stream()
+                .filter(host -> !host.process().isLost())
+                .forEach(host -> host.removeHost(lost.host().id(), othersOf(host)));
     }
 
     /** Returns the host that a caller in a zone uses. */
@@ -265,6 +264,13 @@
         return host;
     }
 
+    /** Returns the host that the account of a call uses; a random one if it uses all. */
+    ReplayHost hostOf(ReplayCall call) {
+        return accounts.pinned(call.account())
+                .map(number -> hosts.get(number % hosts.size()))
+                .orElseGet(() -> randomHost(call.zone()));
+    }
+
     /** Returns the outcome of the load so far. */
     ReplayResult result() {
         return new ReplayResult(
@@ -311,7 +317,8 @@
     private void startCall() {
         double promptTokens = 150 + 600 * random.nextDouble();
         int events = events(size.streamEvents());
-        ReplayCall call = new ReplayCall(clock, this, streamRoute, randomZone(), promptTokens, events);
+        ReplayCall call =
+                new ReplayCall(clock, this, streamRoute, accounts.next(random), randomZone(), promptTokens, events);
         calls.add(call);
         call.startAttempt();
     }
