--- a/src/test/java/org/gooseberryhill/decision/replay/AccountSharesReplayTest.java
+++ b/src/test/java/org/gooseberryhill/decision/replay/AccountSharesReplayTest.java
@@ -55,6 +55,28 @@
         }
     }
 
+    /** Guards against shares that leave slots free which order of arrival would use. */
+    @Test
+    void sharesServeAsManyRequestsAsOrderOfArrival() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Outcome arrivalOrder = replay(72, seed, ARRIVAL_ORDER, THREE_ACCOUNTS, replay -> {});
+            Outcome weighted = replay(72, seed, WEIGHTED, THREE_ACCOUNTS, replay -> {});
+            System.out.printf("served: arrival order %d, weighted %d%n", arrivalOrder.served(), weighted.served());
+            assertThat(weighted.served()).isGreaterThanOrEqualTo(arrivalOrder.served());
+        }
+    }
+
+    /** Guards against small accounts whose requests wait for longer because a large one sends eight times its usual rate. */
+    @Test
+    void smallAccountsWaitAtMostTwiceAsLongBesideALargeOne() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Outcome usual = replay(72, seed, WEIGHTED, Map.of(), replay -> {});
+            Outcome surge = replay(72, seed, WEIGHTED, Map.of(2, 8.0), replay -> {});
+            System.out.printf("small accounts: usually %s, in the surge %s%n", usual.small, surge.small);
+            assertThat(surge.small.p99Millis()).isLessThanOrEqualTo(2 * usual.small.p99Millis());
+        }
+    }
+
     /** Guards against requests that are refused, or queue for longer, although no account is above its share. */
     @Test
     void withoutASurgeNothingChanges() {
@@ -91,7 +113,7 @@
             AccountFigures pinned = outcome.figures(account -> account.equals(AccountLoad.name(4)));
             AccountFigures spread = outcome.figures(account -> account.equals(AccountLoad.name(5)));
             System.out.printf("at one host %s, at all hosts %s%n", pinned, spread);
-            assertThat(spread.servedShare()).isLessThan(4.0 / 3 * pinned.servedShare());
+            assertThat(spread.servedShare()).isLessThan(1.25 * pinned.servedShare());
         }
     }
 
@@ -141,7 +163,6 @@
         assertThat(weighted.within.onTimeShare()).isGreaterThanOrEqualTo(arrivalOrder.within.onTimeShare());
         assertThat(weighted.within.servedShare()).isGreaterThan(0.98);
         assertThat(weighted.during.worstServedShare()).isGreaterThan(weighted.during.servedShare() / 4);
-        assertThat((double) weighted.served()).isGreaterThan(0.97 * arrivalOrder.served());
     }
 
     private static void loseMessagesAndHost(ServingReplay replay) {
