Log how a write of a batch was confirmed and where results came from

Cause: the lines can't tell the hypotheses of the changed position apart: nothing says that a record was found for a batch that was accepted without one, that a loaded copy was not used, that a write counted as done by reading back, or which copy a page came from.

New: batch.recorded, batch.write-read-back, batch.load-unused, batch.page-served (only pages with results); batch.committed and batch.taken-over name the revision, batch.committed also the first position. No decision changes.

GatewayBatchTest and GatewayOutboxTest: green.

--- a/src/main/java/org/gooseberryhill/gateway/BatchApiHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchApiHandler.java
@@ -14,6 +14,7 @@
 import org.gooseberryhill.http.HttpCall;
 import org.gooseberryhill.peer.GatewayMessage;
 import org.gooseberryhill.peer.PeerMessage;
+import org.gooseberryhill.timeline.EventKind;
 
 /**
  * Handles API calls that read or end request batches. Calls arrive on traffic threads and are processed on the control
@@ -97,7 +98,7 @@
                     read.firstPosition(),
                     waitMillis,
                     access,
-                    page -> replyPage(call, read, access, page));
+                    page -> replyPage(call, read, access, page, "memory"));
             return;
         }
         Optional<Host> owner = registry.owner(read.batch()).flatMap(links::find);
@@ -108,30 +109,52 @@
         PeerMessage request = new GatewayMessage.ResultsRequest(read.batch(), read.firstPosition(), waitMillis, access);
         context.onLoop(links.ask(owner.get(), request, waitMillis + REPLY_MARGIN_MILLIS), (reply, failure) -> {
             boolean hasOwnerAnswer = reply instanceof GatewayMessage.Results;
-            replyPage(call, read, access, hasOwnerAnswer ? ((GatewayMessage.Results) reply).page() : Optional.empty());
+            replyPage(
+                    call,
+                    read,
+                    access,
+                    hasOwnerAnswer ? ((GatewayMessage.Results) reply).page() : Optional.empty(),
+                    owner.get().id().value());
         });
     }
 
-    private void replyPage(HttpCall call, BatchApiCall.ReadResults read, BatchAccess access, Optional<BatchPage> page) {
+    /** Sends a page that this host or the owner had in memory; without one, the results are read from the store. */
+    private void replyPage(
+            HttpCall call, BatchApiCall.ReadResults read, BatchAccess access, Optional<BatchPage> page, String source) {
         if (page.isPresent()) {
-            call.reply(OK, JSON_HEADERS, context.dialects().batches().formatPage(page.get()));
+            sendPage(call, read, page.get(), source);
         } else {
             readStoredResults(call, read, access);
         }
     }
 
     private void readStoredResults(HttpCall call, BatchApiCall.ReadResults read, BatchAccess access) {
+        String source = storedBatchReader.isCached(read.batch(), read.firstPosition()) ? "cache" : "store";
         context.onLoop(storedBatchReader.readPage(read.batch(), read.firstPosition(), access), (page, failure) -> {
             if (failure != null) {
                 refusals.unavailable(call, read.batch(), false);
             } else if (page.isEmpty()) {
                 refusals.refuse(call, read.batch(), Refusal.notRun(ErrorCode.NOT_FOUND, "there is no such batch"));
             } else {
-                call.reply(OK, JSON_HEADERS, context.dialects().batches().formatPage(page.get()));
+                sendPage(call, read, page.get(), source);
             }
         });
     }
 
+    private void sendPage(HttpCall call, BatchApiCall.ReadResults read, BatchPage page, String source) {
+        if (!page.results().isEmpty()) {
+            context.timeline()
+                    .event(EventKind.BATCH_PAGE_SERVED)
+                    .job(read.batch())
+                    .with("source", source)
+                    .with("firstPosition", page.after())
+                    .with("results", page.results().size())
+                    .with("firstItem", page.results().get(0).id())
+                    .write();
+        }
+        call.reply(OK, JSON_HEADERS, context.dialects().batches().formatPage(page));
+    }
+
     private void readItem(HttpCall call, BatchApiCall.ReadItem read, BatchAccess access) {
         Optional<OwnedBatch> batch = registry.find(read.batch());
         if (batch.isPresent()) {
--- a/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
@@ -90,6 +90,12 @@
      * ended now.
      */
     void onRecordCreated(OwnedBatch batch, BatchRecord record, long revision) {
+        context.timeline()
+                .event(EventKind.BATCH_RECORDED)
+                .job(batch.id())
+                .with("listed", record.listed())
+                .with("revision", revision)
+                .write();
         batch.recordChanged(record, revision);
         if (endReceivers.containsKey(batch.id())) {
             writeEndedRecord(batch);
@@ -191,7 +197,9 @@
             context.timeline()
                     .event(EventKind.BATCH_COMMITTED)
                     .job(commit.id())
+                    .with("firstPosition", commit.firstPosition())
                     .with("listed", commit.record().listed())
+                    .with("revision", revision)
                     .with("items", commit.record().items())
                     .with("leftMillis", leftMillis(batch).orElse(0))
                     .write();
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -265,6 +265,12 @@
         takeoversInProgress.remove(ownedRecord.id());
         if (!registry.add(loaded.batch)) {
             // The caller has submitted the batch again in the meantime.
+            context.timeline()
+                    .event(EventKind.BATCH_LOAD_UNUSED)
+                    .job(ownedRecord.id())
+                    .with("listed", ownedRecord.record().listed())
+                    .with("revision", ownedRecord.revision())
+                    .write();
             return;
         }
         context.timeline()
@@ -273,6 +279,7 @@
                 .with("listed", ownedRecord.record().listed())
                 .with("items", ownedRecord.record().items())
                 .with("begun", loaded.progress.size())
+                .with("revision", ownedRecord.revision())
                 .write();
         links.broadcast(new GatewayMessage.BatchNotice(ownedRecord.id()));
         onTakenOver.run();
--- a/src/main/java/org/gooseberryhill/gateway/RecordWriter.java
+++ b/src/main/java/org/gooseberryhill/gateway/RecordWriter.java
@@ -140,16 +140,38 @@
                 }
                 if (failure != null) {
                     scheduleRetry(recordWrite.readUnanswered());
-                } else if (recordWrite.read(found.map(BatchStore.StoredRecord::record)) == RecordWrite.Step.DONE) {
-                    finished = true;
+                    return;
+                }
+                boolean tookEffect =
+                        recordWrite.read(found.map(BatchStore.StoredRecord::record)) == RecordWrite.Step.DONE;
+                finished = true;
+                logReadBack(tookEffect, found);
+                if (tookEffect) {
                     listener.onWritten(found.orElseThrow().revision());
                 } else {
-                    finished = true;
                     listener.onSuperseded(found);
                 }
             });
         }
 
+        private void logReadBack(boolean tookEffect, Optional<BatchStore.StoredRecord> found) {
+            context.timeline()
+                    .event(EventKind.BATCH_WRITE_READ_BACK)
+                    .job(id)
+                    .with("tookEffect", tookEffect)
+                    .with(
+                            "revision",
+                            found.map(BatchStore.StoredRecord::revision).orElse(0L))
+                    .with("owner", found.map(stored -> stored.record().owner()).orElse(""))
+                    .with(
+                            "ownerStart",
+                            found.map(stored -> stored.record().ownerStart()).orElse(""))
+                    .with(
+                            "listed",
+                            found.map(stored -> stored.record().listed()).orElse(0))
+                    .write();
+        }
+
         private void scheduleRetry(RecordWrite.Step step) {
             context.loop().after(RETRY_MILLIS, step == RecordWrite.Step.WRITE ? this::send : this::retryRead);
         }
--- a/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
+++ b/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
@@ -33,6 +33,12 @@
         this.store = store;
     }
 
+    /** Returns whether the results from a position of the batch's list of results on are served without a call to the store. */
+    boolean isCached(String id, int firstPosition) {
+        CachedResults cached = cache.get(id);
+        return cached != null && (cached.record.isFinished() || cached.results.size() > firstPosition);
+    }
+
     /**
      * Reads the committed results from a position of the batch's list of results on; empty if there is no such batch, or none
      * that the caller may see.
@@ -42,7 +48,7 @@
         if (cached != null && !access.isGranted(cached.record.account())) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        if (cached != null && (cached.record.isFinished() || cached.results.size() > firstPosition)) {
+        if (isCached(id, firstPosition)) {
             return CompletableFuture.completedFuture(Optional.of(cached.page(firstPosition)));
         }
         return store.readRecord(id).thenCompose(found -> {
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -141,6 +141,12 @@
     BATCH_REFUSED("batch.refused", Importance.FAILURE),
     /** Results of a request batch were committed. */
     BATCH_COMMITTED("batch.committed", Importance.ROUTINE),
+    /** A refused write for a request batch was compared with the record in the store, to see whether it had taken effect before. */
+    BATCH_WRITE_READ_BACK("batch.write-read-back", Importance.STATE),
+    /** The record of a request batch that was accepted without one was found or created. */
+    BATCH_RECORDED("batch.recorded", Importance.STATE),
+    /** A page with results of a request batch was sent to a caller. */
+    BATCH_PAGE_SERVED("batch.page-served", Importance.ROUTINE),
     /** A write for a request batch was not answered; it is retried. */
     BATCH_WRITE_UNANSWERED("batch.write-unanswered", Importance.FAILURE),
     /** The caller ended a request batch. */
@@ -151,6 +157,8 @@
     BATCH_HANDED_OVER("batch.handed-over", Importance.STATE),
     /** This host became the owner of a request batch that another host had owned. */
     BATCH_TAKEN_OVER("batch.taken-over", Importance.STATE),
+    /** A request batch that was read from the store is not used, since this host has accepted or loaded it meanwhile. */
+    BATCH_LOAD_UNUSED("batch.load-unused", Importance.STATE),
     /** A request batch could not be read from the store. */
     BATCH_LOAD_FAILED("batch.load-failed", Importance.FAILURE),
     /** A finished request batch was deleted after the retention period of its results. */
