Keep one copy of a batch in a process, and bind it only to a record whose results it has

Callers saw: position 0 of a batch's results shows another result than before (the users' record; reproduced by GatewayResubmissionTest).

Cause: a host that has started anew takes its batches over: it writes itself into the record and then reads items and results. Until they are there, the batch is not in the registry. If it is submitted again at that host in that time, and the store does not answer within a quarter of the target, disks keep copies and the host accepts the batch a second time, without a record. The copy that it reads is dropped, since one is there already. The refused creation finds a record that names this very process, and the second copy takes it over with the results that it lists, of which it has none: it runs all items again, shows its first result at position 0 and commits it after those of the first process.

Why it works: a host knows which batches it is taking over, and confirms a repetition from the record that it found, without another copy. A copy without a record is bound only to a record without results, and only once; else it is dropped, and the batch is read from the store. A copy can't be created without the results that its record lists. So no copy can assign a position that is taken.

BatchLoadReplay gave a taken-over batch the results but not the record that lists them; it gives both now.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -12,8 +12,9 @@
  * The state of a batch on the host that owns and runs it. Not thread-safe.
  *
  * <p>Invariants: positions in the list of results are assigned only by commits, each of them once; an item has one
- * position; a result is visible only after its commit. An item is given up only when an endpoint answered that the item
- * can never be run, when all attempts failed, or when the batch is older than its retention period.
+ * position; a result is visible only after its commit; this copy holds exactly the results that its record lists. An item is
+ * given up only when an endpoint answered that the item can never be run, when all attempts failed, or when the batch is older
+ * than its retention period.
  */
 public final class OwnedBatch {
     /** The delay after an error answer: the endpoint may be the cause, and other items can run in the meantime. */
@@ -53,9 +54,14 @@
      * @param recordRevision the revision of its record; 0 if the record is not in the key-value store yet
      * @param batchItems all items of the batch
      * @param results the committed results in the order of the batch's list of results
+     * @throws IllegalArgumentException if these are not as many as the record lists
      */
     public OwnedBatch(
             String id, BatchRecord record, long recordRevision, List<BatchItem> batchItems, List<ItemResult> results) {
+        if (results.size() != record.listed()) {
+            throw new IllegalArgumentException("the record of batch " + id + " lists " + record.listed()
+                    + " results, given are " + results.size());
+        }
         this.id = id;
         this.record = record;
         this.recordRevision = recordRevision;
@@ -224,9 +230,23 @@
         recordRevision = newRevision;
     }
 
-    /** Records a change of the record by this host other than a commit. */
-    public void recordChanged(BatchRecord newRecord, long newRevision) {
-        record = newRecord;
+    /**
+     * Binds a batch that runs without a record to the record that the key-value store has now. Returns false, and changes
+     * nothing, if the batch has a record already or if the new one lists results: those were committed by another copy of the
+     * batch, and this one would assign their positions again.
+     */
+    public boolean bindRecord(BatchRecord created, long revision) {
+        if (isRecorded() || created.listed() > 0) {
+            return false;
+        }
+        record = created;
+        recordRevision = revision;
+        return true;
+    }
+
+    /** Records that the record is marked as ended in the key-value store. */
+    public void endRecorded(BatchRecord ended, long newRevision) {
+        record = ended;
         recordRevision = newRevision;
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
@@ -88,23 +88,28 @@
      * Handles the creation of the record of a batch that this host accepted without a record, since enough other hosts
      * held copies of the submission on disk. If the caller has asked to end the batch meanwhile, marks the record as
      * ended now.
+     *
+     * @return whether the batch has this record now; false if the record lists results of another copy of the batch
      */
-    void onRecordCreated(OwnedBatch batch, BatchRecord record, long revision) {
+    boolean onRecordCreated(OwnedBatch batch, BatchRecord record, long revision) {
+        boolean bound = batch.bindRecord(record, revision);
         context.timeline()
                 .event(EventKind.BATCH_RECORDED)
                 .job(batch.id())
                 .with("listed", record.listed())
                 .with("revision", revision)
+                .with("bound", bound)
                 .write();
-        batch.recordChanged(record, revision);
-        if (endReceivers.containsKey(batch.id())) {
+        if (bound && endReceivers.containsKey(batch.id())) {
             writeEndedRecord(batch);
         }
+        return bound;
     }
 
     /**
      * Handles the loss of a batch that this host accepted without a record, since enough other hosts held copies of the
-     * submission on disk: the record names another process as the owner, or there is no record.
+     * submission on disk: the record names another process as the owner or lists results of another copy of the batch, or there
+     * is no record.
      */
     void onRecordedElsewhere(String id, Optional<BatchStore.StoredRecord> found) {
         onOwnershipLost(id, found);
@@ -234,7 +239,7 @@
 
     private void onEnded(OwnedBatch batch, BatchRecord ended, long revision) {
         writesInFlight.remove(batch.id());
-        batch.recordChanged(ended, revision);
+        batch.endRecorded(ended, revision);
         context.timeline().event(EventKind.BATCH_ENDED).job(batch.id()).write();
         registry.notifyWaiters(batch.id());
         notifyEndReceivers(batch.id(), true);
--- a/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
@@ -47,6 +47,7 @@
     private final RecordWriter writer;
     private final BatchCommitter committer;
     private final BatchRunner runner;
+    private final BatchTakeover takeover;
     private final SubmissionCopies copies;
 
     BatchSubmissionHandler(
@@ -56,7 +57,8 @@
             BatchRegistry registry,
             BatchStore store,
             BatchCommitter committer,
-            BatchRunner runner) {
+            BatchRunner runner,
+            BatchTakeover takeover) {
         this.context = context;
         this.refusals = refusals;
         this.links = links;
@@ -65,6 +67,7 @@
         this.writer = new RecordWriter(context, store);
         this.committer = committer;
         this.runner = runner;
+        this.takeover = takeover;
         this.copies = new SubmissionCopies(context, links);
     }
 
@@ -96,9 +99,10 @@
     }
 
     private void create(Submission submission) {
-        Optional<OwnedBatch> owned = registry.find(submission.id);
-        if (owned.isPresent()) {
-            confirmIfSame(submission, owned.get().record());
+        Optional<BatchRecord> known =
+                registry.find(submission.id).map(OwnedBatch::record).or(() -> takeover.recordOfTakeover(submission.id));
+        if (known.isPresent()) {
+            confirmIfSame(submission, known.get());
             return;
         }
         if (!context.stop().acceptsRequest(SUBMIT_TIMEOUT_MILLIS, context.nowNanos())) {
@@ -129,10 +133,10 @@
     private void onRecorded(Submission submission, long revision) {
         Optional<OwnedBatch> accepted = registry.find(submission.id);
         dropCopies(submission);
-        if (accepted.isPresent()) {
-            committer.onRecordCreated(accepted.get(), submission.record, revision);
-        } else {
+        if (accepted.isEmpty()) {
             takeOwnership(submission, submission.record, revision);
+        } else if (!accepted.get().isRecorded()) {
+            committer.onRecordCreated(accepted.get(), submission.record, revision);
         }
         if (submission.acceptance.recorded()) {
             confirm(submission);
@@ -205,12 +209,15 @@
      * same batch.
      */
     private void onRecordedByAnother(OwnedBatch accepted, Optional<BatchStore.StoredRecord> found) {
-        if (found.isPresent() && isOwnedByThisProcess(found.get().record())) {
-            committer.onRecordCreated(
-                    accepted, found.get().record(), found.get().revision());
-        } else {
-            committer.onRecordedElsewhere(accepted.id(), found);
+        Optional<BatchStore.StoredRecord> ownRecord = found.filter(stored -> isOwnedByThisProcess(stored.record()));
+        boolean bound = ownRecord
+                .filter(stored -> committer.onRecordCreated(accepted, stored.record(), stored.revision()))
+                .isPresent();
+        if (bound) {
+            return;
         }
+        committer.onRecordedElsewhere(accepted.id(), found);
+        ownRecord.ifPresent(takeover::loadIfOwned);
     }
 
     private boolean isOwnedByThisProcess(BatchRecord record) {
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -1,9 +1,9 @@
 package org.gooseberryhill.gateway;
 
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.drain.PlannedStop;
@@ -48,7 +48,7 @@
     private final Runnable onTakenOver;
     private final Consumer<BatchStore.StoredRecord> onRecordChanged;
     private final Consumer<List<BatchStore.StoredRecord>> onListed;
-    private final Set<String> takeoversInProgress = new HashSet<>();
+    private final Map<String, BatchRecord> recordsOfTakeovers = new HashMap<>();
     private boolean scanning;
     private boolean rescanScheduled;
 
@@ -103,6 +103,14 @@
         });
     }
 
+    /**
+     * Returns the record of a batch that this host is taking over or reading from the key-value store, as it was found there;
+     * empty for any other batch.
+     */
+    Optional<BatchRecord> recordOfTakeover(String id) {
+        return Optional.ofNullable(recordsOfTakeovers.get(id));
+    }
+
     /**
      * Takes over a batch that its owner hands to this host. An owner that gets no reply in time offers the batch again,
      * so a batch that was already taken is confirmed once more. If this host has the batch at a revision that is not
@@ -121,7 +129,7 @@
         dropIfChangedElsewhere(offered);
         boolean mayTake = context.stop().phase() == PlannedStop.Phase.SERVING
                 && registry.find(offered.id()).isEmpty();
-        if (!mayTake || !takeoversInProgress.add(offered.id())) {
+        if (!mayTake || recordsOfTakeovers.putIfAbsent(offered.id(), offered.record()) != null) {
             receiver.accept(false);
             return;
         }
@@ -143,11 +151,11 @@
         dropIfChangedElsewhere(stored);
         if (record.isFinished()
                 || registry.find(stored.id()).isPresent()
-                || takeoversInProgress.contains(stored.id())) {
+                || recordsOfTakeovers.containsKey(stored.id())) {
             return;
         }
         if (isOwnedByThisProcess(record)) {
-            loadIfOwned(stored.id());
+            loadIfOwned(stored);
             return;
         }
         if (!failureDetector.isLost(record.owner(), record.ownerStart(), context.nowNanos())) {
@@ -158,7 +166,7 @@
         boolean ownedByEarlierProcess =
                 record.owner().equals(context.settings().self().id().value());
         if (ownedByEarlierProcess || links.isResponsibleFor("batch/" + stored.id())) {
-            takeoversInProgress.add(stored.id());
+            recordsOfTakeovers.put(stored.id(), record);
             claim(stored, Optional.empty(), taken -> {});
         }
     }
@@ -189,12 +197,15 @@
     }
 
     /**
-     * Loads a batch that this process does not have although the record names this process as the owner: a write whose
-     * answer was lost took effect later. The listing may be older than a hand-over by this process, so the record is
-     * read again.
+     * Loads a batch that this process does not have although the record names this process as the owner: a write whose answer
+     * was lost took effect later, or this process had another copy of it that is of no use. The given record may be older than a
+     * hand-over by this process, so it is read again.
      */
-    private void loadIfOwned(String id) {
-        takeoversInProgress.add(id);
+    void loadIfOwned(BatchStore.StoredRecord listed) {
+        String id = listed.id();
+        if (recordsOfTakeovers.putIfAbsent(id, listed.record()) != null) {
+            return;
+        }
         context.onLoop(store.readRecord(id), (found, failure) -> {
             boolean stillOwned = failure == null
                     && found.isPresent()
@@ -204,7 +215,7 @@
             if (stillOwned) {
                 load(found.get(), Optional.empty());
             } else {
-                takeoversInProgress.remove(id);
+                recordsOfTakeovers.remove(id);
             }
         });
     }
@@ -230,7 +241,7 @@
 
                     @Override
                     public void onSuperseded(Optional<BatchStore.StoredRecord> other) {
-                        takeoversInProgress.remove(stored.id());
+                        recordsOfTakeovers.remove(stored.id());
                         receiver.accept(false);
                     }
                 });
@@ -262,7 +273,7 @@
     }
 
     private void onLoaded(BatchStore.StoredRecord ownedRecord, LoadedBatch loaded) {
-        takeoversInProgress.remove(ownedRecord.id());
+        recordsOfTakeovers.remove(ownedRecord.id());
         if (!registry.add(loaded.batch)) {
             // The caller has submitted the batch again in the meantime.
             context.timeline()
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -164,11 +164,11 @@
         BatchEnder ender =
                 new BatchEnder(context, refusals, links, registry, batchStore, committer, runner, storedBatchReader);
         this.batchApiHandler = new BatchApiHandler(context, refusals, links, registry, storedBatchReader, ender);
-        BatchSubmissionHandler submissionHandler =
-                new BatchSubmissionHandler(context, refusals, links, registry, batchStore, committer, runner);
         BatchCleanup cleanup = new BatchCleanup(context, links, registry, batchStore);
         this.takeover = new BatchTakeover(
                 context, links, registry, batchStore, runner::schedule, committer::onRecordChanged, cleanup::onListed);
+        BatchSubmissionHandler submissionHandler =
+                new BatchSubmissionHandler(context, refusals, links, registry, batchStore, committer, runner, takeover);
         this.handOver = new BatchHandOver(context, links, registry, committer);
         this.views = createViews();
         StartGate gate = new StartGate(context.nowNanos());
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -178,8 +178,8 @@
         List<ItemResult> committed =
                 new ArrayList<>(batch.page(0, Integer.MAX_VALUE).results());
         committed.addAll(results);
-        OwnedBatch next = new OwnedBatch(
-                batch.id(), batch.record(), 1, BatchFixture.items(batch.record().items()), committed);
+        BatchRecord record = batch.record().withChunk(results.size());
+        OwnedBatch next = new OwnedBatch(batch.id(), record, 1, BatchFixture.items(record.items()), committed);
         if (progressIsSaved) {
             next.restore(savedCheckpoints.entrySet().stream()
                     .filter(entry -> entry.getKey().startsWith(batch.id() + "/"))
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.decision.requestbatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
 import java.util.Optional;
@@ -307,6 +308,54 @@
         assertThat(batch.uncommittedItem("i0")).isEmpty();
     }
 
+    @Test
+    void aBatchWithoutARecordIsBoundToOneWithoutResults() {
+        OwnedBatch accepted = acceptedWithoutRecord();
+
+        assertThat(accepted.bindRecord(BatchFixture.record(3, "a", "1"), 7)).isTrue();
+
+        assertThat(accepted.recordRevision()).isEqualTo(7);
+    }
+
+    /** Guards against positions that are assigned again, by a copy of the batch without the results that its record lists. */
+    @Test
+    void aBatchWithoutARecordIsNotBoundToOneWithResultsOfAnotherCopy() {
+        OwnedBatch accepted = acceptedWithoutRecord();
+
+        assertThat(accepted.bindRecord(BatchFixture.record(3, "a", "1").withChunk(2), 7))
+                .isFalse();
+
+        assertThat(accepted.isRecorded()).isFalse();
+        assertThat(accepted.record().listed()).isZero();
+    }
+
+    /** Guards against results that are committed again, since a late answer to the creation resets the record. */
+    @Test
+    void theRecordOfABatchIsNotReplacedByAnEarlierOne() {
+        BatchFixture.run(batch, firstStartableItem(), 1);
+        commit();
+        long revision = batch.recordRevision();
+
+        assertThat(batch.bindRecord(BatchFixture.record(3, "a", "1"), revision - 1))
+                .isFalse();
+
+        assertThat(batch.record().listed()).isEqualTo(1);
+        assertThat(batch.recordRevision()).isEqualTo(revision);
+    }
+
+    @Test
+    void aBatchIsNotLoadedWithoutTheResultsThatItsRecordLists() {
+        BatchRecord record = BatchFixture.record(3, "a", "1").withChunk(2);
+
+        assertThatThrownBy(() -> new OwnedBatch("batch", record, 5, BatchFixture.items(3), List.of()))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("lists 2 results");
+    }
+
+    private static OwnedBatch acceptedWithoutRecord() {
+        return new OwnedBatch("batch", BatchFixture.record(3, "a", "1"), 0, BatchFixture.items(3), List.of());
+    }
+
     /** Runs an item at an endpoint that closes its connection after a number of further events. */
     private void endUnmarked(ItemProgress item, int events) {
         batch.runStarted(item, BatchFixture.VERSION);
