Apply the outcome of a write only to the copy of a batch that made it

Cause: the answers of writes found a batch by its id. If the copy that made a commit has been replaced, the later one would mark results of its own as committed, or none, under the record of the earlier one; a refusal of the earlier one's write would take the later one away. Such an answer can be on the way after a hand-over, which removes a batch whatever is in flight.

Found by looking for the class of the changed position (what concerns one copy of a batch is applied to another) in every late answer.

Why it works: writes in flight, their answers and the removal from the registry name the copy itself. A copy that has lost its place changes nothing any more.

--- a/src/main/java/org/gooseberryhill/gateway/BatchCleanup.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCleanup.java
@@ -51,7 +51,7 @@
         context.onLoop(store.delete(stored), (deleted, failure) -> {
             deleting.remove(stored.id());
             if (failure == null && deleted) {
-                registry.remove(stored.id());
+                registry.find(stored.id()).ifPresent(registry::remove);
                 context.timeline()
                         .event(EventKind.BATCH_DELETED)
                         .job(stored.id())
--- a/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
@@ -23,7 +23,8 @@
  *
  * <p>Invariants: at most one write of a batch's record is in flight; a result becomes readable only after the write
  * that contains it; an unanswered write is repeated unchanged until the record shows whether it took effect. A commit
- * whose record was changed by another process is not repeated: the batch has another owner, or was ended.
+ * whose record was changed by another process is not repeated: the batch has another owner, or was ended. The outcome of a
+ * write concerns only the copy of the batch that made it.
  */
 final class BatchCommitter {
     private final GatewayContext context;
@@ -34,7 +35,7 @@
     private final Consumer<String> onLost;
     private final SaveTiming saveTiming = new SaveTiming();
     private final Map<String, List<Consumer<Boolean>>> endReceivers = new HashMap<>();
-    private final Set<String> writesInFlight = new HashSet<>();
+    private final Set<OwnedBatch> writesInFlight = new HashSet<>();
 
     BatchCommitter(
             GatewayContext context,
@@ -55,7 +56,7 @@
         List<OwnedBatch> batchesToSave = new ArrayList<>();
         boolean due = false;
         for (OwnedBatch batch : registry.batches()) {
-            if (writesInFlight.contains(batch.id()) || batch.isFinished() || !batch.isRecorded()) {
+            if (writesInFlight.contains(batch) || batch.isFinished() || !batch.isRecorded()) {
                 continue;
             }
             batchesToSave.add(batch);
@@ -67,8 +68,8 @@
     }
 
     /** Returns whether a write of the batch's record is in flight. */
-    boolean hasWriteInFlight(String id) {
-        return writesInFlight.contains(id);
+    boolean hasWriteInFlight(OwnedBatch batch) {
+        return writesInFlight.contains(batch);
     }
 
     /**
@@ -112,17 +113,17 @@
      * submission on disk: the record names another process as the owner or lists results of another copy of the batch, or there
      * is no record.
      */
-    void onRecordedElsewhere(String id, Optional<BatchStore.StoredRecord> found) {
-        onOwnershipLost(id, found);
+    void onRecordedElsewhere(OwnedBatch batch, Optional<BatchStore.StoredRecord> found) {
+        onOwnershipLost(batch, found);
     }
 
     /**
      * Handles a listed revision of an owned batch that is later than the one this host wrote: another process ended the
      * batch or took it over. A write of this host that is in flight detects the change itself.
      */
-    void onRecordChanged(BatchStore.StoredRecord found) {
-        if (!writesInFlight.contains(found.id())) {
-            onOwnershipLost(found.id(), Optional.of(found));
+    void onRecordChanged(OwnedBatch batch, BatchStore.StoredRecord found) {
+        if (!writesInFlight.contains(batch)) {
+            onOwnershipLost(batch, Optional.of(found));
         }
     }
 
@@ -134,23 +135,21 @@
     }
 
     private void save(SaveBundle bundle) {
-        bundle.commits().forEach(commit -> writesInFlight.add(commit.id()));
-        bundle.commits().forEach(commit -> saveTiming.resetDelays(commit.id()));
+        writesInFlight.addAll(bundle.commits().keySet());
+        bundle.commits().keySet().forEach(batch -> saveTiming.resetDelays(batch.id()));
         bundle.checkpoints().forEach(checkpoints -> saveTiming.resetDelays(checkpoints.id()));
-        context.onLoop(store.save(bundle.commits(), bundle.checkpoints()), (result, failure) -> {
+        List<BatchStore.Commit> commits = List.copyOf(bundle.commits().values());
+        context.onLoop(store.save(commits, bundle.checkpoints()), (result, failure) -> {
             boolean done = failure == null && result.succeeded();
             if (done) {
                 bundle.markProgressSaved();
-            }
-            for (BatchStore.Commit commit : bundle.commits()) {
-                if (done) {
-                    onCommitted(commit, result.revision());
-                } else {
-                    commitSeparately(commit);
-                }
+                bundle.commits().forEach((batch, commit) -> onCommitted(batch, commit, result.revision()));
+            } else {
+                bundle.commits().forEach(this::commitSeparately);
             }
             if (failure == null && !result.succeeded()) {
-                bundle.checkpoints().forEach(checkpoints -> checkRecord(checkpoints.id()));
+                bundle.checkpoints()
+                        .forEach(checkpoints -> registry.find(checkpoints.id()).ifPresent(this::checkRecord));
             }
         });
     }
@@ -160,25 +159,23 @@
      * it over without notifying this host. Without this check, the items would keep running for nothing until the next
      * commit of a result.
      */
-    private void checkRecord(String id) {
-        if (writesInFlight.contains(id)) {
+    private void checkRecord(OwnedBatch batch) {
+        if (writesInFlight.contains(batch)) {
             return;
         }
-        context.onLoop(store.readRecord(id), (found, failure) -> {
-            Optional<OwnedBatch> owned = registry.find(id);
-            if (failure != null || owned.isEmpty()) {
+        context.onLoop(store.readRecord(batch.id()), (found, failure) -> {
+            if (failure != null) {
                 return;
             }
-            boolean changed =
-                    found.isEmpty() || found.get().revision() > owned.get().recordRevision();
-            if (changed && !writesInFlight.contains(id)) {
-                onOwnershipLost(id, found);
+            boolean changed = found.isEmpty() || found.get().revision() > batch.recordRevision();
+            if (changed && !writesInFlight.contains(batch)) {
+                onOwnershipLost(batch, found);
             }
         });
     }
 
     /** Commits one batch separately, so that neither the refusal of another batch nor an unanswered write delays it. */
-    private void commitSeparately(BatchStore.Commit commit) {
+    private void commitSeparately(OwnedBatch batch, BatchStore.Commit commit) {
         writer.write(
                 commit.id(),
                 commit.writeId(),
@@ -186,38 +183,39 @@
                 new RecordWriter.WriteListener() {
                     @Override
                     public void onWritten(long revision) {
-                        onCommitted(commit, revision);
+                        onCommitted(batch, commit, revision);
                     }
 
                     @Override
                     public void onSuperseded(Optional<BatchStore.StoredRecord> found) {
-                        onOwnershipLost(commit.id(), found);
+                        onOwnershipLost(batch, found);
                     }
                 });
     }
 
-    private void onCommitted(BatchStore.Commit commit, long revision) {
-        writesInFlight.remove(commit.id());
-        registry.find(commit.id()).ifPresent(batch -> {
-            batch.commitSucceeded(commit.record(), revision);
-            context.timeline()
-                    .event(EventKind.BATCH_COMMITTED)
-                    .job(commit.id())
-                    .with("firstPosition", commit.firstPosition())
-                    .with("listed", commit.record().listed())
-                    .with("revision", revision)
-                    .with("items", commit.record().items())
-                    .with("leftMillis", leftMillis(batch).orElse(0))
-                    .write();
-            registry.notifyWaiters(commit.id());
-            if (endReceivers.containsKey(commit.id())) {
-                writeEndedRecord(batch);
-            }
-        });
+    private void onCommitted(OwnedBatch batch, BatchStore.Commit commit, long revision) {
+        writesInFlight.remove(batch);
+        batch.commitSucceeded(commit.record(), revision);
+        context.timeline()
+                .event(EventKind.BATCH_COMMITTED)
+                .job(commit.id())
+                .with("firstPosition", commit.firstPosition())
+                .with("listed", commit.record().listed())
+                .with("revision", revision)
+                .with("items", commit.record().items())
+                .with("leftMillis", leftMillis(batch).orElse(0))
+                .write();
+        if (!registry.holds(batch)) {
+            return;
+        }
+        registry.notifyWaiters(commit.id());
+        if (endReceivers.containsKey(commit.id())) {
+            writeEndedRecord(batch);
+        }
     }
 
     private void writeEndedRecord(OwnedBatch batch) {
-        if (!batch.isRecorded() || !writesInFlight.add(batch.id())) {
+        if (!batch.isRecorded() || !writesInFlight.add(batch)) {
             return;
         }
         BatchRecord ended = batch.record().asEnded();
@@ -235,21 +233,27 @@
 
                     @Override
                     public void onSuperseded(Optional<BatchStore.StoredRecord> found) {
-                        onOwnershipLost(batch.id(), found);
+                        onOwnershipLost(batch, found);
                     }
                 });
     }
 
     private void onEnded(OwnedBatch batch, BatchRecord ended, long revision) {
-        writesInFlight.remove(batch.id());
+        writesInFlight.remove(batch);
         batch.endRecorded(ended, revision);
         context.timeline().event(EventKind.BATCH_ENDED).job(batch.id()).write();
         registry.notifyWaiters(batch.id());
         notifyEndReceivers(batch.id(), true);
     }
 
-    private void onOwnershipLost(String id, Optional<BatchStore.StoredRecord> found) {
-        writesInFlight.remove(id);
+    private void onOwnershipLost(OwnedBatch batch, Optional<BatchStore.StoredRecord> found) {
+        writesInFlight.remove(batch);
+        String id = batch.id();
+        boolean replaced = registry.find(id).isPresent() && !registry.holds(batch);
+        if (replaced) {
+            return;
+        }
+        registry.remove(batch);
         boolean ended = found.map(stored -> stored.record().ended()).orElse(true);
         context.timeline()
                 .event(EventKind.BATCH_LOST)
@@ -258,7 +262,6 @@
                 .with("owner", found.map(stored -> stored.record().owner()).orElse(""))
                 .write();
         saveTiming.resetDelays(id);
-        registry.remove(id);
         onLost.accept(id);
         notifyEndReceivers(id, ended);
     }
--- a/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
@@ -43,7 +43,7 @@
      */
     void offerBatches() {
         for (OwnedBatch batch : registry.batches()) {
-            boolean settled = batch.isRecorded() && !committer.hasWriteInFlight(batch.id()) && !batch.hasUncommitted();
+            boolean settled = batch.isRecorded() && !committer.hasWriteInFlight(batch) && !batch.hasUncommitted();
             if (!batch.isFinished() && settled && !offered.contains(batch.id())) {
                 offer(batch);
             }
@@ -80,7 +80,7 @@
                 context.loop().after(OFFER_RETRY_MILLIS, () -> offered.remove(batch.id()));
             }
             if (accepted) {
-                registry.remove(batch.id());
+                registry.remove(batch);
                 registry.setOwner(batch.id(), chosen.get().id());
             }
         });
--- a/src/main/java/org/gooseberryhill/gateway/BatchRegistry.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRegistry.java
@@ -43,11 +43,20 @@
 
     /**
      * Removes a batch because this host no longer owns it, or because it is finished and need not stay in memory, and
-     * notifies its waiters.
+     * notifies its waiters. Returns false, and changes nothing, if this copy of the batch has no entry: what concerns it does
+     * not concern a later copy.
      */
-    void remove(String id) {
-        owned.remove(id);
-        notifyWaiters(id);
+    boolean remove(OwnedBatch batch) {
+        boolean removed = owned.remove(batch.id(), batch);
+        if (removed) {
+            notifyWaiters(batch.id());
+        }
+        return removed;
+    }
+
+    /** Returns whether this copy of a batch, and not another one, has an entry. */
+    boolean holds(OwnedBatch batch) {
+        return owned.get(batch.id()) == batch;
     }
 
     Optional<OwnedBatch> find(String id) {
@@ -83,7 +92,7 @@
                 finishedSinceNanos.remove(batch.id());
             } else if (nowNanos - finishedSinceNanos.computeIfAbsent(batch.id(), id -> nowNanos)
                     >= EVICT_FINISHED_AFTER_NANOS) {
-                remove(batch.id());
+                remove(batch);
             }
         }
     }
--- a/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
@@ -218,7 +218,7 @@
         if (bound) {
             return;
         }
-        committer.onRecordedElsewhere(accepted.id(), found);
+        committer.onRecordedElsewhere(accepted, found);
         ownRecord.ifPresent(takeover::loadIfOwned);
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
@@ -47,7 +48,7 @@
     private final RecordWriter writer;
     private final OwnerFailureDetector failureDetector;
     private final Runnable onTakenOver;
-    private final Consumer<BatchStore.StoredRecord> onRecordChanged;
+    private final BiConsumer<OwnedBatch, BatchStore.StoredRecord> onRecordChanged;
     private final Consumer<List<BatchStore.StoredRecord>> onListed;
     private final Map<String, BatchRecord> recordsOfTakeovers = new HashMap<>();
     private boolean scanning;
@@ -59,7 +60,7 @@
             BatchRegistry registry,
             BatchStore store,
             Runnable onTakenOver,
-            Consumer<BatchStore.StoredRecord> onRecordChanged,
+            BiConsumer<OwnedBatch, BatchStore.StoredRecord> onRecordChanged,
             Consumer<List<BatchStore.StoredRecord>> onListed) {
         this.context = context;
         this.links = links;
@@ -144,7 +145,7 @@
     private void dropIfChangedElsewhere(BatchStore.StoredRecord stored) {
         registry.find(stored.id())
                 .filter(owned -> owned.isRecorded() && stored.revision() > owned.recordRevision())
-                .ifPresent(owned -> onRecordChanged.accept(stored));
+                .ifPresent(owned -> onRecordChanged.accept(owned, stored));
     }
 
     private void checkOwner(BatchStore.StoredRecord stored) {
--- a/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
+++ b/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
@@ -30,7 +30,7 @@
     private static final int ENTRIES_PER_CHECKPOINTS = 2;
 
     private final Supplier<WriteId> writeIds;
-    private final List<BatchStore.Commit> commits = new ArrayList<>();
+    private final Map<OwnedBatch, BatchStore.Commit> commits = new LinkedHashMap<>();
     private final List<BatchStore.Checkpoints> checkpoints = new ArrayList<>();
     private final Map<OwnedBatch, Long> eventCountsByBatch = new LinkedHashMap<>();
     private int entries;
@@ -66,7 +66,8 @@
                 writeIds.get());
     }
 
-    List<BatchStore.Commit> commits() {
+    /** Returns the commits by the copies of the batches that make them. */
+    Map<OwnedBatch, BatchStore.Commit> commits() {
         return commits;
     }
 
@@ -84,7 +85,7 @@
             return;
         }
         BatchStore.Commit commit = beginCommit(batch);
-        commits.add(commit);
+        commits.put(batch, commit);
         entries += ENTRIES_PER_COMMIT;
         characters += commit.results().stream()
                 .mapToInt(result -> result.text().length())
--- a/src/test/java/org/gooseberryhill/gateway/BatchRegistryTest.java
+++ b/src/test/java/org/gooseberryhill/gateway/BatchRegistryTest.java
@@ -30,14 +30,30 @@
 
     @Test
     void aRemovedBatchCanBeAddedAgain() {
-        registry.add(batch());
-        registry.remove("b");
+        OwnedBatch firstCopy = batch();
+        registry.add(firstCopy);
+        assertThat(registry.remove(firstCopy)).isTrue();
         OwnedBatch newCopy = batch();
 
         assertThat(registry.add(newCopy)).isTrue();
         assertThat(registry.find("b")).containsSame(newCopy);
     }
 
+    /** Guards against a late answer that concerns an earlier copy of a batch and takes the later one away. */
+    @Test
+    void removingAnEarlierCopyLeavesTheLaterOne() {
+        OwnedBatch firstCopy = batch();
+        registry.add(firstCopy);
+        registry.remove(firstCopy);
+        OwnedBatch newCopy = batch();
+        registry.add(newCopy);
+
+        assertThat(registry.remove(firstCopy)).isFalse();
+
+        assertThat(registry.holds(firstCopy)).isFalse();
+        assertThat(registry.holds(newCopy)).isTrue();
+    }
+
     @Test
     void anOwnedBatchHasNoOtherOwner() {
         registry.setOwner("b", new HostId("other"));
