Keep the progress of items when their batch is submitted again just before it is taken over

Callers saw: items that begin anew, and so results that come later.

Cause: a submission whose creation is on the way when its host takes the batch over gets the answer that the record exists and names this process. It then took the batch over itself, with no progress, and the copy with the progress that was being read was dropped.

Why it works: while a host reads a batch, a submission of it is confirmed, but adds no copy.

--- a/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
@@ -227,7 +227,11 @@
                 && record.ownerStart().equals(context.processStart());
     }
 
+    /** Adds a copy of the batch with the submitted items, unless this host is reading the batch from the key-value store. */
     private void takeOwnership(Submission submission, BatchRecord record, long revision) {
+        if (takeover.recordOfTakeover(submission.id).isPresent()) {
+            return;
+        }
         if (!registry.add(new OwnedBatch(submission.id, record, revision, submission.items, List.of()))) {
             return;
         }
