--- a/review/standin/EndlessAnswerCase.java
+++ b/review/standin/EndlessAnswerCase.java
@@ -59,7 +59,7 @@
         try (Recorder recorder = new Recorder(folder.resolve("record.txt"))) {
             status = new EndlessAnswerCase(recorder, trouble).run(folder);
         }
-        System.exit(status);
+        System.exit(status == 1 ? Recorder.BROKEN_STATUS : status);
     }
 
     private int run(Path folder) throws Exception {
@@ -126,6 +126,9 @@
         recorder.tell(
                 "%d requests, %d unanswered at their route's timeout, %d of these still unanswered %d ms later",
                 requests.get(), overTimeout.get(), late, SLACK_MILLIS);
+        if (trouble && answersOfFaulty.get() < SPOILT_ONE_OF) {
+            return 2;
+        }
         boolean broken = late >= MIN_LATE && late > LATE_SHARE * overTimeout.get();
         recorder.tell(broken ? "CONFIG is broken" : "CONFIG holds");
         return broken ? 1 : 0;
--- a/review/standin/FailedAttemptsCase.java
+++ b/review/standin/FailedAttemptsCase.java
@@ -42,7 +42,7 @@
         try (Recorder recorder = new Recorder(folder.resolve("record.txt"))) {
             status = new FailedAttemptsCase(recorder, trouble).run(folder);
         }
-        System.exit(status);
+        System.exit(status == 1 ? Recorder.BROKEN_STATUS : status);
     }
 
     private int run(Path folder) throws Exception {
@@ -58,7 +58,10 @@
                 return 2;
             }
             Thread.sleep(3000);
-            play(deployment);
+            if (!play(deployment)) {
+                recorder.tell("the batch job was not accepted, or its owner was not found");
+                return 2;
+            }
             if (System.getenv("KEEP_LOGS") != null) {
                 deployment.keepLogs(folder);
             }
@@ -66,7 +69,8 @@
         }
     }
 
-    private void play(Deployment deployment) throws InterruptedException {
+    /** Returns whether the case could be played. */
+    private boolean play(Deployment deployment) throws InterruptedException {
         String id = Sample.newId();
         ObjectNode batch = Sample.batch(1, 173);
         Map<String, String> headers = Map.of("X-Request-Id", id, "Content-Type", "application/json");
@@ -80,7 +84,7 @@
             }
             Optional<Deployment.Node> owner = owner(deployment, id);
             if (owner.isEmpty()) {
-                break;
+                return false;
             }
             owner.get().kill();
             recorder.tell("%s, which wrote the batch job's record last, is killed; %d answers of 500 so far", owner.get().name, failures.get());
@@ -89,6 +93,7 @@
             lastDisruptionMillis = recorder.nowMillis();
         }
         Thread.sleep(15_000);
+        return accepted.status() == 202;
     }
 
     /** Returns the gateway that has written the record of the batch job last, as the store sees it. */
--- a/review/standin/OutboxHeapCase.java
+++ b/review/standin/OutboxHeapCase.java
@@ -60,7 +60,7 @@
         try (Recorder recorder = new Recorder(folder.resolve("record.txt"))) {
             status = new OutboxHeapCase(recorder, trouble).run(folder);
         }
-        System.exit(status);
+        System.exit(status == 1 ? Recorder.BROKEN_STATUS : status);
     }
 
     private int run(Path folder) throws Exception {
--- a/review/standin/Recorder.java
+++ b/review/standin/Recorder.java
@@ -8,6 +8,9 @@
 
 /** Writes what was sent, answered and run to the record of a case, with the milliseconds since its start. Thread-safe. */
 final class Recorder implements AutoCloseable {
+    /** The status of a driver whose rule was broken; the virtual machine itself ends with 1 if a driver fails. */
+    static final int BROKEN_STATUS = 10;
+
     private final long startNanos = System.nanoTime();
     private final PrintWriter out;
 
--- a/review/standin/UnluckyItemCase.java
+++ b/review/standin/UnluckyItemCase.java
@@ -55,7 +55,7 @@
         try (Recorder recorder = new Recorder(folder.resolve("record.txt"))) {
             status = new UnluckyItemCase(recorder, trouble).run(folder);
         }
-        System.exit(status);
+        System.exit(status == 1 ? Recorder.BROKEN_STATUS : status);
     }
 
     private int run(Path folder) throws Exception {
@@ -83,6 +83,9 @@
             while (trouble && crashes.get() < CRASHES && recorder.nowMillis() < endMillis) {
                 Thread.sleep(50);
             }
+            if (accepted.status() != 202 || (trouble && crashes.get() < CRASHES)) {
+                return 2;
+            }
             recorder.tell("%d runners have crashed; %d ms of calm follow", crashes.get(), CALM_MILLIS);
             Thread.sleep(CALM_MILLIS);
             int status = judge(id);
