Run an item soon after the crashes of endpoints under it

Cause: a guess about the item, that it crashes endpoints, decided when it runs, without a bound. An item whose runs were cut three times before any output paused for 2, 4, 8, 16 and 32 s (OwnedBatch). Behind that, the parts of its prompt were blocked, and a request with blocked parts is let through after 10 s, 2 and 20 minutes (PartBlock), which suits callers who are told when to come back. Nobody comes back with an item.

Ruled out: ejected endpoints or missing grants; the other items ran at the same endpoints meanwhile.

Why it works: the pause is 0.25 s first and 2 s at most, and output ends the suspicion; of the items with blocked parts one is tried, by a permit, two seconds after the latest crash, and an answer lifts the block. So an owed item is at an endpoint within the five seconds of calm of the rule. An item that does crash endpoints costs one of them every two seconds, one for all items with its parts.

--- a/src/main/java/org/gooseberryhill/decision/promptpart/PartBlock.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PartBlock.java
@@ -43,14 +43,9 @@
                 : Optional.empty();
     }
 
-    boolean isTrialDue(long nowNanos) {
-        return nextTrialNanos().map(nanos -> nowNanos - nanos >= 0).orElse(false);
-    }
-
-    /** Returns after which time callers may come back, in milliseconds. */
-    long retryAfterMillis(long nowNanos) {
-        long untilNanos = nextTrialNanos().orElse(lastCrashNanos + RETENTION_NANOS);
-        return Math.max(1, TimeUnit.NANOSECONDS.toMillis(untilNanos - nowNanos));
+    /** Returns when the parts count as served, whatever happened before, in nanoseconds. */
+    long expiryNanos() {
+        return lastCrashNanos + RETENTION_NANOS;
     }
 
     /** Returns the ids of the endpoints whose crashes decided. */
@@ -59,7 +54,7 @@
     }
 
     boolean isExpired(long nowNanos) {
-        return nowNanos - lastCrashNanos > RETENTION_NANOS;
+        return nowNanos - expiryNanos() > 0;
     }
 
     /** Returns whether requests with these parts are refused at the version that the block is about. */
@@ -79,7 +74,7 @@
 
     /** Returns the block after a further crash; it counts as a trial if the request was sent when one was due. */
     PartBlock crashedAgain(long atNanos, long sentNanos) {
-        boolean wasTrial = isTrialDue(sentNanos);
+        boolean wasTrial = nextTrialNanos().map(nanos -> sentNanos - nanos >= 0).orElse(false);
         long latestNanos = atNanos - lastCrashNanos > 0 ? atNanos : lastCrashNanos;
         return new PartBlock(parts, crashes, latestNanos, beganUnserved, wasTrial ? trials + 1 : trials);
     }
--- a/src/main/java/org/gooseberryhill/decision/promptpart/PromptPartQuarantine.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PromptPartQuarantine.java
@@ -33,8 +33,17 @@
         return evidence.isEmpty() && blocks.isEmpty();
     }
 
-    /** Returns how a request must be treated at endpoints of a version. */
+    /** Returns how a request of a caller, who can come back later, must be treated at endpoints of a version. */
     public PartVerdict verdict(Prompt prompt, ServiceVersion version, long nowNanos) {
+        return verdict(prompt, version, PartBlock::nextTrialNanos, nowNanos);
+    }
+
+    /**
+     * Returns how a request must be treated at endpoints of a version.
+     *
+     * @param trials tells when a request with blocked parts is let through
+     */
+    public PartVerdict verdict(Prompt prompt, ServiceVersion version, TrialSchedule trials, long nowNanos) {
         if (isIdle()) {
             return PartVerdict.CLEAR;
         }
@@ -42,8 +51,8 @@
         Set<PromptPartKey> suspects = new LinkedHashSet<>();
         Kind kind = Kind.CLEAR;
         for (PartBlock block : blocks.touchedBy(parts)) {
-            if (block.blocks(parts) && !block.isTrialDue(nowNanos)) {
-                return new PartVerdict(Kind.BLOCKED, block.parts(), block.retryAfterMillis(nowNanos));
+            if (block.blocks(parts) && !trials.isTrialDue(block, nowNanos)) {
+                return new PartVerdict(Kind.BLOCKED, block.parts(), trials.untilTrialMillis(block, nowNanos));
             }
             kind = Kind.CONFINED;
             block.parts().stream().filter(parts::contains).forEach(suspects::add);
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
@@ -34,8 +34,8 @@
  * of runs in flight stays correct.
  */
 public final class ItemDispatch {
-    /** Delay before an item with a blocked part is looked at again: other versions may serve it. */
-    private static final long BLOCKED_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Longest delay before an item with a blocked part is looked at again: other versions may serve it. */
+    private static final long MAX_BLOCKED_BACKOFF_MILLIS = 1000;
 
     /** Delay before a permit is asked for again: about the time of a short run. */
     private static final long PERMIT_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
@@ -120,13 +120,16 @@
                 .filter(item -> targets(item.batch()).stream()
                         .anyMatch(target -> target.service().equals(endpoint.service())))
                 .filter(item -> mayStartAt(endpoint.serviceVersion(), item, nowNanos))
-                .filter(item -> {
-                    boolean blocked = verdict(item, endpoint, nowNanos).kind() == Kind.BLOCKED;
-                    if (blocked) {
-                        item.item().deferUntil(nowNanos + BLOCKED_BACKOFF_NANOS);
-                    }
-                    return !blocked;
-                });
+                .filter(item -> !deferIfBlocked(item, verdict(item, endpoint, nowNanos), nowNanos));
+    }
+
+    private static boolean deferIfBlocked(DueItem item, PartVerdict verdict, long nowNanos) {
+        if (verdict.kind() != Kind.BLOCKED) {
+            return false;
+        }
+        long delayMillis = Math.min(MAX_BLOCKED_BACKOFF_MILLIS, verdict.retryAfterMillis());
+        item.item().deferUntil(nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis));
+        return true;
     }
 
     private PartVerdict verdict(DueItem item, EndpointEntry endpoint, long nowNanos) {
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
@@ -65,6 +65,7 @@
             return;
         }
         runHasOutput = true;
+        runsWithoutOutput = 0;
         eventCount++;
         if (hasOutput) {
             text.append('\n');
@@ -143,6 +144,7 @@
         return ++errorAnswerCount;
     }
 
+    /** Counts a run without output, and returns the number of such runs since the last output. */
     int countRunWithoutOutput() {
         return ++runsWithoutOutput;
     }
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -31,12 +31,16 @@
 
     /**
      * The time for which an item is not started after the interruption that makes it a suspect. The pause doubles with
-     * each further run that is interrupted before any output, so that an item that does not crash endpoints still gets
-     * to run, and one that does starts only rarely.
+     * each further run that is interrupted before any output, so that an item that crashes endpoints does not bring all of
+     * them down at once.
      */
-    private static final long FIRST_SUSPECT_PAUSE_MILLIS = 2_000;
+    private static final long FIRST_SUSPECT_PAUSE_MILLIS = 250;
 
-    private static final int MAX_PAUSE_DOUBLINGS = 4;
+    /**
+     * Two seconds at most. Most suspects are sound items that ran at endpoints which were lost for other reasons, and they
+     * are due like any other item.
+     */
+    private static final int MAX_PAUSE_DOUBLINGS = 3;
 
     private final String id;
     private final Map<String, ItemProgress> items = new LinkedHashMap<>();
