Limit commits of results and saved progress in bytes instead of characters

Cause: a commit took up to 700,000 characters of results into one value, the store takes 1,048,576 bytes. Text that is not ASCII has two or three bytes a character, and escapes have up to six. The refused write was repeated unchanged for ever. Saved progress had no limit at all.

Ruled out: a connection that stays broken after the outage, another owner.

Why it works: results and checkpoints know an upper bound of their bytes as written, escapes included, and a commit, saved progress and a hand-over take as many as fit.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -73,11 +73,22 @@
         results.forEach(this::restore);
     }
 
-    /** Returns the output of the open items so far, from which another owner can resume them. */
-    public List<ItemCheckpoint> checkpoints() {
-        return items.values().stream()
-                .flatMap(item -> item.checkpoint().stream())
-                .toList();
+    /**
+     * Returns the output of the open items so far, from which another owner can resume them: that of as many items as fit
+     * into the given number of bytes. Another owner runs the others from the beginning.
+     */
+    public List<ItemCheckpoint> checkpoints(int maxBytes) {
+        List<ItemCheckpoint> checkpoints = new ArrayList<>();
+        int bytes = 0;
+        for (ItemProgress item : items.values()) {
+            Optional<ItemCheckpoint> checkpoint = item.checkpoint();
+            int checkpointBytes = checkpoint.map(ItemCheckpoint::encodedBytes).orElse(0);
+            if (checkpoint.isPresent() && bytes + checkpointBytes <= maxBytes) {
+                checkpoints.add(checkpoint.get());
+                bytes += checkpointBytes;
+            }
+        }
+        return checkpoints;
     }
 
     /** Returns the number of events that this host has received for all items; it never decreases. */
@@ -206,16 +217,16 @@
 
     /**
      * Returns the results to commit now, at the positions of the batch's list of results from {@code record().listed()}
-     * on: as many as fit into the given number of characters, but at least one if there is any. Returns the same
+     * on: as many as fit into the given number of bytes, but at least one if there is any. Returns the same
      * results until the commit is known to have taken effect: a write without an answer may still take effect seconds
      * later, so a repetition must have the same content.
      */
-    public List<ItemResult> beginCommit(int maxCharacters) {
+    public List<ItemResult> beginCommit(int maxBytes) {
         if (commitSize == 0) {
-            int characters = 0;
+            int bytes = 0;
             for (ItemResult result : uncommitted) {
-                characters += result.text().length();
-                if (commitSize > 0 && characters > maxCharacters) {
+                bytes += result.encodedBytes();
+                if (commitSize > 0 && bytes > maxBytes) {
                     break;
                 }
                 commitSize++;
--- a/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchHandOver.java
@@ -24,6 +24,9 @@
     /** Delay before a batch that the chosen host did not accept is offered again. */
     private static final long OFFER_RETRY_MILLIS = 100;
 
+    /** Maximum number of bytes of output that one message passes on; well below the limit of a message. */
+    private static final int MAX_PROGRESS_BYTES = 8 * 1024 * 1024;
+
     private final GatewayContext context;
     private final PeerLinks links;
     private final BatchRegistry registry;
@@ -65,7 +68,7 @@
         }
         offered.add(batch.id());
         PeerMessage handOver = new GatewayMessage.BatchHandOver(
-                batch.id(), batch.recordRevision(), batch.record(), batch.checkpoints());
+                batch.id(), batch.recordRevision(), batch.record(), batch.checkpoints(MAX_PROGRESS_BYTES));
         context.onLoop(links.ask(chosen.get(), handOver), (reply, failure) -> {
             boolean accepted = reply instanceof GatewayMessage.BatchEnded answer && answer.ended();
             context.timeline()
--- a/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
+++ b/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
@@ -16,13 +16,15 @@
 /**
  * Collects results and progress of several batches for one write. Not thread-safe.
  *
- * <p>Invariant: the bundle stays within the limits of the key-value store for one write; the first batch always fits.
+ * <p>Invariant: the bundle stays within the limits of the key-value store for one write and for each value, which are in
+ * bytes; the first batch always fits.
  */
 final class SaveBundle {
     /** The store's limit for one write: conditions plus written and deleted keys. */
     private static final int MAX_ENTRIES = 32;
 
-    private static final int MAX_CHARACTERS = 700_000;
+    private static final int MAX_BYTES = BatchStore.MAX_VALUE_BYTES;
+
     /** The condition, the record, the results, and the deletion of the checkpoints. */
     private static final int ENTRIES_PER_COMMIT = 4;
 
@@ -34,7 +36,7 @@
     private final List<BatchStore.Checkpoints> checkpoints = new ArrayList<>();
     private final Map<OwnedBatch, Long> eventCountsByBatch = new LinkedHashMap<>();
     private int entries;
-    private int characters;
+    private int bytes;
 
     private SaveBundle(Supplier<WriteId> writeIds) {
         this.writeIds = writeIds;
@@ -55,7 +57,7 @@
     }
 
     private BatchStore.Commit beginCommit(OwnedBatch batch) {
-        List<ItemResult> results = batch.beginCommit(MAX_CHARACTERS);
+        List<ItemResult> results = batch.beginCommit(MAX_BYTES);
         BatchRecord record = batch.record();
         return new BatchStore.Commit(
                 batch.id(),
@@ -87,23 +89,21 @@
         BatchStore.Commit commit = beginCommit(batch);
         commits.put(batch, commit);
         entries += ENTRIES_PER_COMMIT;
-        characters += commit.results().stream()
-                .mapToInt(result -> result.text().length())
-                .sum();
+        bytes += commit.results().stream().mapToInt(ItemResult::encodedBytes).sum();
     }
 
     private void addCheckpoints(OwnedBatch batch) {
-        List<ItemCheckpoint> items = batch.checkpoints();
+        List<ItemCheckpoint> items = batch.checkpoints(MAX_BYTES);
         if (items.isEmpty() || !hasRoom(ENTRIES_PER_CHECKPOINTS)) {
             return;
         }
         checkpoints.add(new BatchStore.Checkpoints(batch.id(), batch.recordRevision(), items));
         eventCountsByBatch.put(batch, batch.eventCount());
         entries += ENTRIES_PER_CHECKPOINTS;
-        characters += items.stream().mapToInt(item -> item.text().length()).sum();
+        bytes += items.stream().mapToInt(ItemCheckpoint::encodedBytes).sum();
     }
 
     private boolean hasRoom(int additionalEntries) {
-        return entries == 0 || (entries + additionalEntries <= MAX_ENTRIES && characters < MAX_CHARACTERS);
+        return entries == 0 || (entries + additionalEntries <= MAX_ENTRIES && bytes < MAX_BYTES);
     }
 }
--- a/src/main/java/org/gooseberryhill/stored/BatchStore.java
+++ b/src/main/java/org/gooseberryhill/stored/BatchStore.java
@@ -29,8 +29,8 @@
  * Thread-safe.
  */
 public final class BatchStore {
-    /** Stays below the store's limit of 1 MiB per value, with room for the encoding. */
-    private static final int MAX_VALUE_BYTES = 768 * 1024;
+    /** Maximum number of bytes in one value: the store's limit of 1 MiB, with room for the encoding. */
+    public static final int MAX_VALUE_BYTES = 768 * 1024;
 
     /** The store accepts at most 32 entries in one transaction, and the condition is one of them. */
     private static final int MAX_DELETIONS_PER_TRANSACTION = 31;
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/BatchLoadReplay.java
@@ -242,7 +242,8 @@
 
     private void saveCheckpoints(List<OwnedBatch> open) {
         for (OwnedBatch batch : open) {
-            batch.checkpoints().forEach(item -> savedCheckpoints.put(batch.id() + "/" + item.id(), item));
+            batch.checkpoints(Integer.MAX_VALUE)
+                    .forEach(item -> savedCheckpoints.put(batch.id() + "/" + item.id(), item));
         }
     }
 
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
@@ -162,13 +162,26 @@
     }
 
     @Test
-    void commitIsLimitedInCharactersButHasAtLeastOneResult() {
+    void commitIsLimitedInBytesButHasAtLeastOneResult() {
         BatchFixture.run(batch, firstStartableItem(), 2);
         BatchFixture.run(batch, firstStartableItem(), 2);
 
         assertThat(batch.beginCommit(1)).hasSize(1);
     }
 
+    /** Guards against progress that is never stored because that of all items together is too large. */
+    @Test
+    void checkpointsAreLimitedInBytes() {
+        for (ItemProgress item : batch.startableItems(nowNanos)) {
+            batch.runStarted(item, BatchFixture.VERSION);
+            item.appendEvent(Optional.of(1L), "\u0639".repeat(1000));
+        }
+
+        assertThat(batch.checkpoints(NO_LIMIT)).hasSize(3);
+        assertThat(batch.checkpoints(5000)).hasSize(2);
+        assertThat(batch.checkpoints(1000)).isEmpty();
+    }
+
     @Test
     void nextOwnerResumesItemsFromTheirCheckpoints() {
         ItemProgress item = firstStartableItem();
@@ -177,7 +190,7 @@
         batch.runEnded(item, RunEnd.YIELDED, MAX_ATTEMPTS, nowNanos);
 
         OwnedBatch next = BatchFixture.batch(3);
-        next.restore(batch.checkpoints());
+        next.restore(batch.checkpoints(NO_LIMIT));
 
         ItemProgress restored = next.startableItems(nowNanos).get(0);
         assertThat(restored.item().id()).isEqualTo(item.item().id());
@@ -212,7 +225,7 @@
         next.restore(List.of(new ItemCheckpoint("i0", 1, "w1", Optional.of(BatchFixture.VERSION))));
 
         assertThat(next.startableItems(nowNanos).get(0).lastEventId()).contains(3L);
-        assertThat(next.checkpoints().get(0).text()).isEqualTo("w1\nw2\nw3");
+        assertThat(next.checkpoints(NO_LIMIT).get(0).text()).isEqualTo("w1\nw2\nw3");
     }
 
     /** Guards against a text that joins what two versions generated. */
--- a/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
+++ b/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
@@ -96,4 +96,19 @@
         assertThat(StoredValueCodec.readRecord(new byte[] {1, 2}).isFailure()).isTrue();
         assertThat(StoredValueCodec.readRecord(new byte[0]).isFailure()).isTrue();
     }
+
+    /** Guards against values that the key-value store refuses because their size was underestimated. */
+    @Test
+    void resultsAndCheckpointsTakeNoMoreBytesThanTheySay() {
+        Optional<ServiceVersion> version = Optional.of(new ServiceVersion("service-\u0639", "v\"1\""));
+        for (String text : List.of("", "a", "\u0639", "\u8a9e", "\ud83d\ude00", "\n\"\u0001")) {
+            ItemResult result = new ItemResult("item-" + text, ItemState.GIVEN_UP, text.repeat(100));
+            ItemCheckpoint checkpoint = new ItemCheckpoint("item-" + text, Long.MAX_VALUE, text.repeat(100), version);
+
+            assertThat(StoredValueCodec.writeResults(List.of(result, result)).length)
+                    .isLessThanOrEqualTo(2 * result.encodedBytes());
+            assertThat(StoredValueCodec.writeCheckpoints(List.of(checkpoint, checkpoint)).length)
+                    .isLessThanOrEqualTo(2 * checkpoint.encodedBytes());
+        }
+    }
 }
