Limit pages of results in bytes instead of characters

Callers could see: pages of up to 2 MB, or 4 MB with escapes, where the interface allows one.

Cause: the same limit in characters as that of commits, found by looking for its class elsewhere.

Evidence: GatewayLargeResultsTest#eachPageOfResultsHasAtMostAMegabyte failed before with pages of more than a million bytes.

Why it works: BatchPage.of adds results up to a size in bytes as written; the owner and the reader of stored results share it.

Tests of batches at gateways: green.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -265,22 +265,9 @@
         recordRevision = newRevision;
     }
 
-    /**
-     * Returns the committed results from a position of the batch's list of results on: as many as fit into the given
-     * number of characters, but at least one if there is any.
-     */
-    public BatchPage page(int after, int maxCharacters) {
-        List<ItemResult> results = new ArrayList<>();
-        int characters = 0;
-        for (int position = after; position < committed.size(); position++) {
-            ItemResult result = committed.get(position);
-            characters += result.text().length();
-            if (!results.isEmpty() && characters > maxCharacters) {
-                break;
-            }
-            results.add(result);
-        }
-        return new BatchPage(items.size(), after, results);
+    /** Returns the page of committed results from a position of the batch's list of results on, in bytes of JSON. */
+    public BatchPage page(int after, int maxBytes) {
+        return BatchPage.of(items.size(), after, committed, maxBytes);
     }
 
     /** Returns an item whose result is not committed yet; empty for any other id. */
--- a/src/main/java/org/gooseberryhill/gateway/BatchApiHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchApiHandler.java
@@ -23,8 +23,8 @@
  * <p>Invariant: a page contains only committed results, whichever host answers the call.
  */
 final class BatchApiHandler {
-    /** Maximum number of characters in one page; the interface allows a megabyte per answer. */
-    static final int MAX_PAGE_CHARACTERS = 700_000;
+    /** Maximum size of one page as JSON. */
+    static final int MAX_PAGE_BYTES = 1_000_000;
 
     private static final int OK = 200;
     private static final Map<String, String> JSON_HEADERS = Map.of("content-type", "application/json");
@@ -78,13 +78,13 @@
             receiver.receive(Optional.empty());
             return;
         }
-        BatchPage page = batch.get().page(firstPosition, MAX_PAGE_CHARACTERS);
+        BatchPage page = batch.get().page(firstPosition, MAX_PAGE_BYTES);
         if (!page.results().isEmpty() || waitMillis <= 0 || batch.get().isFinished()) {
             receiver.receive(Optional.of(page));
             return;
         }
         RunOnce answerOnce = new RunOnce(
-                () -> receiver.receive(registry.find(id).map(found -> found.page(firstPosition, MAX_PAGE_CHARACTERS))));
+                () -> receiver.receive(registry.find(id).map(found -> found.page(firstPosition, MAX_PAGE_BYTES))));
         registry.addWaiter(id, answerOnce);
         context.loop().after(waitMillis, answerOnce);
     }
--- a/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
+++ b/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
@@ -1,6 +1,5 @@
 package org.gooseberryhill.gateway;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -111,16 +110,7 @@
     /** The cached record and results of a batch. */
     private record CachedResults(BatchRecord record, List<ItemResult> results) {
         BatchPage page(int firstPosition) {
-            List<ItemResult> found = new ArrayList<>();
-            int characters = 0;
-            for (int position = firstPosition; position < results.size(); position++) {
-                characters += results.get(position).text().length();
-                if (!found.isEmpty() && characters > BatchApiHandler.MAX_PAGE_CHARACTERS) {
-                    break;
-                }
-                found.add(results.get(position));
-            }
-            return new BatchPage(record.items(), firstPosition, found);
+            return BatchPage.of(record.items(), firstPosition, results, BatchApiHandler.MAX_PAGE_BYTES);
         }
     }
 }
