Divide or defer what the key-value store refuses as invalid instead of repeating it

Callers saw: the batch of review/1 stayed as it was for ever, and could not be ended, since a write of its record was in flight.

Cause: a refusal with a status of 4xx counted as an unknown outcome, after which a write is repeated unchanged until the record shows whether it took effect. The refused commit was sent 124 times in 18 s. Submissions were refused to their callers after 2.5 s, as possibly run; outboxes repeated theirs twice a second.

Why it works: such a refusal is REJECTED: no effect, never will have. A commit is divided in halves, a single result tried each five seconds, and in between the batch is free. A smaller commit after a rejected one expects the same revision of the record, so that at most one of them takes effect even if an earlier sending was not answered.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OutboxTiming.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OutboxTiming.java
@@ -22,6 +22,9 @@
     /** The interval between attempts. Outages are either longer than this or much shorter, and each call has a cost. */
     private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** The interval after the key-value store refused a submission as invalid, which it will probably do again. */
+    private static final long REJECTED_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private final long retentionMillis;
     private final Map<String, Long> nextAttemptNanos = new HashMap<>();
 
@@ -44,6 +47,11 @@
         nextAttemptNanos.computeIfPresent(name, (key, dueNanos) -> dueNanos - nowNanos > 0 ? nowNanos : dueNanos);
     }
 
+    /** Records that the key-value store refused the record of a copy as invalid. */
+    public void attemptRejected(String name, long nowNanos) {
+        nextAttemptNanos.computeIfPresent(name, (key, dueNanos) -> nowNanos + REJECTED_INTERVAL_NANOS);
+    }
+
     /** Removes a copy that was deleted. */
     public void copyRemoved(String name) {
         nextAttemptNanos.remove(name);
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -49,6 +49,7 @@
     private BatchRecord record;
     private long recordRevision;
     private int commitSize;
+    private int maxResultsPerCommit = Integer.MAX_VALUE;
     private boolean ending;
     private long savedEventCount;
 
@@ -226,7 +227,7 @@
             int bytes = 0;
             for (ItemResult result : uncommitted) {
                 bytes += result.encodedBytes();
-                if (commitSize > 0 && bytes > maxBytes) {
+                if (commitSize == maxResultsPerCommit || (commitSize > 0 && bytes > maxBytes)) {
                     break;
                 }
                 commitSize++;
@@ -241,10 +242,22 @@
         committed.addAll(done);
         done.clear();
         commitSize = 0;
+        maxResultsPerCommit = Integer.MAX_VALUE;
         record = newRecord;
         recordRevision = newRevision;
     }
 
+    /**
+     * Records that the key-value store refused the commit as invalid, so that it has not taken effect and never will. The
+     * next one has half as many results. Returns false if there was only one, which can't be divided.
+     */
+    public boolean commitRejected() {
+        boolean divisible = commitSize > 1;
+        maxResultsPerCommit = Math.max(1, commitSize / 2);
+        commitSize = 0;
+        return divisible;
+    }
+
     /**
      * Binds a batch that runs without a record to the record that the key-value store has now. Returns false, and changes
      * nothing, if the batch has a record already or if the new one lists results: those were committed by another copy of the
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/SaveTiming.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/SaveTiming.java
@@ -29,6 +29,10 @@
      */
     private static final long PROGRESS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
 
+    /** The delay after the key-value store refused to take a batch's results as they are. */
+    private static final long REJECTED_DELAY_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final Map<String, Long> rejectedSinceNanos = new HashMap<>();
     private final Map<String, Long> uncommittedSinceNanos = new HashMap<>();
     private final Map<String, Long> unsavedSinceNanos = new HashMap<>();
 
@@ -51,11 +55,23 @@
         return resultsDue || progressDue;
     }
 
+    /** Records that the key-value store refused to take a batch's results, which can't be written in another way. */
+    public void rejected(String batchId, long nowNanos) {
+        rejectedSinceNanos.put(batchId, nowNanos);
+    }
+
+    /** Returns whether nothing of a batch is written for now, because the key-value store refused it. */
+    public boolean isHeldBack(String batchId, long nowNanos) {
+        Long sinceNanos = rejectedSinceNanos.get(batchId);
+        return sinceNanos != null && nowNanos - sinceNanos < REJECTED_DELAY_NANOS;
+    }
+
     /**
      * Resets the delays of a batch, since its results and progress were sent to the store or this host no longer owns
      * it.
      */
     public void resetDelays(String batchId) {
+        rejectedSinceNanos.remove(batchId);
         uncommittedSinceNanos.remove(batchId);
         unsavedSinceNanos.remove(batchId);
     }
--- a/src/main/java/org/gooseberryhill/external/ExternalServiceException.java
+++ b/src/main/java/org/gooseberryhill/external/ExternalServiceException.java
@@ -8,6 +8,8 @@
     public enum Kind {
         /** The call had no effect; the same call may succeed later. */
         NOT_DONE,
+        /** The service refused the call as invalid: it had no effect, and the same call will be refused again. */
+        REJECTED,
         /** A write may have taken effect or may still do so. */
         UNKNOWN,
         /** The lease that the call refers to has expired or was revoked. */
--- a/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
@@ -11,9 +11,11 @@
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
+import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.SaveTiming;
 import org.gooseberryhill.decision.requestbatch.WriteId;
+import org.gooseberryhill.external.ExternalServiceException;
 import org.gooseberryhill.stored.BatchStore;
 import org.gooseberryhill.timeline.EventKind;
 
@@ -22,7 +24,8 @@
  * open items. Confined to the control thread.
  *
  * <p>Invariants: at most one write of a batch's record is in flight; a result becomes readable only after the write
- * that contains it; an unanswered write is repeated unchanged until the record shows whether it took effect. A commit
+ * that contains it; an unanswered write is repeated unchanged until the record shows whether it took effect; a commit that the
+ * store refuses as invalid is divided. A commit
  * whose record was changed by another process is not repeated: the batch has another owner, or was ended. The outcome of a
  * write concerns only the copy of the batch that made it.
  */
@@ -56,7 +59,7 @@
         List<OwnedBatch> batchesToSave = new ArrayList<>();
         boolean due = false;
         for (OwnedBatch batch : registry.batches()) {
-            if (writesInFlight.contains(batch) || batch.isFinished() || !batch.isRecorded()) {
+            if (!mayWrite(batch)) {
                 continue;
             }
             batchesToSave.add(batch);
@@ -67,6 +70,13 @@
         }
     }
 
+    private boolean mayWrite(OwnedBatch batch) {
+        return !writesInFlight.contains(batch)
+                && !batch.isFinished()
+                && batch.isRecorded()
+                && !saveTiming.isHeldBack(batch.id(), context.nowNanos());
+    }
+
     /** Returns whether a write of the batch's record is in flight. */
     boolean hasWriteInFlight(OwnedBatch batch) {
         return writesInFlight.contains(batch);
@@ -147,6 +157,9 @@
             } else {
                 bundle.commits().forEach(this::commitSeparately);
             }
+            if (isRejected(failure)) {
+                bundle.progressByBatch().forEach(this::saveProgress);
+            }
             if (failure == null && !result.succeeded()) {
                 bundle.checkpoints()
                         .forEach(checkpoints -> registry.find(checkpoints.id()).ifPresent(this::checkRecord));
@@ -154,6 +167,19 @@
         });
     }
 
+    /** Saves the progress of one batch, so that what the key-value store refuses of another one does not matter. */
+    private void saveProgress(SaveBundle progress) {
+        context.onLoop(store.save(List.of(), progress.checkpoints()), (result, failure) -> {
+            if (failure == null && result.succeeded()) {
+                progress.markProgressSaved();
+            }
+        });
+    }
+
+    private static boolean isRejected(Throwable failure) {
+        return failure != null && ExternalServiceException.kindOf(failure) == ExternalServiceException.Kind.REJECTED;
+    }
+
     /**
      * Reads the record of a batch whose progress write was refused. Another process may have ended the batch or taken
      * it over without notifying this host. Without this check, the items would keep running for nothing until the next
@@ -190,9 +216,41 @@
                     public void onSuperseded(Optional<BatchStore.StoredRecord> found) {
                         onOwnershipLost(batch, found);
                     }
+
+                    @Override
+                    public void onRejected() {
+                        onCommitRejected(batch, commit);
+                    }
                 });
     }
 
+    /** Divides a commit that the key-value store refuses; a single result is tried again later. */
+    private void onCommitRejected(OwnedBatch batch, BatchStore.Commit commit) {
+        writesInFlight.remove(batch);
+        boolean divided = batch.commitRejected();
+        context.timeline()
+                .event(EventKind.BATCH_COMMIT_REJECTED)
+                .job(commit.id())
+                .with("results", commit.results().size())
+                .with(
+                        "bytes",
+                        commit.results().stream()
+                                .mapToInt(ItemResult::encodedBytes)
+                                .sum())
+                .with("divided", divided)
+                .write();
+        if (!registry.holds(batch)) {
+            return;
+        }
+        if (endReceivers.containsKey(commit.id())) {
+            writeEndedRecord(batch);
+        } else if (divided) {
+            save(SaveBundle.of(List.of(batch), false, store::newWriteId));
+        } else {
+            saveTiming.rejected(commit.id(), context.nowNanos());
+        }
+    }
+
     private void onCommitted(OwnedBatch batch, BatchStore.Commit commit, long revision) {
         writesInFlight.remove(batch);
         batch.commitSucceeded(commit.record(), revision);
@@ -235,6 +293,12 @@
                     public void onSuperseded(Optional<BatchStore.StoredRecord> found) {
                         onOwnershipLost(batch, found);
                     }
+
+                    @Override
+                    public void onRejected() {
+                        writesInFlight.remove(batch);
+                        notifyEndReceivers(batch.id(), false);
+                    }
                 });
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
@@ -40,6 +40,9 @@
      */
     private static final long SUBMIT_TIMEOUT_MILLIS = 2500;
 
+    /** Delay before a confirmed submission is written again that the key-value store refused as invalid. */
+    private static final long REJECTED_RETRY_MILLIS = 5000;
+
     private final GatewayContext context;
     private final BatchRefusals refusals;
     private final PeerLinks links;
@@ -110,8 +113,16 @@
             refusals.refuse(submission.call, submission.id, GatewayTraffic.STOPPING_REFUSAL);
             return;
         }
+        RecordWriter.PendingWrite pending = writeRecord(submission);
+        long spentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - submission.arrivedNanos);
+        long copiesAfterMillis = BatchAcceptance.copiesAfterMillis(submission.route.targetLatencyMillis());
+        context.loop().after(Math.max(0, copiesAfterMillis - spentMillis), () -> requestCopies(submission));
+        context.loop().after(Math.max(0, SUBMIT_TIMEOUT_MILLIS - spentMillis), () -> giveUp(submission, pending));
+    }
+
+    private RecordWriter.PendingWrite writeRecord(Submission submission) {
         WriteId writeId = store.newWriteId();
-        RecordWriter.PendingWrite pending = writer.write(
+        return writer.write(
                 submission.id,
                 writeId,
                 () -> store.create(submission.id, submission.record, submission.body, writeId),
@@ -125,11 +136,23 @@
                     public void onSuperseded(Optional<BatchStore.StoredRecord> found) {
                         onIdTaken(submission, found);
                     }
+
+                    @Override
+                    public void onRejected() {
+                        onRecordRejected(submission);
+                    }
                 });
-        long spentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - submission.arrivedNanos);
-        long copiesAfterMillis = BatchAcceptance.copiesAfterMillis(submission.route.targetLatencyMillis());
-        context.loop().after(Math.max(0, copiesAfterMillis - spentMillis), () -> requestCopies(submission));
-        context.loop().after(Math.max(0, SUBMIT_TIMEOUT_MILLIS - spentMillis), () -> giveUp(submission, pending));
+    }
+
+    /** Refuses a submission that the key-value store never takes; one that was confirmed by copies is still owed. */
+    private void onRecordRejected(Submission submission) {
+        if (submission.acceptance.isAnswered()) {
+            context.loop().after(REJECTED_RETRY_MILLIS, () -> writeRecord(submission));
+            return;
+        }
+        Outcome outcome = submission.acceptance.giveUp(false);
+        dropCopies(submission);
+        refusals.unavailable(submission.call, submission.id, outcome == Outcome.MAY_HAVE_RUN);
     }
 
     private void onRecorded(Submission submission, long revision) {
--- a/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchTakeover.java
@@ -247,6 +247,12 @@
                         recordsOfTakeovers.remove(stored.id());
                         receiver.accept(false);
                     }
+
+                    @Override
+                    public void onRejected() {
+                        recordsOfTakeovers.remove(stored.id());
+                        receiver.accept(false);
+                    }
                 });
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/CountedKeyValueStore.java
+++ b/src/main/java/org/gooseberryhill/gateway/CountedKeyValueStore.java
@@ -130,6 +130,7 @@
         return switch (ExternalServiceException.kindOf(failure)) {
             case NOT_DONE -> "not_done";
             case UNKNOWN -> "unknown";
+            case REJECTED -> "rejected";
             default -> "answered";
         };
     }
--- a/src/main/java/org/gooseberryhill/gateway/RecordWriter.java
+++ b/src/main/java/org/gooseberryhill/gateway/RecordWriter.java
@@ -13,6 +13,8 @@
 /**
  * Writes the record of a batch to the key-value store, as {@link RecordWrite} decides. Confined to the control thread.
  *
+ * <p>Invariant: a write is repeated unchanged until its outcome is known, or the store refuses it as invalid.
+ *
  * <p>Guards against a lost answer to a write that the store has performed: the caller of the batch would wait for the
  * full timeout of a store call. A write that is not answered soon is therefore sent a second time while the first is
  * still pending; the record's revision lets only one of them take effect.
@@ -55,6 +57,9 @@
 
         /** Another process changed the record; the argument is empty if the record no longer exists. */
         void onSuperseded(Optional<BatchStore.StoredRecord> found);
+
+        /** The key-value store refused the write as invalid; it had no effect and is not sent again. */
+        void onRejected();
     }
 
     /** A write whose outcome is not known yet. */
@@ -122,6 +127,16 @@
         }
 
         private void onFailure(Throwable failure) {
+            if (ExternalServiceException.kindOf(failure) == ExternalServiceException.Kind.REJECTED) {
+                finished = true;
+                context.timeline()
+                        .event(EventKind.BATCH_WRITE_REJECTED)
+                        .job(id)
+                        .with("reason", String.valueOf(failure.getMessage()))
+                        .write();
+                listener.onRejected();
+                return;
+            }
             mayTakeEffect |= ExternalServiceException.kindOf(failure) != ExternalServiceException.Kind.NOT_DONE;
             context.timeline()
                     .event(EventKind.BATCH_WRITE_UNANSWERED)
--- a/src/main/java/org/gooseberryhill/gateway/RelayingKeyValueStore.java
+++ b/src/main/java/org/gooseberryhill/gateway/RelayingKeyValueStore.java
@@ -168,8 +168,7 @@
                         return CompletableFuture.completedFuture(result);
                     }
                     Kind kind = ExternalServiceException.kindOf(failure);
-                    boolean answered = kind == Kind.LEASE_GONE || kind == Kind.HISTORY_GONE;
-                    return answered
+                    return isAnswer(kind)
                             ? CompletableFuture.<T>failedFuture(failure)
                             : callThroughRelay(
                                     call,
@@ -183,7 +182,7 @@
         long sentNanos = System.nanoTime();
         return directCall.get().whenComplete((result, failure) -> {
             Kind kind = failure == null ? null : ExternalServiceException.kindOf(failure);
-            boolean unanswered = kind == Kind.NOT_DONE || kind == Kind.UNKNOWN;
+            boolean unanswered = kind != null && !isAnswer(kind);
             if (unanswered && storeReachability.recordFailure(sentNanos, System.nanoTime())) {
                 reachabilityListener.reachabilityChanged(false, String.valueOf(failure.getMessage()));
             } else if (!unanswered && storeReachability.recordAnswer(sentNanos)) {
@@ -217,10 +216,18 @@
         if (relayFailure == Kind.LEASE_GONE) {
             return new ExternalServiceException(relayFailure, "the lease has ended");
         }
+        if (relayFailure == Kind.REJECTED) {
+            return new ExternalServiceException(relayFailure, "refused as invalid through another host");
+        }
         boolean notDone = directFailure.kind() == Kind.NOT_DONE && relayFailure == Kind.NOT_DONE;
         return new ExternalServiceException(notDone ? Kind.NOT_DONE : Kind.UNKNOWN, directFailure.getMessage());
     }
 
+    /** Returns whether the key-value store has decided on the call. */
+    private static boolean isAnswer(Kind kind) {
+        return kind == Kind.LEASE_GONE || kind == Kind.HISTORY_GONE || kind == Kind.REJECTED;
+    }
+
     private static <T> CompletableFuture<PeerMessage> toStoreAnswer(
             CompletableFuture<T> call, Function<T, GatewayMessage.StoreAnswer> wrapResult) {
         return call.handle((result, failure) -> failure == null
--- a/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
+++ b/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
@@ -77,6 +77,17 @@
         return checkpoints;
     }
 
+    /** Returns a bundle with the progress of each batch in this one. */
+    List<SaveBundle> progressByBatch() {
+        return eventCountsByBatch.keySet().stream()
+                .map(batch -> {
+                    SaveBundle single = new SaveBundle(writeIds);
+                    single.addCheckpoints(batch);
+                    return single;
+                })
+                .toList();
+    }
+
     /** Marks the progress in this bundle as saved. */
     void markProgressSaved() {
         eventCountsByBatch.forEach(OwnedBatch::progressSaved);
--- a/src/main/java/org/gooseberryhill/outbox/OutboxService.java
+++ b/src/main/java/org/gooseberryhill/outbox/OutboxService.java
@@ -161,10 +161,14 @@
 
     private void onCreateResult(OutboxEntry submission, KeyValueStore.WriteResult result, Throwable failure) {
         if (failure != null) {
-            timeline.event(EventKind.BATCH_WRITE_UNANSWERED)
+            boolean rejected = ExternalServiceException.kindOf(failure) == ExternalServiceException.Kind.REJECTED;
+            timeline.event(rejected ? EventKind.BATCH_WRITE_REJECTED : EventKind.BATCH_WRITE_UNANSWERED)
                     .job(submission.batch())
-                    .with("reason", ExternalServiceException.kindOf(failure))
+                    .with("reason", String.valueOf(failure.getMessage()))
                     .write();
+            if (rejected) {
+                timing.attemptRejected(submission.name(), loop.nowNanos());
+            }
             return;
         }
         timeline.event(EventKind.SUBMISSION_RECORDED)
--- a/src/main/java/org/gooseberryhill/peer/StoreCallCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/StoreCallCodecs.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
-import org.gooseberryhill.external.ExternalServiceException;
+import org.gooseberryhill.external.ExternalServiceException.Kind;
 import org.gooseberryhill.external.KeyValueStore;
 import org.gooseberryhill.external.Transaction;
 import org.msgpack.core.MessagePacker;
@@ -76,21 +76,28 @@
     }
 
     private static void writeAnswer(GatewayMessage.StoreAnswer answer, MessagePacker packer) throws IOException {
-        CompactFields.writeOptional(packer, answer.failure().map(Enum::name), MessagePacker::packString);
+        boolean rejected = answer.failure().equals(Optional.of(Kind.REJECTED));
+        Optional<Kind> failure = rejected ? Optional.of(Kind.UNKNOWN) : answer.failure();
+        CompactFields.writeOptional(packer, failure.map(Enum::name), MessagePacker::packString);
         CompactFields.writeOptional(packer, answer.read(), StoreCallCodecs::writeReadResult);
         CompactFields.writeOptional(packer, answer.listing(), StoreCallCodecs::writeListing);
         CompactFields.writeOptional(packer, answer.written(), StoreCallCodecs::writeWriteResult);
         CompactFields.writeOptional(packer, answer.lease(), MessagePacker::packLong);
+        // At the end, where earlier versions do not look for it: they do not know this kind of failure.
+        packer.packBoolean(rejected);
     }
 
     private static GatewayMessage.StoreAnswer readAnswer(MessageUnpacker unpacker) throws IOException {
+        Optional<Kind> failure = CompactFields.readOptional(unpacker, MessageUnpacker::unpackString)
+                .map(Kind::valueOf);
+        Optional<KeyValueStore.ReadResult> read = CompactFields.readOptional(unpacker, StoreCallCodecs::readReadResult);
+        Optional<KeyValueStore.Listing> listing = CompactFields.readOptional(unpacker, StoreCallCodecs::readListing);
+        Optional<KeyValueStore.WriteResult> written =
+                CompactFields.readOptional(unpacker, StoreCallCodecs::readWriteResult);
+        Optional<Long> lease = CompactFields.readOptional(unpacker, MessageUnpacker::unpackLong);
+        boolean rejected = unpacker.hasNext() && unpacker.unpackBoolean();
         return new GatewayMessage.StoreAnswer(
-                CompactFields.readOptional(unpacker, MessageUnpacker::unpackString)
-                        .map(ExternalServiceException.Kind::valueOf),
-                CompactFields.readOptional(unpacker, StoreCallCodecs::readReadResult),
-                CompactFields.readOptional(unpacker, StoreCallCodecs::readListing),
-                CompactFields.readOptional(unpacker, StoreCallCodecs::readWriteResult),
-                CompactFields.readOptional(unpacker, MessageUnpacker::unpackLong));
+                rejected ? Optional.of(Kind.REJECTED) : failure, read, listing, written, lease);
     }
 
     private static void writeReadResult(MessagePacker packer, KeyValueStore.ReadResult read) throws IOException {
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -149,6 +149,10 @@
     BATCH_PAGE_SERVED("batch.page-served", Importance.ROUTINE),
     /** A write for a request batch was not answered; it is retried. */
     BATCH_WRITE_UNANSWERED("batch.write-unanswered", Importance.FAILURE),
+    /** The key-value store refused a write for a request batch as invalid; it is not repeated unchanged. */
+    BATCH_WRITE_REJECTED("batch.write-rejected", Importance.FAILURE),
+    /** The key-value store refused results of a request batch as invalid; they are written in smaller parts, or later. */
+    BATCH_COMMIT_REJECTED("batch.commit-rejected", Importance.FAILURE),
     /** The caller ended a request batch. */
     BATCH_ENDED("batch.ended", Importance.STATE),
     /** This process found that a request batch was ended or that another process owns it. */
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/OutboxTimingTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/OutboxTimingTest.java
@@ -27,6 +27,17 @@
         assertThat(timing.beginAttemptIfDue("a", at(9000))).isFalse();
     }
 
+    /** Guards against megabytes that are sent twice a second although the store never takes them. */
+    @Test
+    void creationThatTheStoreRefusedAsInvalidIsRetriedRarely() {
+        timing.copyAdded("a", at(0));
+        timing.beginAttemptIfDue("a", at(2000));
+        timing.attemptRejected("a", at(2010));
+
+        assertThat(timing.beginAttemptIfDue("a", at(20_000))).isFalse();
+        assertThat(timing.beginAttemptIfDue("a", at(32_010))).isTrue();
+    }
+
     @Test
     void evacuatedHostCreatesTheRecordAtOnce() {
         timing.copyAdded("a", at(0));
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
@@ -169,6 +169,21 @@
         assertThat(batch.beginCommit(1)).hasSize(1);
     }
 
+    /** Guards against a commit that the store refuses as invalid and that is sent again unchanged. */
+    @Test
+    void aRejectedCommitIsDividedUntilItSucceeds() {
+        for (int i = 0; i < 3; i++) {
+            BatchFixture.run(batch, firstStartableItem(), 1);
+        }
+        assertThat(batch.beginCommit(NO_LIMIT)).hasSize(3);
+
+        assertThat(batch.commitRejected()).isTrue();
+        assertThat(batch.beginCommit(NO_LIMIT)).hasSize(1);
+        assertThat(batch.commitRejected()).isFalse();
+        commit();
+        assertThat(batch.beginCommit(NO_LIMIT)).hasSize(2);
+    }
+
     /** Guards against progress that is never stored because that of all items together is too large. */
     @Test
     void checkpointsAreLimitedInBytes() {
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -64,6 +64,7 @@
 import org.gooseberryhill.zone.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 class PeerCodecTest {
@@ -335,6 +336,15 @@
         assertThat(read.writes().get(2).value()).isEmpty();
     }
 
+    @ParameterizedTest
+    @EnumSource(ExternalServiceException.Kind.class)
+    void eachKindOfFailureSurvivesARoundTrip(ExternalServiceException.Kind kind) throws IOException {
+        GatewayMessage.StoreAnswer answer = new GatewayMessage.StoreAnswer(
+                Optional.of(kind), Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+
+        assertThat(roundTrip(answer)).isEqualTo(answer);
+    }
+
     @Test
     void aStoreAnswerSurvivesARoundTrip() throws IOException {
         byte[] value = {0, 1, -1, 127};
