Store a result that is larger than a value in several values

Callers saw: an item whose output takes more bytes than a value of the key-value store may have is finished at its endpoint and never listed.

Cause: the results of a commit go into one value, and a single result was written as it was, whatever its size. The limit was a constant, although the platform tells it.

Why it works: the text of such a result is divided at whole characters into values that fit. The record lists them behind the first by negative numbers, so they are found, and deleted, without a call more, and its form stays as it is. A part has another field than a text, so that hosts of the build before answer 503 instead of listing parts as results. The limit comes from the settings; a submission is divided into as many values as its record says, whichever host writes it, since a copy may be recorded by a host that knows another limit. The record of blocked prompt parts names at most 16 crashes a block, which keeps it below a value.

--- a/src/main/java/org/gooseberryhill/decision/promptpart/PartBlocks.java
+++ b/src/main/java/org/gooseberryhill/decision/promptpart/PartBlocks.java
@@ -22,6 +22,9 @@
 final class PartBlocks {
     private static final int MAX_BLOCKS = 256;
 
+    /** More crashes than decide on a block; with all blocks, the record stays below the size of a value. */
+    private static final int MAX_RECORDED_CRASHES = 16;
+
     private final Map<Set<PromptPartKey>, PartBlock> blocks = new LinkedHashMap<>();
     private Set<Set<PromptPartKey>> recorded = Set.of();
 
@@ -102,6 +105,7 @@
         List<QuarantineRecord.Block> entries = new ArrayList<>();
         for (PartBlock block : blocks.values()) {
             List<QuarantineRecord.Crash> crashes = block.crashes().stream()
+                    .limit(MAX_RECORDED_CRASHES)
                     .map(crash -> new QuarantineRecord.Crash(
                             crash.endpoint(), crash.reporter(), toMillis(crash.atNanos(), nowMillis, nowNanos)))
                     .toList();
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/BatchRecord.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/BatchRecord.java
@@ -21,7 +21,8 @@
  * @param bodyParts the number of values in which the items are stored
  * @param items the number of items
  * @param ended whether the caller ended the batch
- * @param chunks the position of the first result of each committed chunk, in order
+ * @param chunks the number of each value with committed results, in order: the position of its first result, or a negative number
+ *     if it continues the last result of the value before
  * @param listed the number of committed results, which is also the position of the next one in the list of results
  * @param account name of the client account that submitted the batch, which its items run for; empty if no account did
  */
@@ -95,10 +96,23 @@
                 account);
     }
 
-    /** Returns a copy of this record with one more committed chunk of the given number of results. */
+    /** Returns a copy of this record with one more committed chunk of the given number of results, in one value. */
     public BatchRecord withChunk(int results) {
+        return withChunk(results, 1);
+    }
+
+    /**
+     * Returns a copy of this record with one more committed chunk.
+     *
+     * @param results the number of results in it
+     * @param values the number of values that it takes; more than one only for a single result
+     */
+    public BatchRecord withChunk(int results, int values) {
         List<Integer> newChunks = new ArrayList<>(chunks);
         newChunks.add(listed);
+        for (int value = 1; value < values; value++) {
+            newChunks.add(-newChunks.size());
+        }
         return new BatchRecord(
                 host,
                 target,
--- a/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchCommitter.java
@@ -11,7 +11,6 @@
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
-import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
 import org.gooseberryhill.decision.requestbatch.SaveTiming;
 import org.gooseberryhill.decision.requestbatch.WriteId;
@@ -66,7 +65,7 @@
             due |= saveTiming.isDue(batch, stopping, leftMillis(batch), context.nowNanos());
         }
         if (due) {
-            save(SaveBundle.of(batchesToSave, !stopping, store::newWriteId));
+            save(SaveBundle.of(batchesToSave, !stopping, store));
         }
     }
 
@@ -234,9 +233,7 @@
                 .with("results", commit.results().size())
                 .with(
                         "bytes",
-                        commit.results().stream()
-                                .mapToInt(ItemResult::encodedBytes)
-                                .sum())
+                        commit.values().stream().mapToInt(value -> value.length).sum())
                 .with("divided", divided)
                 .write();
         if (!registry.holds(batch)) {
@@ -245,7 +242,7 @@
         if (endReceivers.containsKey(commit.id())) {
             writeEndedRecord(batch);
         } else if (divided) {
-            save(SaveBundle.of(List.of(batch), false, store::newWriteId));
+            save(SaveBundle.of(List.of(batch), false, store));
         } else {
             saveTiming.rejected(commit.id(), context.nowNanos());
         }
--- a/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
@@ -91,7 +91,7 @@
                 context.settings().self().id().value(),
                 context.processStart(),
                 System.currentTimeMillis(),
-                BatchStore.countBodyParts(body),
+                store.countBodyParts(body),
                 items.get().size(),
                 false,
                 List.of(),
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -156,7 +156,8 @@
         this.traffic = new GatewayTraffic(context, links, crashTracking, promptParts, slots, this::directoryAgeMillis);
         this.registration = new HostRegistration(context.loop(), context.store(), context.timeline(), this::listedSelf);
         this.probes = new EndpointProbes(context);
-        BatchStore batchStore = new BatchStore(context.store(), dialects.batches(), context.processStart());
+        BatchStore batchStore =
+                new BatchStore(context.store(), dialects.batches(), context.processStart(), settings.storeValueBytes());
         this.runner = assignment.createRunner(registry, batchRoutes, promptParts, traffic);
         this.committer = new BatchCommitter(context, batchStore, registry, batchRoutes, runner::cancelRunsOfBatch);
         BatchRefusals refusals = new BatchRefusals(context, traffic);
--- a/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param seeds peer addresses of some hosts, which may include this host and lost ones
  * @param stopBoundMillis time after which a planned stop ends even with requests in progress
  * @param storeTimeoutMillis timeout of a call to the key-value store
+ * @param storeValueBytes size of the largest value that the key-value store takes
  * @param resultRetentionMillis time for which a finished batch is kept
  * @param connectionLimits limits of the connections from callers
  * @param submissionCopies number of hosts that must store a submission on disk for it to survive all tolerated losses
@@ -35,6 +36,7 @@
         List<Address> seeds,
         long stopBoundMillis,
         int storeTimeoutMillis,
+        int storeValueBytes,
         long resultRetentionMillis,
         ConnectionLimits connectionLimits,
         int submissionCopies,
@@ -55,6 +57,7 @@
                 newer.seeds,
                 newer.stopBoundMillis,
                 newer.storeTimeoutMillis,
+                storeValueBytes,
                 resultRetentionMillis,
                 connectionLimits,
                 newer.submissionCopies,
--- a/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
+++ b/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
@@ -5,13 +5,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
 import org.gooseberryhill.decision.requestbatch.ItemCheckpoint;
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.decision.requestbatch.OwnedBatch;
-import org.gooseberryhill.decision.requestbatch.WriteId;
 import org.gooseberryhill.stored.BatchStore;
+import org.gooseberryhill.stored.ResultValues;
 
 /**
  * Collects results and progress of several batches for one write. Not thread-safe.
@@ -23,32 +22,30 @@
     /** The store's limit for one write: conditions plus written and deleted keys. */
     private static final int MAX_ENTRIES = 32;
 
-    private static final int MAX_BYTES = BatchStore.MAX_VALUE_BYTES;
-
-    /** The condition, the record, the results, and the deletion of the checkpoints. */
-    private static final int ENTRIES_PER_COMMIT = 4;
+    /** The condition, the record, and the deletion of the checkpoints; the results come on top. */
+    private static final int ENTRIES_PER_COMMIT = 3;
 
     /** The condition and the checkpoints. */
     private static final int ENTRIES_PER_CHECKPOINTS = 2;
 
-    private final Supplier<WriteId> writeIds;
+    private final BatchStore store;
     private final Map<OwnedBatch, BatchStore.Commit> commits = new LinkedHashMap<>();
     private final List<BatchStore.Checkpoints> checkpoints = new ArrayList<>();
     private final Map<OwnedBatch, Long> eventCountsByBatch = new LinkedHashMap<>();
     private int entries;
     private int bytes;
 
-    private SaveBundle(Supplier<WriteId> writeIds) {
-        this.writeIds = writeIds;
+    private SaveBundle(BatchStore store) {
+        this.store = store;
     }
 
     /**
      * Returns a bundle with the results of as many batches as fit, then the progress of as many as fit.
      *
-     * @param writeIds supplies an id for the write of each batch's record
+     * @param store the store that the bundle is for
      */
-    static SaveBundle of(Collection<OwnedBatch> batches, boolean withProgress, Supplier<WriteId> writeIds) {
-        SaveBundle bundle = new SaveBundle(writeIds);
+    static SaveBundle of(Collection<OwnedBatch> batches, boolean withProgress, BatchStore store) {
+        SaveBundle bundle = new SaveBundle(store);
         batches.stream().filter(OwnedBatch::hasUncommitted).forEach(bundle::addResults);
         if (withProgress) {
             batches.stream().filter(OwnedBatch::hasUnsavedProgress).forEach(bundle::addCheckpoints);
@@ -57,15 +54,17 @@
     }
 
     private BatchStore.Commit beginCommit(OwnedBatch batch) {
-        List<ItemResult> results = batch.beginCommit(MAX_BYTES);
+        List<ItemResult> results = batch.beginCommit(store.maxValueBytes());
+        List<byte[]> values = ResultValues.encode(results, store.maxValueBytes());
         BatchRecord record = batch.record();
         return new BatchStore.Commit(
                 batch.id(),
                 batch.recordRevision(),
-                record.withChunk(results.size()),
+                record.withChunk(results.size(), values.size()),
                 record.listed(),
                 results,
-                writeIds.get());
+                values,
+                store.newWriteId());
     }
 
     /** Returns the commits by the copies of the batches that make them. */
@@ -81,7 +80,7 @@
     List<SaveBundle> progressByBatch() {
         return eventCountsByBatch.keySet().stream()
                 .map(batch -> {
-                    SaveBundle single = new SaveBundle(writeIds);
+                    SaveBundle single = new SaveBundle(store);
                     single.addCheckpoints(batch);
                     return single;
                 })
@@ -94,17 +93,17 @@
     }
 
     private void addResults(OwnedBatch batch) {
-        if (!hasRoom(ENTRIES_PER_COMMIT)) {
+        if (!hasRoom(ENTRIES_PER_COMMIT + 1)) {
             return;
         }
         BatchStore.Commit commit = beginCommit(batch);
         commits.put(batch, commit);
-        entries += ENTRIES_PER_COMMIT;
-        bytes += commit.results().stream().mapToInt(ItemResult::encodedBytes).sum();
+        entries += ENTRIES_PER_COMMIT + commit.values().size();
+        bytes += commit.values().stream().mapToInt(value -> value.length).sum();
     }
 
     private void addCheckpoints(OwnedBatch batch) {
-        List<ItemCheckpoint> items = batch.checkpoints(MAX_BYTES);
+        List<ItemCheckpoint> items = batch.checkpoints(store.maxValueBytes());
         if (items.isEmpty() || !hasRoom(ENTRIES_PER_CHECKPOINTS)) {
             return;
         }
@@ -115,6 +114,6 @@
     }
 
     private boolean hasRoom(int additionalEntries) {
-        return entries == 0 || (entries + additionalEntries <= MAX_ENTRIES && bytes < MAX_BYTES);
+        return entries == 0 || (entries + additionalEntries <= MAX_ENTRIES && bytes < store.maxValueBytes());
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
+++ b/src/main/java/org/gooseberryhill/gateway/StoredBatchReader.java
@@ -55,7 +55,7 @@
                 return CompletableFuture.completedFuture(Optional.empty());
             }
             BatchRecord record = found.get().record();
-            return store.readResults(id, record, 0, record.chunks().size()).thenApply(results -> {
+            return store.readResults(id, record).thenApply(results -> {
                 CachedResults fresh = new CachedResults(record, List.copyOf(results));
                 context.loop().execute(() -> addToCache(id, fresh));
                 return Optional.of(fresh.page(firstPosition));
@@ -75,7 +75,7 @@
                 return CompletableFuture.completedFuture(Optional.empty());
             }
             BatchRecord record = found.get().record();
-            return store.readResults(id, record, 0, record.chunks().size())
+            return store.readResults(id, record)
                     .thenCombine(
                             store.readItems(id, record),
                             (results, items) -> uncommittedItemBody(itemId, results, items));
--- a/src/main/java/org/gooseberryhill/link/JsonLength.java
+++ b/src/main/java/org/gooseberryhill/link/JsonLength.java
@@ -19,6 +19,26 @@
         return bytes;
     }
 
+    /**
+     * Returns the end of the longest part of a text from an index on that takes at most a number of bytes, without quotes. The
+     * part has at least one character and does not end inside a surrogate pair.
+     */
+    public static int endOfPart(String text, int from, int maxBytes) {
+        int end = from;
+        int bytes = 0;
+        while (end < text.length()) {
+            int next = text.offsetByCodePoints(end, 1);
+            for (int i = end; i < next; i++) {
+                bytes += bytes(text.charAt(i));
+            }
+            if (bytes > maxBytes && end > from) {
+                break;
+            }
+            end = next;
+        }
+        return end;
+    }
+
     /** Returns the length of a character; the halves of a surrogate pair are escaped. */
     private static int bytes(char character) {
         if (character < FIRST_TWO_BYTE_CHARACTER) {
--- a/src/main/java/org/gooseberryhill/outbox/OutboxProcess.java
+++ b/src/main/java/org/gooseberryhill/outbox/OutboxProcess.java
@@ -70,7 +70,7 @@
                 loop,
                 timeline,
                 outbox,
-                new BatchStore(store, batches, processStart),
+                new BatchStore(store, batches, processStart, settings.storeValueBytes()),
                 new OutboxTiming(settings.retentionMillis()));
     }
 
--- a/src/main/java/org/gooseberryhill/outbox/OutboxSettings.java
+++ b/src/main/java/org/gooseberryhill/outbox/OutboxSettings.java
@@ -8,6 +8,7 @@
  *
  * @param self the host's identity, role, availability zone and peer address
  * @param dataFolder the folder on its disk that holds the submissions
+ * @param storeValueBytes size of the largest value that the key-value store takes
  * @param retentionMillis how long the key-value store retains a finished batch
  */
-public record OutboxSettings(Host self, Path dataFolder, long retentionMillis) {}
+public record OutboxSettings(Host self, Path dataFolder, int storeValueBytes, long retentionMillis) {}
--- a/src/main/java/org/gooseberryhill/stored/BatchStore.java
+++ b/src/main/java/org/gooseberryhill/stored/BatchStore.java
@@ -29,8 +29,8 @@
  * Thread-safe.
  */
 public final class BatchStore {
-    /** Maximum number of bytes in one value: the store's limit of 1 MiB, with room for the encoding. */
-    public static final int MAX_VALUE_BYTES = 768 * 1024;
+    private static final int BASE64_INPUT_BYTES = 3;
+    private static final int BASE64_OUTPUT_BYTES = 4;
 
     /** The store accepts at most 32 entries in one transaction, and the condition is one of them. */
     private static final int MAX_DELETIONS_PER_TRANSACTION = 31;
@@ -38,6 +38,7 @@
     private final PollingKeyValueStore store;
     private final BatchDialect dialect;
     private final String processStart;
+    private final int maxValueBytes;
     private final AtomicLong writes = new AtomicLong();
 
     /**
@@ -45,11 +46,18 @@
      *
      * @param dialect parses the items of a batch
      * @param processStart id that distinguishes this process from all others
+     * @param valueLimitBytes size of the largest value that the store takes
      */
-    public BatchStore(PollingKeyValueStore store, BatchDialect dialect, String processStart) {
+    public BatchStore(PollingKeyValueStore store, BatchDialect dialect, String processStart, int valueLimitBytes) {
         this.store = store;
         this.dialect = dialect;
         this.processStart = processStart;
+        this.maxValueBytes = valueLimitBytes / BASE64_OUTPUT_BYTES * BASE64_INPUT_BYTES;
+    }
+
+    /** Returns the size up to which values are filled: also their base64 text stays within the store's limit. */
+    public int maxValueBytes() {
+        return maxValueBytes;
     }
 
     /** Returns an id for a write that has not been sent before. */
@@ -58,8 +66,8 @@
     }
 
     /** Returns the number of values that a body is split into. */
-    public static int countBodyParts(byte[] body) {
-        return Math.max(1, (body.length + MAX_VALUE_BYTES - 1) / MAX_VALUE_BYTES);
+    public int countBodyParts(byte[] body) {
+        return Math.max(1, divideUp(body.length, maxValueBytes));
     }
 
     /**
@@ -70,9 +78,11 @@
         Transaction.Builder transaction = Transaction.builder()
                 .ifRevisionIs(StoredKeys.batch(id), 0)
                 .put(StoredKeys.batch(id), StoredValueCodec.write(record, writeId));
+        // The number of parts is the record's: the host that counted them may know another limit than this one.
+        int partBytes = divideUp(body.length, record.bodyParts());
         for (int part = 0; part < record.bodyParts(); part++) {
-            int from = part * MAX_VALUE_BYTES;
-            byte[] value = Arrays.copyOfRange(body, from, Math.min(body.length, from + MAX_VALUE_BYTES));
+            int from = Math.min(body.length, part * partBytes);
+            byte[] value = Arrays.copyOfRange(body, from, Math.min(body.length, from + partBytes));
             transaction.put(StoredKeys.body(id, part), value);
         }
         return store.write(transaction.build());
@@ -133,10 +143,13 @@
         for (Commit commit : commits) {
             transaction
                     .ifRevisionIs(StoredKeys.batch(commit.id), commit.revision)
-                    .put(StoredKeys.batch(commit.id), StoredValueCodec.write(commit.record, commit.writeId))
-                    .put(
-                            StoredKeys.results(commit.id, commit.firstPosition),
-                            StoredValueCodec.writeResults(commit.results));
+                    .put(StoredKeys.batch(commit.id), StoredValueCodec.write(commit.record, commit.writeId));
+            List<Integer> chunks = commit.record.chunks();
+            int firstChunk = chunks.size() - commit.values.size();
+            for (int value = 0; value < commit.values.size(); value++) {
+                transaction.put(
+                        StoredKeys.results(commit.id, chunks.get(firstChunk + value)), commit.values.get(value));
+            }
             if (commit.record.isFinished()) {
                 transaction.delete(StoredKeys.checkpoints(commit.id));
             }
@@ -193,7 +206,7 @@
         BatchRecord record = stored.record();
         return readItems(stored.id(), record)
                 .thenCombine(
-                        readResults(stored.id(), record, 0, record.chunks().size()),
+                        readResults(stored.id(), record),
                         (items, results) -> new OwnedBatch(stored.id(), record, stored.revision(), items, results));
     }
 
@@ -205,26 +218,21 @@
                                 new ExternalServiceException("items of batch " + id + " are invalid: " + findings)));
     }
 
-    /**
-     * Reads committed results of a batch.
-     *
-     * @param firstChunk the index of the first chunk to read
-     * @param chunks the maximum number of chunks to read
-     */
-    public CompletableFuture<List<ItemResult>> readResults(String id, BatchRecord record, int firstChunk, int chunks) {
-        int endChunk = Math.min(record.chunks().size(), firstChunk + chunks);
-        return readChunks(id, record, firstChunk, endChunk, new ArrayList<>());
+    /** Reads all committed results of a batch. */
+    public CompletableFuture<List<ItemResult>> readResults(String id, BatchRecord record) {
+        return readChunks(id, record, 0, new ArrayList<>());
     }
 
     private CompletableFuture<List<ItemResult>> readChunks(
-            String id, BatchRecord record, int chunk, int endChunk, List<ItemResult> results) {
-        if (chunk >= endChunk) {
+            String id, BatchRecord record, int chunk, List<ItemResult> results) {
+        if (chunk >= record.chunks().size()) {
             return CompletableFuture.completedFuture(results);
         }
-        String key = StoredKeys.results(id, record.chunks().get(chunk));
+        int number = record.chunks().get(chunk);
+        String key = StoredKeys.results(id, number);
         return store.read(key).thenCompose(result -> {
-            results.addAll(decodeResults(key, result.first()));
-            return readChunks(id, record, chunk + 1, endChunk, results);
+            ResultValues.append(number, decodeResults(key, result.first()), results);
+            return readChunks(id, record, chunk + 1, results);
         });
     }
 
@@ -241,6 +249,10 @@
         });
     }
 
+    private static int divideUp(int bytes, int divisor) {
+        return (bytes + divisor - 1) / divisor;
+    }
+
     private static List<ItemResult> decodeResults(String key, Optional<KeyValueStore.Entry> entry) {
         byte[] value = entry.orElseThrow(() -> new ExternalServiceException(key + " is missing"))
                 .value();
@@ -280,6 +292,7 @@
      * @param record the record with the new chunk
      * @param firstPosition the position of the first result in the batch's list of results
      * @param results the results
+     * @param values the results as stored, in one value, or in several if a single result is too large for one
      * @param writeId the id of the write, also if the commit is sent together with others or again
      */
     public record Commit(
@@ -288,6 +301,7 @@
             BatchRecord record,
             int firstPosition,
             List<ItemResult> results,
+            List<byte[]> values,
             WriteId writeId) {}
 
     /**
--- a/src/main/java/org/gooseberryhill/stored/StoredKeys.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredKeys.java
@@ -41,10 +41,11 @@
     }
 
     /**
-     * Returns the key of the committed chunk of results whose first result has the given position in the batch's list
-     * of results.
+     * Returns the key of a value with committed results.
+     *
+     * @param number the number of the value as the batch's record tells it
      */
-    public static String results(String batch, int firstPosition) {
-        return RESULTS + batch + "/" + firstPosition;
+    public static String results(String batch, int number) {
+        return RESULTS + batch + "/" + number;
     }
 }
--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -163,7 +163,20 @@
         return Json.bytes(json);
     }
 
-    /** Decodes a chunk of committed results. */
+    /**
+     * Encodes a part of the text of a committed result, whose other parts are in other values. Earlier versions do not read it, so
+     * that they never take a part for a result.
+     */
+    public static byte[] writeResultPart(ItemResult result, String part) {
+        ArrayNode json = Json.array();
+        json.addObject()
+                .put("id", result.id())
+                .put("state", result.state().name())
+                .put("part", part);
+        return Json.bytes(json);
+    }
+
+    /** Decodes a chunk of committed results, or a part of one. */
     public static Try<List<ItemResult>> readResults(byte[] value) {
         return Json.tree(value).mapTry(json -> {
             List<ItemResult> results = new ArrayList<>();
@@ -171,7 +184,9 @@
                 results.add(new ItemResult(
                         result.required("id").textValue(),
                         ItemState.valueOf(result.required("state").textValue()),
-                        result.required("text").textValue()));
+                        result.has("part")
+                                ? result.get("part").textValue()
+                                : result.required("text").textValue()));
             }
             return results;
         });
