End an answer of events once no event comes within half a megabyte

Cause: EventSplitter kept the bytes of an unfinished event without a limit, and copied all of them for each 8 KB that arrived, on the one traffic thread of a gateway. Nothing ended an answer that can't be one; a run of an item went on until its retention was over.

GatewayEndlessAnswerTest failed before: three of ten kinds of bytes without end kept the caller until its deadline, five of ten kept an item for two minutes.

Why it works: the bytes of an event are copied once as their buffer doubles, and half a megabyte without an event that has an id or data ends the attempt as malformed. A listener can end its exchange for that (MalformedAnswerException), which closes the connection. The request goes on at another endpoint if it may, or its caller gets 502 at once.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -202,7 +202,7 @@
             return new AnswerProgress(
                     headers == null ? Optional.empty() : Optional.of(framing()),
                     lastEventId,
-                    eventSplitter.remainder().length,
+                    eventSplitter.remainderBytes(),
                     pace.eventNanos());
         }
 
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -140,7 +140,7 @@
     @Override
     public void onBytes(byte[] bytes) {
         if (fromEndpoint && status == OK) {
-            queuedEvents.addAll(eventSplitter.read(bytes));
+            eventSplitter.read(bytes).stream().filter(StreamEvent::hasContent).forEach(queuedEvents::add);
         }
     }
 
@@ -174,11 +174,14 @@
     @Override
     public void onFailure(ExchangeFailure failure) {
         boolean notRun = failure.outcome() == Outcome.NOT_RUN;
-        context.loop()
-                .execute(() -> end(
-                        notRun ? RunEnd.NOT_RUN : RunEnd.CUT,
-                        notRun ? AttemptEnd.UNREACHABLE : AttemptEnd.CUT,
-                        failure.detail()));
+        context.loop().execute(() -> end(notRun ? RunEnd.NOT_RUN : RunEnd.CUT, attemptEnd(failure), failure.detail()));
+    }
+
+    private static AttemptEnd attemptEnd(ExchangeFailure failure) {
+        if (failure.outcome() == Outcome.NOT_RUN) {
+            return AttemptEnd.UNREACHABLE;
+        }
+        return failure.kind() == ExchangeFailure.Kind.MALFORMED ? AttemptEnd.MALFORMED : AttemptEnd.CUT;
     }
 
     private void end(RunEnd end, AttemptEnd attemptEnd, String detail) {
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -109,8 +109,13 @@
 
     void onBytes(byte[] bytes) {
         recordActivity();
-        if (!cancelled && !ended) {
+        if (cancelled || ended) {
+            return;
+        }
+        try {
             listener.onBytes(bytes);
+        } catch (MalformedAnswerException e) {
+            failWith(ExchangeFailure.Kind.MALFORMED, e.getMessage());
         }
     }
 
--- a/src/main/java/org/gooseberryhill/http/ExchangeListener.java
+++ b/src/main/java/org/gooseberryhill/http/ExchangeListener.java
@@ -11,7 +11,11 @@
     /** Receives the status code and the headers of the response. */
     void onHead(int status, HttpHeaders headers);
 
-    /** Receives the next part of the response body. */
+    /**
+     * Receives the next part of the response body.
+     *
+     * @throws MalformedAnswerException to end the exchange, since the response can't be an answer
+     */
     void onBytes(byte[] bytes);
 
     /** Called when the response is complete: all bytes of its announced length, or its last chunk, were received. */
--- a/src/main/java/org/gooseberryhill/http/StreamEvent.java
+++ b/src/main/java/org/gooseberryhill/http/StreamEvent.java
@@ -27,6 +27,16 @@
         return id;
     }
 
+    /** Returns whether the event has an id or data; any other one is a comment or a blank line. */
+    public boolean hasContent() {
+        for (int from = 0; from < raw.length; from = nextLine(from)) {
+            if (startsWith(from, ID) || startsWith(from, DATA)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the data lines, joined by line feeds. */
     public String data() {
         StringBuilder data = new StringBuilder();
--- a/src/test/java/org/gooseberryhill/http/EventSplitterProperties.java
+++ b/src/test/java/org/gooseberryhill/http/EventSplitterProperties.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -9,6 +10,7 @@
 import java.util.List;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -80,6 +82,40 @@
         assertThat(splitter.isInsideEvent()).isTrue();
     }
 
+    /** Guards against bytes without end that are kept, or looked through again and again. */
+    @Property
+    void bytesWithoutAnEventAreRefusedAtTheLimit(
+            @ForAll("contentless") String piece, @ForAll @IntRange(min = 1, max = 9000) int pieceBytes) {
+        EventSplitter splitter = new EventSplitter();
+        byte[] bytes = piece.repeat(pieceBytes).substring(0, pieceBytes).getBytes(StandardCharsets.UTF_8);
+        splitter.read(EVENT.getBytes(StandardCharsets.UTF_8));
+        int limit = EventSplitter.MAX_BYTES_TO_NEXT_EVENT;
+
+        for (int read = bytes.length; read <= limit; read += bytes.length) {
+            splitter.read(bytes);
+        }
+        assertThatThrownBy(() -> splitter.read(bytes)).isInstanceOf(MalformedAnswerException.class);
+    }
+
+    /** Guards against a long stream that is refused although each of its events is short. */
+    @Example
+    void theLimitCountsFromTheLastEvent() {
+        EventSplitter splitter = new EventSplitter();
+        int events = 0;
+        for (int read = 0; read < 4 * EventSplitter.MAX_BYTES_TO_NEXT_EVENT; read += EVENT_BYTES + 3) {
+            events += splitter.read((EVENT + ":\n\n").getBytes(StandardCharsets.UTF_8)).stream()
+                    .filter(StreamEvent::hasContent)
+                    .count();
+        }
+
+        assertThat(events).isGreaterThan(EventSplitter.MAX_BYTES_TO_NEXT_EVENT / EVENT_BYTES);
+    }
+
+    @Provide
+    Arbitrary<String> contentless() {
+        return Arbitraries.of("x", "\n", ": wait\n\n", "event: x\n", "x\r\n\r\n");
+    }
+
     @Provide
     Arbitrary<String> lineTerminators() {
         return Arbitraries.of("\n", "\r\n", "\r").list().ofMaxSize(3).map(list -> String.join("", list));
