Show how up to date the views of a gateway are, and which tasks of its control thread fail

Callers were refused with 404 on acknowledged routes. Nothing a host writes tells whether it has not read the configuration (its views' age and revision), could not use it (an entry refused, a task that threw), or has lost its control thread: an Error was written by the Disruptor's default handler only, outside of our log format. Attempts that failed name the status that the answer began with. No logic is changed.

--- a/src/main/java/org/gooseberryhill/control/ControlLoop.java
+++ b/src/main/java/org/gooseberryhill/control/ControlLoop.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.logging.LazyLoggers;
 
@@ -36,6 +37,7 @@
     private final Disruptor<TaskEvent> disruptor;
     private final Timers timers = new Timers(nowNanos());
     private final Queue<Runnable> nestedTasks = new ArrayDeque<>();
+    private final LongAdder failedTasks = new LongAdder();
     private volatile Thread loopThread;
     private volatile boolean closed;
 
@@ -86,6 +88,11 @@
         });
     }
 
+    /** Returns the number of tasks that have thrown something. */
+    public long failedTasks() {
+        return failedTasks.sum();
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -112,11 +119,16 @@
         }
     }
 
-    private static void runLoggingExceptions(Runnable task) {
+    private void runLoggingExceptions(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
+            failedTasks.increment();
             LOG.get().error("control task failed", e);
+        } catch (Error e) {
+            failedTasks.increment();
+            LOG.get().error("control thread ends", e);
+            throw e;
         }
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -200,6 +200,7 @@
 
         private AnswerProgress progress() {
             return new AnswerProgress(
+                    headers == null ? Optional.empty() : Optional.of(status),
                     headers == null ? Optional.empty() : Optional.of(framing()),
                     lastEventId,
                     eventSplitter.remainderBytes(),
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -296,11 +296,9 @@
 
     private void startMetrics(Address address) {
         traffic.addGauges();
-        metrics.gauge("gooseberry_items_in_progress", "Items of request batches that run", runner::runningItems);
-        metrics.gauge("gooseberry_batches_open", "Request batches that this host runs", handOver::openBatchCount);
-        metrics.gauge("gooseberry_store_calls", "Calls of the key-value store", () -> store.callCount());
+        views.addGauges();
         rejectedConnectionsLog.addGauges(this::callersServer);
-        metrics.gauge("gooseberry_lines_dropped", "Log lines dropped by a full ring", log::droppedLines);
+        new ProcessGauges(context, log).add(runner, handOver);
         metricsServer = Optional.of(new MetricsServer(group, context, address));
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -103,6 +103,18 @@
                 UnaryOperator.identity());
     }
 
+    /** Adds gauges of how up to date the views are. */
+    void addGauges() {
+        registrations.addGauges("registrations");
+        operators.addGauges("operators");
+        hosts.addGauges("hosts");
+        context.metrics()
+                .gauge(
+                        "gooseberry_registrations_invalid",
+                        "Registrations that name no endpoint to use",
+                        registeredEndpoints::invalidCount);
+    }
+
     /** Starts to follow the store. */
     void start() {
         tick();
--- a/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
+++ b/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
@@ -68,6 +68,11 @@
         return List.copyOf(byKey.values());
     }
 
+    /** Returns the number of registrations that name no endpoint. */
+    int invalidCount() {
+        return loggedInvalidValues.size();
+    }
+
     private boolean apply(KeyChange registration) {
         if (registration.value().isEmpty()) {
             loggedInvalidValues.remove(registration.key());
--- a/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
+++ b/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
@@ -67,6 +67,20 @@
         return view;
     }
 
+    /** Adds gauges of how up to date this view is, under a name. */
+    void addGauges(String name) {
+        context.metrics()
+                .gauge(
+                        "gooseberry_" + name + "_age_seconds",
+                        "Time since the view was certainly up to date: " + name,
+                        () -> (double) ageMillis() / TimeUnit.SECONDS.toMillis(1));
+        context.metrics()
+                .gauge(
+                        "gooseberry_" + name + "_revision",
+                        "Revision up to which the view contains all changes: " + name,
+                        view::revision);
+    }
+
     /**
      * Returns the time since the last moment at which the view was certainly up to date, in milliseconds. Later changes
      * in the store may be missing from it. Before the first listing it is an hour or more.
