Read JSON without recursion, nested up to a limit

Callers were refused with 404 on routes whose configuration was acknowledged: the control thread of their host had ended by a StackOverflowError. Any writer of an entry that hosts follow decides how deep its value is nested, and JsonTrees read values recursively up to Jackson's 1,000 levels. Whether these fit on a stack depends on its size, on the caller and on what has been compiled by then, so that one host of several can be hit.

Values are read with a stack of containers on the heap and refused beyond 200 levels, so that writing, comparing and hashing the trees stay shallow as well. The encoding is no longer guessed: what is written is UTF-8.

The test failed before: 990 levels were read, and a text in UTF-16.

--- a/src/main/java/org/gooseberryhill/link/JsonTrees.java
+++ b/src/main/java/org/gooseberryhill/link/JsonTrees.java
@@ -5,12 +5,17 @@
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.io.JsonEOFException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ContainerNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Map;
 
 /**
@@ -18,14 +23,25 @@
  *
  * <p>Jackson's {@code ObjectMapper} does the same, but creating it adds 0.1 s to the start of a process, during which
  * the callers of a restarting host wait. Therefore a starting host reads and writes its JSON with this class.
+ *
+ * <p>Invariant: a tree that was read is nested {@value #MAX_NESTING_DEPTH} levels deep at most, and reading takes the same
+ * stack for any text. Texts come from other writers, and a stack overflow ends the thread that reads them.
  */
 final class JsonTrees {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    /** Trees are compared, hashed and written recursively, on threads whose stacks are as small as 256 KB. */
+    static final int MAX_NESTING_DEPTH = 200;
+
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .disable(JsonFactory.Feature.CHARSET_DETECTION)
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(MAX_NESTING_DEPTH)
+                    .build())
+            .build();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTrees() {}
 
-    /** Reads the first value of a text; ignores what follows it. */
+    /** Reads the first value of a UTF-8 text; ignores what follows it. */
     static JsonNode read(byte[] json) throws IOException {
         try (JsonParser parser = FACTORY.createParser(json)) {
             JsonToken token = parser.nextToken();
@@ -47,10 +63,45 @@
         return buffer.toByteArray();
     }
 
-    private static JsonNode readValue(JsonParser parser, JsonToken token) throws IOException {
+    private static JsonNode readValue(JsonParser parser, JsonToken firstToken) throws IOException {
+        if (!firstToken.isStructStart()) {
+            return readScalar(parser, firstToken);
+        }
+        ContainerNode<?> root = newContainer(firstToken);
+        Deque<ContainerNode<?>> open = new ArrayDeque<>();
+        open.push(root);
+        while (!open.isEmpty()) {
+            JsonToken token = parser.nextToken();
+            if (token == null) {
+                throw new JsonEOFException(parser, null, "the text ends within a value");
+            }
+            if (token.isStructEnd()) {
+                open.pop();
+            } else if (token.isStructStart()) {
+                ContainerNode<?> container = newContainer(token);
+                add(open.peek(), parser.currentName(), container);
+                open.push(container);
+            } else if (token != JsonToken.FIELD_NAME) {
+                add(open.peek(), parser.currentName(), readScalar(parser, token));
+            }
+        }
+        return root;
+    }
+
+    private static ContainerNode<?> newContainer(JsonToken start) {
+        return start == JsonToken.START_OBJECT ? NODES.objectNode() : NODES.arrayNode();
+    }
+
+    private static void add(ContainerNode<?> container, String name, JsonNode value) {
+        if (container instanceof ObjectNode object) {
+            object.set(name, value);
+        } else if (container instanceof ArrayNode array) {
+            array.add(value);
+        }
+    }
+
+    private static JsonNode readScalar(JsonParser parser, JsonToken token) throws IOException {
         return switch (token) {
-            case START_OBJECT -> readObject(parser);
-            case START_ARRAY -> readArray(parser);
             case VALUE_STRING -> NODES.textNode(parser.getText());
             case VALUE_NUMBER_INT -> readInteger(parser);
             case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
@@ -61,22 +112,6 @@
         };
     }
 
-    private static JsonNode readObject(JsonParser parser) throws IOException {
-        ObjectNode object = NODES.objectNode();
-        for (String name = parser.nextFieldName(); name != null; name = parser.nextFieldName()) {
-            object.set(name, readValue(parser, parser.nextToken()));
-        }
-        return object;
-    }
-
-    private static JsonNode readArray(JsonParser parser) throws IOException {
-        ArrayNode array = NODES.arrayNode();
-        for (JsonToken token = parser.nextToken(); token != JsonToken.END_ARRAY; token = parser.nextToken()) {
-            array.add(readValue(parser, token));
-        }
-        return array;
-    }
-
     private static JsonNode readInteger(JsonParser parser) throws IOException {
         return switch (parser.getNumberType()) {
             case INT -> NODES.numberNode(parser.getIntValue());
--- a/src/test/java/org/gooseberryhill/link/JsonTreesTest.java
+++ b/src/test/java/org/gooseberryhill/link/JsonTreesTest.java
@@ -5,11 +5,16 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class JsonTreesTest {
+    private static final int WARM_UP_ROUNDS = 20_000;
+    private static final long SMALL_STACK_BYTES = 256 * 1024;
+
     /** Compares the results with those of Jackson's {@code ObjectMapper}. */
     @ParameterizedTest
     @ValueSource(
@@ -46,4 +51,45 @@
 
         assertThat(Json.tree(deep).isFailure()).isTrue();
     }
+
+    /** Guards against a stack overflow in compiled code, whose frames are larger than those of a cold parser. */
+    @Test
+    void aWarmParserReadsDeeplyNestedTreesOnASmallStack() throws InterruptedException {
+        byte[] shallow = nested(JsonTrees.MAX_NESTING_DEPTH / 2);
+        for (int round = 0; round < WARM_UP_ROUNDS; round++) {
+            assertThat(Json.tree(shallow).isSuccess()).isTrue();
+        }
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        Thread reader = new Thread(null, JsonTreesTest::readNestedTrees, "small-stack", SMALL_STACK_BYTES);
+        reader.setUncaughtExceptionHandler((thread, thrown) -> failure.set(thrown));
+        reader.start();
+        reader.join();
+
+        assertThat(failure.get()).isNull();
+    }
+
+    @Test
+    void textInAnotherEncodingThanUtf8IsRejected() {
+        assertThat(Json.tree("{}".getBytes(StandardCharsets.UTF_16BE)).isFailure())
+                .isTrue();
+    }
+
+    private static void readNestedTrees() {
+        for (int depth : List.of(1, JsonTrees.MAX_NESTING_DEPTH)) {
+            JsonNode tree = Json.tree(nested(depth)).get();
+            assertThat(tree.equals(Json.tree(nested(depth)).get())).isTrue();
+            assertThat(tree.hashCode()).isNotZero();
+            assertThat(Json.bytes(tree)).isEqualTo(nested(depth));
+        }
+        for (int depth : List.of(990, JsonTrees.MAX_NESTING_DEPTH + 1, 5_000, 1_000_000)) {
+            assertThat(Json.tree(nested(depth)).isFailure()).isTrue();
+        }
+    }
+
+    private static byte[] nested(int depth) {
+        int objects = depth / 2;
+        String text = "[".repeat(depth - objects) + "{\"a\":".repeat(objects) + "1" + "}".repeat(objects)
+                + "]".repeat(depth - objects);
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
 }
