Apply each change of a view by itself and forward it before

Callers were refused with 404 on acknowledged routes. A view moves its revision on before its receiver is called; an exception at one entry ended the loop over the answer, and what stood behind that entry was never offered again: not to this host, and not to the others, since the changes were forwarded only after they had been applied here.

Changes are forwarded first. Operators' entries and entries of the list of hosts are applied one at a time; one that throws is logged with its key as change.not-applied and counted. A registration whose decoding throws counts as one that names no endpoint.

--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -53,6 +53,7 @@
     private final ViewUpdater operators;
     private final ViewUpdater hosts;
     private final RegisteredEndpoints registeredEndpoints;
+    private final ChangeApplier changeApplier;
     private final Map<String, ListedHost> listedHosts = new TreeMap<>();
     private Map<EndpointKey, EndpointEntry> loggedEntries = Map.of();
     private int rank;
@@ -79,6 +80,7 @@
         this.onRecordByKey = onRecordByKey;
         this.rankUpdatedNanos = context.nowNanos() - RANK_UPDATE_PERIOD_NANOS;
         this.evacuationReporter = new EvacuationReporter(context, links);
+        this.changeApplier = new ChangeApplier(context.timeline());
         this.registeredEndpoints = new RegisteredEndpoints(context.dialects().directory(), context.timeline());
         this.registrations = new ViewUpdater(
                 context,
@@ -113,6 +115,11 @@
                         "gooseberry_registrations_invalid",
                         "Registrations that name no endpoint to use",
                         registeredEndpoints::invalidCount);
+        context.metrics()
+                .gauge(
+                        "gooseberry_changes_not_applied",
+                        "Changes of operators' entries and of the list of hosts whose application failed",
+                        changeApplier::failureCount);
     }
 
     /** Starts to follow the store. */
@@ -213,38 +220,46 @@
     }
 
     private void operatorEntriesChanged(List<KeyChange> changes) {
-        for (KeyChange entry : changes) {
-            context.dialects()
-                    .operators()
-                    .parseEvacuation(entry)
-                    .ifPresent(host -> evacuationReporter.evacuationRequested(host, entry.revision(), computeRank()));
-            context.dialects()
-                    .operators()
-                    .parseConfiguration(entry)
-                    .ifPresent(decoded -> decoded.peek(onConfiguration)
-                            .peekLeft(finding -> context.timeline()
-                                    .event(EventKind.CONFIGURATION_INVALID)
-                                    .with("key", entry.key())
-                                    .with("finding", finding)
-                                    .write()));
-        }
+        changeApplier.applyEach(changes, this::requestEvacuation);
+        changeApplier.applyEach(changes, this::applyConfiguration);
+    }
+
+    private void requestEvacuation(KeyChange entry) {
+        context.dialects()
+                .operators()
+                .parseEvacuation(entry)
+                .ifPresent(host -> evacuationReporter.evacuationRequested(host, entry.revision(), computeRank()));
+    }
+
+    private void applyConfiguration(KeyChange entry) {
+        context.dialects()
+                .operators()
+                .parseConfiguration(entry)
+                .ifPresent(decoded -> decoded.peek(onConfiguration)
+                        .peekLeft(finding -> context.timeline()
+                                .event(EventKind.CONFIGURATION_INVALID)
+                                .with("key", entry.key())
+                                .with("finding", finding)
+                                .write()));
     }
 
     private void hostsChanged(List<KeyChange> changes) {
-        for (KeyChange entry : changes) {
-            Optional<Consumer<KeyChange>> onRecord = Optional.ofNullable(onRecordByKey.get(entry.key()));
-            if (onRecord.isPresent()) {
-                onRecord.get().accept(entry);
-                continue;
-            }
-            listedHosts.remove(entry.key());
-            entry.value()
-                    .flatMap(value -> StoredValueCodec.readHost(value).toJavaOptional())
-                    .ifPresent(host -> listedHosts.put(entry.key(), host));
-        }
+        changeApplier.applyEach(changes, this::applyHostEntry);
         links.updateListedHosts(listedHosts.values());
     }
 
+    private void applyHostEntry(KeyChange entry) {
+        Optional<Consumer<KeyChange>> onRecord = Optional.ofNullable(onRecordByKey.get(entry.key()));
+        if (onRecord.isPresent()) {
+            onRecord.get().accept(entry);
+            return;
+        }
+        listedHosts.remove(entry.key());
+        entry.value()
+                .flatMap(value -> StoredValueCodec.readHost(value).toJavaOptional())
+                .ifPresent(host -> listedHosts.put(entry.key(), host));
+    }
+
     /** Queries the seeds for views that are not loaded yet, so that a host can start while the store is unavailable. */
     private void querySeeds() {
         for (ViewUpdater updater : List.of(hosts, operators, registrations)) {
--- a/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
+++ b/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
@@ -1,5 +1,7 @@
 package org.gooseberryhill.gateway;
 
+import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
@@ -53,8 +55,8 @@
         for (KeyChange change : changes) {
             Optional<EndpointEntry> before =
                     entries.getOrDefault(change.key(), Optional.ofNullable(byKey.get(change.key())));
-            Optional<EndpointEntry> after = change.value()
-                    .flatMap(value -> dialect.parseRegistration(change).toJavaOptional());
+            Optional<EndpointEntry> after =
+                    change.value().flatMap(value -> decode(change).toJavaOptional());
             if (after.isEmpty() || !after.equals(before)) {
                 effective.add(change);
             }
@@ -88,11 +90,17 @@
     }
 
     private Optional<EndpointEntry> parse(KeyChange registration) {
-        return dialect.parseRegistration(registration)
+        return decode(registration)
                 .peekLeft(finding -> logInvalid(registration, finding))
                 .toJavaOptional();
     }
 
+    /** Decodes a registration by itself: whatever is wrong with it, the others are read. */
+    private Either<String, EndpointEntry> decode(KeyChange registration) {
+        return Try.of(() -> dialect.parseRegistration(registration))
+                .getOrElseGet(failure -> Either.left(String.valueOf(failure)));
+    }
+
     private void logInvalid(KeyChange registration, String finding) {
         byte[] value = registration.value().orElseThrow();
         byte[] loggedValue = loggedInvalidValues.put(registration.key(), value);
--- a/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
+++ b/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
@@ -173,11 +173,12 @@
     }
 
     private void applyStoreChanges(long from, PollingKeyValueStore.Changes changes) {
+        // Forwarded first, so that what other hosts learn does not depend on what this host makes of the changes.
         List<KeyChange> forwarded = forwardFilter.apply(changes.changes());
+        links.broadcast(new GatewayMessage.ViewChanges(prefix, from, changes.revision(), forwarded, 0));
         // The store answers on a change or when the wait is over, so the answer is current as of its arrival.
         view.applyChanges(from, changes.revision(), changes.changes())
                 .ifPresent(newChanges -> viewRefreshed(context.nowNanos(), newChanges));
-        links.broadcast(new GatewayMessage.ViewChanges(prefix, from, changes.revision(), forwarded, 0));
     }
 
     private void changesQueryFailed(Throwable failure) {
--- a/src/main/java/org/gooseberryhill/timeline/EventKind.java
+++ b/src/main/java/org/gooseberryhill/timeline/EventKind.java
@@ -81,6 +81,8 @@
     DIRECTORY_CHANGED("directory.changed", Importance.STATE),
     /** A registration does not describe a usable endpoint. */
     REGISTRATION_INVALID("registration.invalid", Importance.FAILURE),
+    /** Applying a change in the key-value store threw an exception; the other changes are applied. */
+    CHANGE_NOT_APPLIED("change.not-applied", Importance.FAILURE),
     /** A view of the key-value store was reloaded in full. */
     VIEW_LISTED("view.listed", Importance.STATE),
     /** The key-value store stopped answering this host. */
--- a/src/test/java/org/gooseberryhill/gateway/RegisteredEndpointsTest.java
+++ b/src/test/java/org/gooseberryhill/gateway/RegisteredEndpointsTest.java
@@ -16,6 +16,8 @@
 import org.gooseberryhill.timeline.TimelineEvent;
 import org.gooseberryhill.zone.AvailabilityZone;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RegisteredEndpointsTest {
     private static final String KEY = "endpoint-1";
@@ -62,6 +64,24 @@
         assertThat(readable.withoutHeartbeats(changes)).containsExactly(changes.get(0), changes.get(1));
     }
 
+    /** Guards against endpoints that are lost to a host because a registration beside theirs can't be decoded. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void aRegistrationWhoseDecodingThrowsKeepsNoOtherFromBeingRead(int position) {
+        RegisteredEndpoints endpointsBesideIt = new RegisteredEndpoints(
+                new ThrowingDirectory(), new Timeline("host", new HybridClock(() -> 0), events::add));
+        List<KeyChange> changes = new ArrayList<>(List.of(written("endpoint-1", 1), written("endpoint-2", 2)));
+        changes.add(position, written(ThrowingDirectory.UNREADABLE_KEY, 3));
+
+        assertThat(endpointsBesideIt.withoutHeartbeats(changes)).hasSize(3);
+        assertThat(endpointsBesideIt.apply(changes)).isTrue();
+
+        assertThat(endpointsBesideIt.entries())
+                .extracting(EndpointEntry::id)
+                .containsExactly("endpoint-1", "endpoint-2");
+        assertThat(endpointsBesideIt.invalidCount()).isEqualTo(1);
+    }
+
     private RegisteredEndpoints readable() {
         return new RegisteredEndpoints(
                 new ReadableDirectory(), new Timeline("host", new HybridClock(() -> 0), events::add));
@@ -76,7 +96,7 @@
     }
 
     /** A directory whose registrations all name the same endpoint, except for its id. */
-    private static final class ReadableDirectory implements DirectoryDialect {
+    private static class ReadableDirectory implements DirectoryDialect {
         @Override
         public String prefix() {
             return "";
@@ -89,6 +109,19 @@
         }
     }
 
+    /** A directory with a registration whose decoding throws. */
+    private static final class ThrowingDirectory extends ReadableDirectory {
+        private static final String UNREADABLE_KEY = "unreadable";
+
+        @Override
+        public Either<String, EndpointEntry> parseRegistration(KeyChange entry) {
+            if (entry.key().equals(UNREADABLE_KEY)) {
+                throw new IllegalArgumentException("unreadable");
+            }
+            return super.parseRegistration(entry);
+        }
+    }
+
     /** A directory whose registrations are all invalid. */
     private static final class UnreadableDirectory implements DirectoryDialect {
         @Override
