Refuse stored values whose fields have another type or range

A field of another type became null, and a number beyond its type wrapped, so that a record was taken with other content than was written and failed later, away from its decoder, on the control thread.

JsonFields reads the required fields of the values that hosts keep in the key-value store: a field is returned as it was written, or its name is reported and the value is refused.

Evidence: the seven cases of aRecordWithAValueOfAnotherTypeOrRangeIsRejected failed before: the record was taken.

--- a/src/main/java/org/gooseberryhill/stored/QuarantineRecordCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/QuarantineRecordCodec.java
@@ -51,7 +51,7 @@
     public static Try<QuarantineRecord> read(byte[] value) {
         return Json.tree(value).mapTry(json -> {
             List<QuarantineRecord.Block> blocks = new ArrayList<>();
-            for (JsonNode block : json.required("blocks")) {
+            for (JsonNode block : JsonFields.list(json, "blocks")) {
                 blocks.add(readBlock(block));
             }
             return new QuarantineRecord(List.copyOf(blocks));
@@ -60,24 +60,22 @@
 
     private static QuarantineRecord.Block readBlock(JsonNode json) {
         Set<PromptPartKey> parts = new HashSet<>();
-        json.required("parts")
+        JsonFields.list(json, "parts")
                 .forEach(part -> parts.add(new PromptPartKey(
-                        new ServiceVersion(
-                                part.required("service").textValue(),
-                                part.required("version").textValue()),
-                        part.required("model").textValue(),
-                        part.required("part").textValue())));
+                        new ServiceVersion(JsonFields.text(part, "service"), JsonFields.text(part, "version")),
+                        JsonFields.text(part, "model"),
+                        JsonFields.text(part, "part"))));
         List<QuarantineRecord.Crash> crashes = new ArrayList<>();
-        json.required("crashes")
+        JsonFields.list(json, "crashes")
                 .forEach(crash -> crashes.add(new QuarantineRecord.Crash(
-                        crash.required("endpoint").textValue(),
-                        crash.required("host").textValue(),
-                        crash.required("atMillis").longValue())));
+                        JsonFields.text(crash, "endpoint"),
+                        JsonFields.text(crash, "host"),
+                        JsonFields.longNumber(crash, "atMillis"))));
         return new QuarantineRecord.Block(
                 Set.copyOf(parts),
                 List.copyOf(crashes),
-                json.required("lastCrashMillis").longValue(),
-                json.required("beganUnserved").booleanValue(),
-                json.required("trials").intValue());
+                JsonFields.longNumber(json, "lastCrashMillis"),
+                JsonFields.flag(json, "beganUnserved"),
+                JsonFields.intNumber(json, "trials"));
     }
 }
--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -54,12 +54,12 @@
             JsonNode host = json.required("host");
             return new ListedHost(
                     new Host(
-                            new HostId(host.required("id").textValue()),
-                            Role.valueOf(host.required("role").textValue()),
-                            new AvailabilityZone(host.required("zone").textValue()),
-                            Address.of(host.required("address").textValue()),
-                            host.required("leaving").booleanValue()),
-                    json.required("processStart").textValue(),
+                            new HostId(JsonFields.text(host, "id")),
+                            Role.valueOf(JsonFields.text(host, "role")),
+                            new AvailabilityZone(JsonFields.text(host, "zone")),
+                            Address.of(JsonFields.text(host, "address")),
+                            JsonFields.flag(host, "leaving")),
+                    JsonFields.text(json, "processStart"),
                     json.path("messageSet").asInt(ListedHost.FIRST_MESSAGE_SET));
         });
     }
@@ -80,12 +80,11 @@
     public static Try<VersionRecord> readVersions(byte[] value) {
         return Json.tree(value).mapTry(json -> {
             Set<ServiceVersion> registered = new HashSet<>();
-            json.required("registered").forEach(version -> registered.add(readVersion(version)));
+            JsonFields.list(json, "registered").forEach(version -> registered.add(readVersion(version)));
             Map<ServiceVersion, Long> gone = new HashMap<>();
-            json.required("gone")
-                    .forEach(version -> gone.put(
-                            readVersion(version), version.required("atMillis").longValue()));
-            return new VersionRecord(json.required("sinceMillis").longValue(), registered, gone);
+            JsonFields.list(json, "gone")
+                    .forEach(version -> gone.put(readVersion(version), JsonFields.longNumber(version, "atMillis")));
+            return new VersionRecord(JsonFields.longNumber(json, "sinceMillis"), registered, gone);
         });
     }
 
@@ -94,8 +93,7 @@
     }
 
     private static ServiceVersion readVersion(JsonNode json) {
-        return new ServiceVersion(
-                json.required("service").textValue(), json.required("version").textValue());
+        return new ServiceVersion(JsonFields.text(json, "service"), JsonFields.text(json, "version"));
     }
 
     /** Encodes a batch's record. */
@@ -136,19 +134,19 @@
     public static Try<BatchRecord> readRecord(byte[] value) {
         return Json.tree(value).mapTry(json -> {
             List<Integer> chunks = new ArrayList<>();
-            json.required("chunks").forEach(chunk -> chunks.add(chunk.intValue()));
+            JsonFields.list(json, "chunks").forEach(chunk -> chunks.add(JsonFields.intNumber(chunk)));
             return new BatchRecord(
-                    json.required("host").textValue(),
-                    json.required("target").textValue(),
-                    json.required("bodyHash").textValue(),
-                    json.required("owner").textValue(),
-                    json.required("ownerStart").textValue(),
-                    json.required("acceptedAtMillis").longValue(),
-                    json.required("bodyParts").intValue(),
-                    json.required("items").intValue(),
-                    json.required("ended").booleanValue(),
+                    JsonFields.text(json, "host"),
+                    JsonFields.text(json, "target"),
+                    JsonFields.text(json, "bodyHash"),
+                    JsonFields.text(json, "owner"),
+                    JsonFields.text(json, "ownerStart"),
+                    JsonFields.longNumber(json, "acceptedAtMillis"),
+                    JsonFields.intNumber(json, "bodyParts"),
+                    JsonFields.intNumber(json, "items"),
+                    JsonFields.flag(json, "ended"),
                     List.copyOf(chunks),
-                    json.required("listed").intValue(),
+                    JsonFields.intNumber(json, "listed"),
                     Optional.ofNullable(json.path("account").textValue()));
         });
     }
@@ -180,13 +178,11 @@
     public static Try<List<ItemResult>> readResults(byte[] value) {
         return Json.tree(value).mapTry(json -> {
             List<ItemResult> results = new ArrayList<>();
-            for (JsonNode result : json) {
+            for (JsonNode result : JsonFields.list(json)) {
                 results.add(new ItemResult(
-                        result.required("id").textValue(),
-                        ItemState.valueOf(result.required("state").textValue()),
-                        result.has("part")
-                                ? result.get("part").textValue()
-                                : result.required("text").textValue()));
+                        JsonFields.text(result, "id"),
+                        ItemState.valueOf(JsonFields.text(result, "state")),
+                        result.has("part") ? JsonFields.text(result, "part") : JsonFields.text(result, "text")));
             }
             return results;
         });
@@ -209,11 +205,11 @@
     public static Try<List<ItemCheckpoint>> readCheckpoints(byte[] value) {
         return Json.tree(value).mapTry(json -> {
             List<ItemCheckpoint> checkpoints = new ArrayList<>();
-            for (JsonNode checkpoint : json) {
+            for (JsonNode checkpoint : JsonFields.list(json)) {
                 checkpoints.add(new ItemCheckpoint(
-                        checkpoint.required("id").textValue(),
-                        checkpoint.required("lastEventId").longValue(),
-                        checkpoint.required("text").textValue(),
+                        JsonFields.text(checkpoint, "id"),
+                        JsonFields.longNumber(checkpoint, "lastEventId"),
+                        JsonFields.text(checkpoint, "text"),
                         checkpoint.has("service") ? Optional.of(readVersion(checkpoint)) : Optional.empty()));
             }
             return checkpoints;
--- a/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
+++ b/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
@@ -21,6 +21,8 @@
 import org.gooseberryhill.link.Address;
 import org.gooseberryhill.zone.AvailabilityZone;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class StoredValueCodecTest {
     private static final BatchRecord RECORD = new BatchRecord(
@@ -97,6 +99,27 @@
         assertThat(StoredValueCodec.readRecord(new byte[0]).isFailure()).isTrue();
     }
 
+    /** Guards against a record that is taken with other content than was written: texts without value, wrapped numbers. */
+    @ParameterizedTest
+    @CsvSource({
+        "owner, 7",
+        "host, null",
+        "items, 4294967301",
+        "acceptedAtMillis, 18446744073709551621",
+        "ended, 1",
+        "chunks, {}",
+        "chunks, [4294967301]",
+    })
+    void aRecordWithAValueOfAnotherTypeOrRangeIsRejected(String field, String value) {
+        String json = new String(StoredValueCodec.write(RECORD), StandardCharsets.UTF_8);
+        String odd = json.replaceFirst("\"" + field + "\":(\\[[^]]*]|\"[^\"]*\"|[^,}]*)", "\"" + field + "\":" + value);
+
+        assertThat(odd).isNotEqualTo(json);
+        assertThat(StoredValueCodec.readRecord(odd.getBytes(StandardCharsets.UTF_8))
+                        .isFailure())
+                .isTrue();
+    }
+
     /** Guards against values that the key-value store refuses because their size was underestimated. */
     @Test
     void resultsAndCheckpointsTakeNoMoreBytesThanTheySay() {
