List the records of batches beside one that can't be read

One record of a batch that could not be decoded failed the whole list, on each host and each time, so that no batch of a lost host was taken over: items stay open and are lost to their callers.

Records that can't be decoded are logged once for each revision and left out of the list.

Evidence: aRecordThatCantBeReadKeepsNoOtherFromBeingListed failed before, with the exception of the decoder.

--- a/src/main/java/org/gooseberryhill/stored/BatchStore.java
+++ b/src/main/java/org/gooseberryhill/stored/BatchStore.java
@@ -1,13 +1,17 @@
 package org.gooseberryhill.stored;
 
+import io.vavr.Lazy;
 import io.vavr.control.Try;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.decision.membership.ListedHost;
 import org.gooseberryhill.decision.requestbatch.BatchItem;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
@@ -23,12 +27,14 @@
 import org.gooseberryhill.external.Transaction;
 import org.gooseberryhill.host.Host;
 import org.gooseberryhill.host.HostId;
+import org.gooseberryhill.logging.LazyLoggers;
 
 /**
  * Reads and writes request batches in the key-value store: records, items, checkpoints and committed results.
  * Thread-safe.
  */
 public final class BatchStore {
+    private static final Lazy<Logger> LOG = LazyLoggers.of(BatchStore.class);
     private static final int BASE64_INPUT_BYTES = 3;
     private static final int BASE64_OUTPUT_BYTES = 4;
 
@@ -40,6 +46,8 @@
     private final String processStart;
     private final int maxValueBytes;
     private final AtomicLong writes = new AtomicLong();
+    /** Revisions of the records that were logged as unreadable, by key. */
+    private final Map<String, Long> loggedUnreadable = new ConcurrentHashMap<>();
 
     /**
      * Creates an accessor for a store.
@@ -104,7 +112,7 @@
     }
 
     /**
-     * Lists the records of all batches.
+     * Lists the records of all batches, except those that can't be decoded; each of these is logged once.
      *
      * @param mayBeStale whether the list may be seconds old, which costs the store less
      */
@@ -113,12 +121,21 @@
             List<StoredRecord> records = new ArrayList<>();
             for (KeyChange entry : listing.entries()) {
                 String id = entry.key().substring(StoredKeys.BATCHES.length());
-                records.add(decodeRecord(id, entry.value().orElseThrow(), entry.revision()));
+                Try.of(() -> decodeRecord(id, entry.value().orElseThrow(), entry.revision()))
+                        .onSuccess(records::add)
+                        .onFailure(failure -> logUnreadable(entry, failure));
             }
             return records;
         });
     }
 
+    private void logUnreadable(KeyChange entry, Throwable failure) {
+        Long loggedRevision = loggedUnreadable.put(entry.key(), entry.revision());
+        if (loggedRevision == null || loggedRevision != entry.revision()) {
+            LOG.get().warn("the record {} can't be read: {}", entry.key(), failure.getMessage());
+        }
+    }
+
     /**
      * Replaces a record if it still has the given revision. If the batch is finished, deletes its checkpoints in the
      * same transaction.
