Limit the nesting of values that are read into records, too

The programs for other installations read stored values and answers with the object mapper, whose limit was Jackson's own of 1,000 levels; trees among them are written and compared recursively, on the threads that other work depends on. The mapper now has the limits of JsonTrees.

Evidence: theMapperRejectsTreesThatAreNestedTooDeep failed before: 201 levels were read.

--- a/src/main/java/org/gooseberryhill/link/Json.java
+++ b/src/main/java/org/gooseberryhill/link/Json.java
@@ -14,7 +14,7 @@
 
 /** Reads and writes JSON, with the same settings in all processes. Thread-safe. */
 public final class Json {
-    private static final Lazy<ObjectMapper> MAPPER = Lazy.of(() -> new ObjectMapper()
+    private static final Lazy<ObjectMapper> MAPPER = Lazy.of(() -> new ObjectMapper(JsonTrees.newFactory())
             .registerModule(new Jdk8Module())
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES));
 
--- a/src/main/java/org/gooseberryhill/link/JsonTrees.java
+++ b/src/main/java/org/gooseberryhill/link/JsonTrees.java
@@ -31,16 +31,21 @@
     /** Trees are compared, hashed and written recursively, on threads whose stacks are as small as 256 KB. */
     static final int MAX_NESTING_DEPTH = 200;
 
-    private static final JsonFactory FACTORY = JsonFactory.builder()
-            .disable(JsonFactory.Feature.CHARSET_DETECTION)
-            .streamReadConstraints(StreamReadConstraints.builder()
-                    .maxNestingDepth(MAX_NESTING_DEPTH)
-                    .build())
-            .build();
+    private static final JsonFactory FACTORY = newFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTrees() {}
 
+    /** Creates a factory of parsers that read UTF-8 and refuse what is nested too deep. */
+    static JsonFactory newFactory() {
+        return JsonFactory.builder()
+                .disable(JsonFactory.Feature.CHARSET_DETECTION)
+                .streamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(MAX_NESTING_DEPTH)
+                        .build())
+                .build();
+    }
+
     /** Reads the first value of a UTF-8 text; ignores what follows it. */
     static JsonNode read(byte[] json) throws IOException {
         try (JsonParser parser = FACTORY.createParser(json)) {
--- a/src/test/java/org/gooseberryhill/link/JsonTreesTest.java
+++ b/src/test/java/org/gooseberryhill/link/JsonTreesTest.java
@@ -68,6 +68,17 @@
         assertThat(failure.get()).isNull();
     }
 
+    /** Guards against a stack overflow where a value that the mapper has read is written or compared. */
+    @Test
+    void theMapperRejectsTreesThatAreNestedTooDeep() {
+        assertThat(Json.read(nested(JsonTrees.MAX_NESTING_DEPTH), JsonNode.class)
+                        .isSuccess())
+                .isTrue();
+        assertThat(Json.read(nested(JsonTrees.MAX_NESTING_DEPTH + 1), JsonNode.class)
+                        .isFailure())
+                .isTrue();
+    }
+
     @Test
     void textInAnotherEncodingThanUtf8IsRejected() {
         assertThat(Json.tree("{}".getBytes(StandardCharsets.UTF_16BE)).isFailure())
