List a view whose changes can't be read in one answer

Callers were refused on routes that had been written to the store: the changes after a revision come in one answer, and one that is too large was asked for again each 300 ms, with the same result. Every host was left behind for as long as the entries stayed, while a host that started read the same entries in pages and followed them.

After three queries for changes in a row that fail without a known reason the view is listed, in pages.

Evidence: GatewayOddEntriesTest writes odd entries of nine kinds before, between and after a configuration and two registrations, in one answer of the store, and expects each of two hosts, a host that starts and a host that learns of them from the others only to follow what stands beside them.

--- a/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
+++ b/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
@@ -25,6 +25,12 @@
     /** A failed query is not repeated sooner, since refused calls have a cost too. */
     private static final long RETRY_DELAY_MILLIS = 300;
 
+    /**
+     * Queries for changes in a row that fail without a known reason before all entries are listed instead. The changes since a
+     * revision come in one answer, which may be too large each time it is sent; a listing comes in pages.
+     */
+    private static final int MAX_FAILED_CHANGES_QUERIES = 3;
+
     private final GatewayContext context;
     private final PeerLinks links;
     private final String prefix;
@@ -33,6 +39,7 @@
     private final UnaryOperator<List<KeyChange>> forwardFilter;
     private final KeyView view = new KeyView();
     private boolean queryPending;
+    private int failedChangesQueries;
     private long currentAsOfNanos;
     private long nextQueryNanos;
 
@@ -173,6 +180,7 @@
     }
 
     private void applyStoreChanges(long from, PollingKeyValueStore.Changes changes) {
+        failedChangesQueries = 0;
         // Forwarded first, so that what other hosts learn does not depend on what this host makes of the changes.
         List<KeyChange> forwarded = forwardFilter.apply(changes.changes());
         links.broadcast(new GatewayMessage.ViewChanges(prefix, from, changes.revision(), forwarded, 0));
@@ -182,12 +190,17 @@
     }
 
     private void changesQueryFailed(Throwable failure) {
-        if (ExternalServiceException.kindOf(failure) == ExternalServiceException.Kind.HISTORY_GONE) {
+        ExternalServiceException.Kind kind = ExternalServiceException.kindOf(failure);
+        if (kind == ExternalServiceException.Kind.HISTORY_GONE) {
             // The changes in between are no longer available: only a listing shows which keys were deleted.
             queryListing();
             return;
         }
         queryFailed(failure);
+        if (kind == ExternalServiceException.Kind.UNKNOWN && ++failedChangesQueries >= MAX_FAILED_CHANGES_QUERIES) {
+            failedChangesQueries = 0;
+            queryListing();
+        }
     }
 
     private void queryFailed(Throwable failure) {
