--- a/src/main/java/org/gooseberryhill/external/KeyChange.java
+++ b/src/main/java/org/gooseberryhill/external/KeyChange.java
@@ -21,4 +21,12 @@
     public static KeyChange deleted(String key, long revision) {
         return new KeyChange(key, Optional.empty(), revision);
     }
+
+    /**
+     * Returns an entry that exists, but whose value or revision can't be read. It changes nothing in a view: its revision
+     * precedes all others.
+     */
+    public static KeyChange unreadable(String key) {
+        return new KeyChange(key, Optional.empty(), 0);
+    }
 }
