Limit the bytes that a field of a frame may announce

The length of a binary field is announced by its header, and an array of that length was allocated before anything was read: five damaged bytes asked for 2 GB, an Error on a traffic thread that serves all connections of a host.

A field can't be larger than a frame; a header that announces more is refused.

Evidence: aFieldThatAnnouncesMoreBytesThanAFrameIsRejected failed before: something other than an IOException was thrown.

--- a/src/main/java/org/gooseberryhill/peer/CompactFields.java
+++ b/src/main/java/org/gooseberryhill/peer/CompactFields.java
@@ -18,7 +18,12 @@
     }
 
     static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
-        return unpacker.readPayload(unpacker.unpackBinaryHeader());
+        int size = unpacker.unpackBinaryHeader();
+        // The array is allocated before its content is read, and a damaged header may announce gigabytes.
+        if (size > PeerCodec.MAX_FRAME_BYTES) {
+            throw new IOException("a frame cannot contain " + size + " bytes");
+        }
+        return unpacker.readPayload(size);
     }
 
     static <T> void writeOptional(MessagePacker packer, Optional<T> value, Writer<T> writer) throws IOException {
