Read the frames beside one that can't be decoded

A message that could not be decoded, such as one of a kind that an earlier version does not know, closed its connection. Every request that waited on the connection failed, and what had been posted on it was lost: forwarded changes, heartbeats, notices of crashes. Nothing was logged at the level in use.

Frames carry their length, so the next one is found. A message that can't be decoded is logged once for its connection; if its number shows that its sender waits for it or for a reply, Failed takes its place, else it is dropped.

Evidence: both cases of aMessageThatCantBeDecodedIsAnsweredAndTheOthersOnItsConnectionToo failed before, with the end of the connection.

--- a/src/main/java/org/gooseberryhill/peer/PeerCodec.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerCodec.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.decision.configuration.TextChange;
 import org.gooseberryhill.decision.job.WorkItem;
 import org.gooseberryhill.decision.membership.Rumor;
@@ -23,6 +24,7 @@
 import org.gooseberryhill.decision.requestbatch.ItemResult;
 import org.gooseberryhill.host.HostId;
 import org.gooseberryhill.link.HybridTimestamp;
+import org.gooseberryhill.logging.LazyLoggers;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -32,6 +34,9 @@
  * Encodes and decodes frames as MessagePack, prefixed by a four-byte length. One instance per connection.
  *
  * <p>Messages that every gateway exchanges have a compact encoding; the Jackson mapper encodes all others.
+ *
+ * <p>Invariant: a message that can't be decoded keeps no other frame of its connection from being read. If its sender waits for
+ * it or for a reply to it, a {@link PeerMessage.Failed} takes its place; otherwise it is dropped.
  */
 final class PeerCodec extends MessageToMessageCodec<ByteBuf, PeerFrame> {
     /** Maximum frame size: a segment of the largest chunk plus room for its name. */
@@ -42,7 +47,10 @@
 
     private static final Lazy<ObjectMapper> MAPPER = Lazy.of(PeerCodec::newMapper);
 
+    private static final Lazy<Logger> LOG = LazyLoggers.of(PeerCodec.class);
+
     private final PeerTraffic traffic;
+    private boolean failureLogged;
 
     private PeerCodec(PeerTraffic traffic) {
         this.traffic = traffic;
@@ -85,14 +93,29 @@
     private static PeerFrame decodeCompact(byte[] bytes) throws IOException {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             CompactCodec<?> codec = CompactCodecs.of(unpacker.unpackInt());
-            long number = unpacker.unpackLong();
-            boolean reply = unpacker.unpackBoolean();
-            HybridTimestamp at = new HybridTimestamp(unpacker.unpackLong());
-            HostId from = new HostId(unpacker.unpackString());
-            return new PeerFrame(number, reply, at, from, codec.reader().read(unpacker));
+            return readHeader(unpacker, new PeerMessage.Ack())
+                    .withMessage(codec.reader().read(unpacker));
+        }
+    }
+
+    /** Decodes a frame whose message can't be decoded; empty if its header can't be decoded either. */
+    private static Optional<PeerFrame> decodeHeader(byte[] bytes, Exception failure) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            unpacker.unpackInt();
+            return Optional.of(readHeader(unpacker, new PeerMessage.Failed("not decoded: " + failure)));
+        } catch (IOException | RuntimeException e) {
+            // The caller logs the first failure, which tells more.
+            return Optional.empty();
         }
     }
 
+    private static PeerFrame readHeader(MessageUnpacker unpacker, PeerMessage message) throws IOException {
+        long number = unpacker.unpackLong();
+        boolean reply = unpacker.unpackBoolean();
+        HybridTimestamp at = new HybridTimestamp(unpacker.unpackLong());
+        return new PeerFrame(number, reply, at, new HostId(unpacker.unpackString()), message);
+    }
+
     private static ObjectMapper newMapper() {
         ObjectMapper mapper = new ObjectMapper(new MessagePackFactory())
                 .registerModule(new Jdk8Module())
@@ -111,8 +134,28 @@
     }
 
     @Override
-    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws IOException {
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) {
         traffic.addReceived(LENGTH_BYTES + buffer.readableBytes());
-        out.add(decode(ByteBufUtil.getBytes(buffer)));
+        byte[] bytes = ByteBufUtil.getBytes(buffer);
+        try {
+            out.add(decode(bytes));
+        } catch (IOException | RuntimeException e) {
+            logFailure(context, e);
+            decodeHeader(bytes, e)
+                    .filter(frame -> frame.number() != PeerFrame.NO_REPLY)
+                    .ifPresent(out::add);
+        }
+    }
+
+    /** Logs the first failure of the connection; a sender whose messages can't be decoded may send many. */
+    private void logFailure(ChannelHandlerContext context, Exception failure) {
+        if (!failureLogged) {
+            failureLogged = true;
+            LOG.get()
+                    .warn(
+                            "a message from {} can't be decoded: {}",
+                            context.channel().remoteAddress(),
+                            failure.toString());
+        }
     }
 }
--- a/src/main/java/org/gooseberryhill/peer/PeerFrame.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerFrame.java
@@ -17,4 +17,9 @@
 record PeerFrame(long number, boolean reply, HybridTimestamp at, HostId from, PeerMessage message) {
     /** Number of a message that expects no reply. */
     static final long NO_REPLY = 0;
+
+    /** Returns this frame with another message. */
+    PeerFrame withMessage(PeerMessage newMessage) {
+        return new PeerFrame(number, reply, at, from, newMessage);
+    }
 }
--- a/src/main/java/org/gooseberryhill/peer/PeerServer.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerServer.java
@@ -75,6 +75,10 @@
                 reply(context, frame, new PeerMessage.Ack());
                 return;
             }
+            if (frame.message() instanceof PeerMessage.Failed) {
+                reply(context, frame, frame.message());
+                return;
+            }
             handler.handle(frame.from(), frame.message()).whenComplete((reply, failure) -> {
                 if (frame.number() == PeerFrame.NO_REPLY) {
                     return;
--- a/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerClientTest.java
@@ -6,9 +6,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -21,8 +25,14 @@
 import org.gooseberryhill.link.HybridClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 class PeerClientTest {
+    private static final int UNKNOWN_CODE = 127;
+    private static final int RESULTS_REQUEST_CODE = 7;
     private static final long SHORT_TIMEOUT_MILLIS = 200;
     private static final long LONG_TIMEOUT_MILLIS = 30_000;
 
@@ -99,6 +109,45 @@
         }
     }
 
+    /** Guards against requests of a host that fail because another of its messages can't be decoded, as between versions. */
+    @ParameterizedTest
+    @ValueSource(ints = {UNKNOWN_CODE, RESULTS_REQUEST_CODE})
+    void aMessageThatCantBeDecodedIsAnsweredAndTheOthersOnItsConnectionToo(int code) throws IOException {
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            for (byte[] frame : List.of(header(code, 0), new byte[] {(byte) 0xc1}, header(code, 1), request(2))) {
+                out.writeInt(frame.length);
+                out.write(frame);
+            }
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+
+            PeerFrame failed = PeerCodec.decode(in.readNBytes(in.readInt()));
+            PeerFrame answered = PeerCodec.decode(in.readNBytes(in.readInt()));
+
+            assertThat(failed.number()).isEqualTo(1);
+            assertThat(failed.message()).isInstanceOf(PeerMessage.Failed.class);
+            assertThat(answered.number()).isEqualTo(2);
+            assertThat(answered.message()).isEqualTo(new GatewayMessage.BatchEnded(false));
+        }
+    }
+
+    private byte[] request(long number) throws IOException {
+        return PeerCodec.encode(new PeerFrame(
+                number,
+                false,
+                clock.now(),
+                new HostId("other"),
+                new GatewayMessage.BatchEndRequest("at once", BatchAccess.UNCHECKED)));
+    }
+
+    /** Returns a frame without the fields of its message. */
+    private static byte[] header(int code, long number) throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(code).packLong(number).packBoolean(false).packLong(1).packString("other");
+            return packer.toByteArray();
+        }
+    }
+
     private CompletableFuture<PeerMessage> ask(Address target, String batch, long timeoutMillis) {
         return client.ask(
                 target,
