Refuse a head that contains the status line of another answer

Callers got status 200 where the endpoint had answered 500, with the fields and the body of the 500.

An endpoint stops inside the head of its answer and sends another whole answer on the same connection. The codec reads both as one head: the status line of the second continues the reason phrase or the field value at which the first one stopped. Only where a field name would contain it does the codec refuse it.

A head whose reason phrase or fields contain a whole status line (version, three digits, a space or the end) is malformed; the exchange fails and its connection is closed, also for interim answers and those that would be skipped. Values that only name a version, such as those of Via or Server, are accepted as before.

--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
 
 /** Passes the messages of a client connection to its current exchange. Runs only on the connection's event loop. */
 final class ClientConnectionHandler extends ChannelDuplexHandler {
@@ -109,6 +110,11 @@
 
     /** Handles the head of a response; returns false if the exchange failed because of it. */
     private boolean handleHead(HttpResponse response) {
+        Optional<String> fault = AnswerHeadCheck.fault(response);
+        if (fault.isPresent()) {
+            exchange.failWith(ExchangeFailure.Kind.MALFORMED, fault.get());
+            return false;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = true;
             return true;
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
@@ -0,0 +1,93 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gooseberryhill.http.RawEndpoint.ascii;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.gooseberryhill.Loopback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests responses that stop inside their head and are followed by another, whole response on the same connection. */
+class CutAnswerTest {
+    /** Far longer than any response takes; ends a test that would otherwise hang. */
+    private static final int SILENCE_MILLIS = 60_000;
+
+    private static final int MAX_ANSWER_BYTES = 100;
+    private static final String FIELDS = "x-signature: s-1\r\nx-id: 7\r\n folded\r\ncontent-type: text/plain\r\n";
+    private static final String LENGTH = "content-length: 5\r\n\r\nhello";
+    private static final String CHUNKED = "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    private static final ResponseMatcher NO_RESPONSE = headers -> false;
+
+    private final EventLoopGroup group = Loopback.newEventLoopGroup();
+    private final HttpClient client = new HttpClient(group);
+
+    @AfterEach
+    void close() {
+        client.close();
+        group.shutdownGracefully();
+    }
+
+    /** Guards against a response with the status of one response and the fields and body of another. */
+    @ParameterizedTest
+    @CsvSource({"200 OK, 500 Error", "200 OK, 500", "500 Internal Server Error, 200 OK", "103 Early Hints, 500 Error"})
+    void aHeadCutAtAnyByteIsNotCompletedByTheNextAnswer(String first, String second) throws IOException {
+        List<String> passed = new ArrayList<>();
+        String head = "HTTP/1.1 " + first + "\r\n" + FIELDS + "content-length: 5\r\n\r\n";
+        for (String framing : List.of(LENGTH, CHUNKED)) {
+            for (int length = 1; length < head.length(); length++) {
+                String answers = head.substring(0, length) + "HTTP/1.1 " + second + "\r\n" + FIELDS + framing;
+                String result = result(answers, ResponseMatcher.NONE);
+                if (!"MALFORMED".equals(result)) {
+                    passed.add(length + ": " + result);
+                }
+            }
+        }
+
+        assertThat(passed).as("cuts that were not refused").isEmpty();
+    }
+
+    /** Guards against two responses that are skipped as one, after which the exchange waits for an answer that has come. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 103 Ea", "HTTP/1.1 200 OK\r\nx-id: 6"})
+    void twoHeadsInOneAreNotSkipped(String cutHead) throws IOException {
+        String answers = cutHead + "HTTP/1.1 500 Error\r\n" + FIELDS + "content-length: 0\r\n\r\n";
+
+        assertThat(result(answers, NO_RESPONSE)).isEqualTo("MALFORMED");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "via: HTTP/1.1 proxy",
+                "via: 1.1 500",
+                "server: Foo (HTTP/1.1)",
+                "upgrade: HTTP/2.0",
+                "warning: 199 - \"HTTP/1.1 5000\""
+            })
+    void aFieldThatNamesAVersionIsAccepted(String field) throws IOException {
+        assertThat(result("HTTP/1.1 200 HTTP/1.1 OK\r\n" + field + "\r\n" + LENGTH, ResponseMatcher.NONE))
+                .isEqualTo("200");
+    }
+
+    /** Returns the status of the answer, or how the exchange failed. */
+    private String result(String answers, ResponseMatcher matcher) throws IOException {
+        ExchangeOptions options = new ExchangeOptions(
+                SILENCE_MILLIS, ExchangeOptions.DEFAULT_CONNECT_TIMEOUT_MILLIS, 0, true, matcher, 0);
+        try (RawEndpoint endpoint = new RawEndpoint(ascii(answers), false)) {
+            ExchangeRequest request = new ExchangeRequest(
+                    endpoint.address(), "GET", "/", Map.<String, String>of().entrySet(), new byte[0], options);
+            return Integer.toString(
+                    client.call(request, MAX_ANSWER_BYTES).join().status());
+        } catch (CompletionException e) {
+            return ((ExchangeException) e.getCause()).failure().kind().name();
+        }
+    }
+}
