Refuse answers that bear a single field twice

An answer with two ids, signatures, endpoint's ids or types was taken by the first of them. Which of two joined answers such a field belongs to can't be told, so that an answer could pass for that of another request.

ResponseMatcher and TrafficDialect name the fields that an answer bears at most once; a head with one of them twice, also with equal values, is malformed like one that contains a status line. The codec refuses lengths and codings that occur twice itself.

--- a/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
+++ b/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.dialect;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import org.gooseberryhill.contract.Refusal;
 
@@ -36,6 +37,9 @@
     /** Returns the id of the endpoint that gave an answer, if the answer states it. */
     Optional<String> endpointId(HttpHeaders answer);
 
+    /** Returns the names of the fields that an answer of an endpoint bears at most once, in addition to those of HTTP. */
+    List<String> singleAnswerFields();
+
     /**
      * Returns the status code for a refusal. A code which promises that the request was not run is returned only if the
      * refusal promises this.
--- a/src/main/java/org/gooseberryhill/gateway/AttemptRequests.java
+++ b/src/main/java/org/gooseberryhill/gateway/AttemptRequests.java
@@ -58,7 +58,7 @@
                 (int) Math.max(1, Math.min(CONNECT_TIMEOUT_MILLIS, remainingMillis)),
                 repeatable ? Integer.MAX_VALUE : MAX_IDLE_MILLIS_UNREPEATABLE,
                 true,
-                answer -> dialect.requestId(answer).map(info.id()::equals).orElse(true),
+                new RequestIdMatcher(dialect, info.id()),
                 0);
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -75,17 +75,12 @@
                 Optional.of(item.item().id()),
                 runner.attribution(placed.batch().record()));
         context.dialects().traffic().addAttemptMetadata(request, metadata);
-        String id = item.item().id();
         ExchangeOptions options = new ExchangeOptions(
                 SILENCE_TIMEOUT_MILLIS,
                 CONNECT_TIMEOUT_MILLIS,
                 Integer.MAX_VALUE,
                 true,
-                answer -> context.dialects()
-                        .traffic()
-                        .requestId(answer)
-                        .map(id::equals)
-                        .orElse(true),
+                new RequestIdMatcher(context.dialects().traffic(), item.item().id()),
                 READ_PERIOD_MILLIS);
         exchange = context.http()
                 .start(
--- /dev/null
+++ b/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
@@ -0,0 +1,24 @@
+package org.gooseberryhill.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import org.gooseberryhill.dialect.TrafficDialect;
+import org.gooseberryhill.http.ResponseMatcher;
+
+/**
+ * Matches the answers that state the id of a request, or no id. Immutable.
+ *
+ * @param dialect reads the id that an answer states
+ * @param id the id of the request
+ */
+record RequestIdMatcher(TrafficDialect dialect, String id) implements ResponseMatcher {
+    @Override
+    public boolean matches(HttpHeaders answer) {
+        return dialect.requestId(answer).map(id::equals).orElse(true);
+    }
+
+    @Override
+    public List<String> singleFields() {
+        return dialect.singleAnswerFields();
+    }
+}
--- a/src/main/java/org/gooseberryhill/http/AnswerHeadCheck.java
+++ b/src/main/java/org/gooseberryhill/http/AnswerHeadCheck.java
@@ -1,6 +1,9 @@
 package org.gooseberryhill.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -16,10 +19,17 @@
     /** A whole status line: values that only name a version or a product, such as those of {@code Via}, are not matched. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [1-9][0-9]{2}( |$)");
 
+    /** The codec refuses fields that state the length of the body if they occur twice. */
+    private static final List<CharSequence> SINGLE_FIELDS = List.of(HttpHeaderNames.CONTENT_TYPE);
+
     private AnswerHeadCheck() {}
 
-    /** Returns why a head can't be the head of one response, if it can't. */
-    static Optional<String> fault(HttpResponse response) {
+    /**
+     * Returns why a head can't be the head of one response, if it can't.
+     *
+     * @param singleFields names of fields that a response bears at most once, in addition to those of HTTP
+     */
+    static Optional<String> fault(HttpResponse response, List<String> singleFields) {
         if (containsStatusLine(response.status().reasonPhrase())) {
             return Optional.of("the reason phrase contains the status line of another answer");
         }
@@ -28,10 +38,21 @@
                 return Optional.of("the field " + field.getKey() + " contains the status line of another answer");
             }
         }
-        return Optional.empty();
+        return repeated(response.headers(), SINGLE_FIELDS)
+                .or(() -> repeated(response.headers(), singleFields))
+                .map(name -> "the answer bears more than one " + name);
     }
 
     private static boolean containsStatusLine(String text) {
         return STATUS_LINE.matcher(text).find();
     }
+
+    private static Optional<CharSequence> repeated(HttpHeaders headers, List<? extends CharSequence> names) {
+        for (CharSequence name : names) {
+            if (headers.getAll(name).size() > 1) {
+                return Optional.of(name);
+            }
+        }
+        return Optional.empty();
+    }
 }
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -110,7 +110,7 @@
 
     /** Handles the head of a response; returns false if the exchange failed because of it. */
     private boolean handleHead(HttpResponse response) {
-        Optional<String> fault = AnswerHeadCheck.fault(response);
+        Optional<String> fault = AnswerHeadCheck.fault(response, exchange.singleFields());
         if (fault.isPresent()) {
             exchange.failWith(ExchangeFailure.Kind.MALFORMED, fault.get());
             return false;
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -86,6 +87,11 @@
         return request.options().responseMatcher().matches(headers);
     }
 
+    /** Returns the names of fields that a response bears at most once, in addition to those of HTTP. */
+    List<String> singleFields() {
+        return request.options().responseMatcher().singleFields();
+    }
+
     boolean acceptsUnframed() {
         return request.options().acceptsUnframed();
     }
--- a/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
+++ b/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 
 /**
  * Decides by its headers whether a response belongs to the request in progress; called by one event loop thread.
@@ -15,4 +16,9 @@
 
     /** Returns whether the response with these headers belongs to the request; any other response is skipped. */
     boolean matches(HttpHeaders headers);
+
+    /** Returns the names of fields that a response bears at most once, in addition to those of HTTP. */
+    default List<String> singleFields() {
+        return List.of();
+    }
 }
--- a/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
@@ -4,6 +4,7 @@
 import static org.gooseberryhill.http.RawEndpoint.ascii;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,6 +26,17 @@
     private static final String LENGTH = "content-length: 5\r\n\r\nhello";
     private static final String CHUNKED = "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
     private static final ResponseMatcher NO_RESPONSE = headers -> false;
+    private static final ResponseMatcher SINGLE_ID = new ResponseMatcher() {
+        @Override
+        public boolean matches(HttpHeaders headers) {
+            return true;
+        }
+
+        @Override
+        public List<String> singleFields() {
+            return List.of("x-id");
+        }
+    };
 
     private final EventLoopGroup group = Loopback.newEventLoopGroup();
     private final HttpClient client = new HttpClient(group);
@@ -63,6 +75,21 @@
         assertThat(result(answers, NO_RESPONSE)).isEqualTo("MALFORMED");
     }
 
+    /** Guards against a response whose id, type or length is that of another one which was joined to it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "x-id: 7\r\nX-Id: 7\r\n" + LENGTH,
+                "x-id: 7\r\nx-id: 8\r\n" + LENGTH,
+                "content-type: a/b\r\ncontent-type: a/b\r\n" + LENGTH,
+                "content-length: 5\r\n" + LENGTH,
+                "content-length: 6\r\n" + LENGTH,
+                "transfer-encoding: chunked\r\n" + CHUNKED
+            })
+    void anAnswerWithASingleFieldTwiceIsRefused(String answer) throws IOException {
+        assertThat(result("HTTP/1.1 200 OK\r\n" + answer, SINGLE_ID)).isEqualTo("MALFORMED");
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
