Report the end of a control loop by an error and let nothing wait for it

A task, a timer or the wait for them that threw an Error ended the Disruptor's thread for good. Nobody learned of it: the process went on listening, and each further task filled the ring until the threads that submit tasks waited for slots that no one freed. The Disruptor's own handler printed the failure outside the log format, twice.

ControlLoop.failWith completes a future exceptionally when the loop fails, or at once if it has failed. The loop has an exception handler of its own, which writes one log line, completes these futures even if logging or an allocation fails, and ends the thread without an uncaught exception. execute() discards tasks of a loop that has ended, also while it waits for a slot of a full ring; close() does not wait for a loop that has failed.

--- a/src/main/java/org/gooseberryhill/control/ControlLoop.java
+++ b/src/main/java/org/gooseberryhill/control/ControlLoop.java
@@ -2,18 +2,23 @@
 
 import com.lmax.disruptor.EventHandler;
 import com.lmax.disruptor.EventTranslatorOneArg;
+import com.lmax.disruptor.ExceptionHandler;
 import com.lmax.disruptor.WaitStrategy;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import io.vavr.Lazy;
 import java.io.Closeable;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.logging.log4j.Logger;
 import org.gooseberryhill.logging.LazyLoggers;
 
@@ -21,7 +26,8 @@
  * Runs tasks sequentially on a single thread, which takes them from a Disruptor ring buffer. Thread-safe.
  *
  * <p>Invariant: the control state of a process is accessed only by tasks of its loop, so the decision core needs no
- * locks. An exception thrown by a task is logged and does not end the loop.
+ * locks. An exception thrown by a task is logged and does not end the loop. An {@link Error} ends it, since the state
+ * may be half changed: no task runs afterwards, no thread waits for the loop, and the futures of {@link #failWith} fail.
  */
 public final class ControlLoop implements Executor, Closeable {
     /**
@@ -30,6 +36,8 @@
     private static final int RING_BUFFER_SIZE = 1 << 14;
 
     private static final long SHUTDOWN_TIMEOUT_SECONDS = 2;
+    private static final long FULL_RING_PAUSE_NANOS = 1_000;
+    private static final long NO_MEMORY_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final Lazy<Logger> LOG = LazyLoggers.of(ControlLoop.class);
     private static final EventTranslatorOneArg<TaskEvent, Runnable> SET_TASK =
             (event, sequence, task) -> event.task = task;
@@ -39,7 +47,9 @@
     private final Queue<Runnable> nestedTasks = new ArrayDeque<>();
     private final LongAdder failedTasks = new LongAdder();
     private volatile Thread loopThread;
+    private final List<CompletableFuture<?>> failingFutures = new CopyOnWriteArrayList<>();
     private volatile boolean closed;
+    private volatile Throwable failure;
 
     /** Starts a loop; the name is the prefix of its thread's name. */
     public ControlLoop(String name) {
@@ -50,6 +60,7 @@
         };
         WaitStrategy waitStrategy = new TimedWaitStrategy(() -> timers.nanosUntilNextDue(nowNanos()));
         disruptor = new Disruptor<>(TaskEvent::new, RING_BUFFER_SIZE, threadFactory, ProducerType.MULTI, waitStrategy);
+        disruptor.setDefaultExceptionHandler(new FailureHandler());
         disruptor.handleEventsWith(new TaskHandler());
         disruptor.start();
     }
@@ -59,10 +70,13 @@
         return System.nanoTime();
     }
 
-    /** Runs a task on the loop's thread after the tasks queued before it. A closed loop discards the task. */
+    /**
+     * Runs a task on the loop's thread after the tasks queued before it. A loop that is closed or has failed discards
+     * the task.
+     */
     @Override
     public void execute(Runnable task) {
-        if (closed) {
+        if (hasEnded()) {
             return;
         }
         // Publishing from the loop's own thread to a full ring would deadlock, since only this thread frees slots.
@@ -71,7 +85,9 @@
             nestedTasks.add(task);
             return;
         }
-        disruptor.publishEvent(SET_TASK, task);
+        while (!disruptor.getRingBuffer().tryPublishEvent(SET_TASK, task) && !hasEnded()) {
+            LockSupport.parkNanos(FULL_RING_PAUSE_NANOS);
+        }
     }
 
     /** Runs a task on the loop's thread after a delay in milliseconds. */
@@ -93,9 +109,20 @@
         return failedTasks.sum();
     }
 
+    /** Completes a future exceptionally if an {@link Error} ends the loop or has ended it. */
+    public void failWith(CompletableFuture<?> future) {
+        failingFutures.add(future);
+        if (failure != null) {
+            future.completeExceptionally(failure);
+        }
+    }
+
     @Override
     public void close() {
         closed = true;
+        if (failure != null) {
+            return;
+        }
         try {
             disruptor.shutdown(SHUTDOWN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (com.lmax.disruptor.TimeoutException e) {
@@ -104,6 +131,10 @@
         }
     }
 
+    private boolean hasEnded() {
+        return closed || failure != null;
+    }
+
     private void runWithNestedTasks(Runnable task) {
         runLoggingExceptions(task);
         while (!nestedTasks.isEmpty()) {
@@ -127,7 +158,6 @@
             LOG.get().error("control task failed", e);
         } catch (Error e) {
             failedTasks.increment();
-            LOG.get().error("control thread ends", e);
             throw e;
         }
     }
@@ -150,6 +180,43 @@
         }
     }
 
+    /** Ends the loop when a task, a timer or the wait for them has thrown something that is no exception of a task. */
+    private final class FailureHandler implements ExceptionHandler<TaskEvent> {
+        @Override
+        public void handleEventException(Throwable thrown, long sequence, TaskEvent event) {
+            failure = thrown;
+            try {
+                LOG.get().error("control thread ends", thrown);
+            } finally {
+                failFutures(thrown);
+                disruptor.halt();
+            }
+        }
+
+        @Override
+        public void handleOnStartException(Throwable thrown) {
+            handleEventException(thrown, -1, null);
+        }
+
+        @Override
+        public void handleOnShutdownException(Throwable thrown) {
+            LOG.get().error("control thread ended with an exception", thrown);
+        }
+
+        private void failFutures(Throwable thrown) {
+            boolean completed = false;
+            while (!completed) {
+                try {
+                    failingFutures.forEach(future -> future.completeExceptionally(thrown));
+                    completed = true;
+                } catch (OutOfMemoryError e) {
+                    // The other threads go on and free memory. There is nothing to log with until then.
+                    LockSupport.parkNanos(NO_MEMORY_PAUSE_NANOS);
+                }
+            }
+        }
+    }
+
     /** A slot of the ring buffer. */
     private static final class TaskEvent {
         private Runnable task;
