Count failed attempts of an item over all its owners

The count is a part of the item's progress: it is saved with checkpoints, also without output or where the output does not fit, passed on by a stopping owner, and restored as the greatest of what is known. Values and messages of earlier versions are read as a count of 0, which is what they counted.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemProgress.java
@@ -22,6 +22,7 @@
     private boolean hasOutput;
     private long eventCount;
     private int errorAnswerCount;
+    private int ownErrorAnswerCount;
     private int runsWithoutOutput;
     private boolean runHasOutput;
     private Optional<Long> unconfirmedEndId = Optional.empty();
@@ -82,7 +83,7 @@
         return text.length();
     }
 
-    /** Returns the number of runs that ended with an error answer. */
+    /** Returns the number of runs that ended with an error answer, at this owner and those before it. */
     public int errorAnswerCount() {
         return errorAnswerCount;
     }
@@ -101,9 +102,9 @@
         return running;
     }
 
-    /** Returns the number of events that this host has received for the item. */
-    long eventCount() {
-        return eventCount;
+    /** Returns the number of events and error answers that this host has received for the item. */
+    long progressCount() {
+        return eventCount + ownErrorAnswerCount;
     }
 
     Optional<ItemResult> result() {
@@ -141,6 +142,7 @@
     }
 
     int countErrorAnswer() {
+        ownErrorAnswerCount++;
         return ++errorAnswerCount;
     }
 
@@ -178,19 +180,28 @@
         hasOutput = false;
     }
 
-    /** Returns the output generated so far, if another run can resume after it. */
+    /** Returns the output generated so far, if another run can resume after it, and the failed attempts, if there are any. */
     Optional<ItemCheckpoint> checkpoint() {
         if (result.isPresent() || !hasOutput || lastEventId.isEmpty()) {
-            return Optional.empty();
+            return checkpointWithoutOutput();
         }
-        return Optional.of(new ItemCheckpoint(item.id(), lastEventId.get(), text.toString(), generatedBy));
+        return Optional.of(
+                new ItemCheckpoint(item.id(), lastEventId.get(), text.toString(), generatedBy, errorAnswerCount));
+    }
+
+    /** Returns the failed attempts, if there are any; also those of an item that is given up, until this is committed. */
+    Optional<ItemCheckpoint> checkpointWithoutOutput() {
+        return isDone() || errorAnswerCount == 0
+                ? Optional.empty()
+                : Optional.of(ItemCheckpoint.withoutOutput(item.id(), errorAnswerCount));
     }
 
     /**
-     * Restores output that an earlier owner generated, unless at least as much is already present, or its version is unknown or
-     * not that of the current run.
+     * Restores the failed attempts at earlier owners, and the output that one of them generated, unless at least as much is
+     * already present, or its version is unknown or not that of the current run.
      */
     void restore(ItemCheckpoint checkpoint) {
+        errorAnswerCount = Math.max(errorAnswerCount, checkpoint.errorAnswers());
         boolean continuable = checkpoint.generatedBy().isPresent()
                 && (!running || checkpoint.generatedBy().equals(generatedBy));
         if (!continuable) {
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -51,7 +51,7 @@
     private int commitSize;
     private int maxResultsPerCommit = Integer.MAX_VALUE;
     private boolean ending;
-    private long savedEventCount;
+    private long savedProgressCount;
 
     /**
      * Creates a batch that this host has just come to own.
@@ -75,43 +75,43 @@
     }
 
     /**
-     * Returns the output of the open items so far, from which another owner can resume them: that of as many items as fit
-     * into the given number of bytes. Another owner runs the others from the beginning.
+     * Returns the failed attempts of the open items, and their output so far, from which another owner can resume them: that of
+     * as many items as fit into the given number of bytes. Another owner runs the others from the beginning.
      */
     public List<ItemCheckpoint> checkpoints(int maxBytes) {
         List<ItemCheckpoint> checkpoints = new ArrayList<>();
-        int bytes = 0;
+        int leftBytes = maxBytes;
         for (ItemProgress item : items.values()) {
-            Optional<ItemCheckpoint> checkpoint = item.checkpoint();
-            int checkpointBytes = checkpoint.map(ItemCheckpoint::encodedBytes).orElse(0);
-            if (checkpoint.isPresent() && bytes + checkpointBytes <= maxBytes) {
-                checkpoints.add(checkpoint.get());
-                bytes += checkpointBytes;
-            }
+            int fittingBytes = leftBytes;
+            Optional<ItemCheckpoint> checkpoint = item.checkpoint()
+                    .filter(whole -> whole.encodedBytes() <= fittingBytes)
+                    .or(() -> item.checkpointWithoutOutput().filter(small -> small.encodedBytes() <= fittingBytes));
+            checkpoint.ifPresent(checkpoints::add);
+            leftBytes -= checkpoint.map(ItemCheckpoint::encodedBytes).orElse(0);
         }
         return checkpoints;
     }
 
-    /** Returns the number of events that this host has received for all items; it never decreases. */
-    public long eventCount() {
-        return items.values().stream().mapToLong(ItemProgress::eventCount).sum();
+    /** Returns the number of events and error answers that this host has received for all items; it never decreases. */
+    public long progressCount() {
+        return items.values().stream().mapToLong(ItemProgress::progressCount).sum();
     }
 
-    /** Returns whether items have generated output that would be lost with this host. */
+    /** Returns whether items have generated output, or failed attempts, that would be lost with this host. */
     public boolean hasUnsavedProgress() {
-        return !record.ended() && eventCount() > savedEventCount;
+        return !record.ended() && progressCount() > savedProgressCount;
     }
 
     /**
-     * Records that the output of the open items is stored outside this host.
+     * Records that the progress of the open items is stored outside this host.
      *
-     * @param events the value of {@link #eventCount} when the output was saved
+     * @param count the value of {@link #progressCount} when the progress was saved
      */
-    public void progressSaved(long events) {
-        savedEventCount = events;
+    public void progressSaved(long count) {
+        savedProgressCount = count;
     }
 
-    /** Restores the output that the items had generated at an earlier owner. */
+    /** Restores the progress that the items had made at earlier owners. */
     public void restore(List<ItemCheckpoint> checkpoints) {
         for (ItemCheckpoint checkpoint : checkpoints) {
             ItemProgress item = items.get(checkpoint.id());
--- a/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
+++ b/src/main/java/org/gooseberryhill/gateway/SaveBundle.java
@@ -31,7 +31,7 @@
     private final BatchStore store;
     private final Map<OwnedBatch, BatchStore.Commit> commits = new LinkedHashMap<>();
     private final List<BatchStore.Checkpoints> checkpoints = new ArrayList<>();
-    private final Map<OwnedBatch, Long> eventCountsByBatch = new LinkedHashMap<>();
+    private final Map<OwnedBatch, Long> progressCounts = new LinkedHashMap<>();
     private int entries;
     private int bytes;
 
@@ -78,7 +78,7 @@
 
     /** Returns a bundle with the progress of each batch in this one. */
     List<SaveBundle> progressByBatch() {
-        return eventCountsByBatch.keySet().stream()
+        return progressCounts.keySet().stream()
                 .map(batch -> {
                     SaveBundle single = new SaveBundle(store);
                     single.addCheckpoints(batch);
@@ -89,7 +89,7 @@
 
     /** Marks the progress in this bundle as saved. */
     void markProgressSaved() {
-        eventCountsByBatch.forEach(OwnedBatch::progressSaved);
+        progressCounts.forEach(OwnedBatch::progressSaved);
     }
 
     private void addResults(OwnedBatch batch) {
@@ -108,7 +108,7 @@
             return;
         }
         checkpoints.add(new BatchStore.Checkpoints(batch.id(), batch.recordRevision(), items));
-        eventCountsByBatch.put(batch, batch.eventCount());
+        progressCounts.put(batch, batch.progressCount());
         entries += ENTRIES_PER_CHECKPOINTS;
         bytes += items.stream().mapToInt(ItemCheckpoint::encodedBytes).sum();
     }
--- a/src/main/java/org/gooseberryhill/peer/BatchCodecs.java
+++ b/src/main/java/org/gooseberryhill/peer/BatchCodecs.java
@@ -99,6 +99,7 @@
         CompactFields.writeList(packer, handOver.progress(), BatchCodecs::writeCheckpoint);
         writeAccount(packer, handOver.record());
         writeVersions(packer, handOver.progress());
+        writeErrorAnswers(packer, handOver.progress());
     }
 
     private static GatewayMessage.BatchHandOver readHandOver(MessageUnpacker unpacker) throws IOException {
@@ -107,7 +108,9 @@
         BatchRecord record = readRecord(unpacker);
         List<ItemCheckpoint> progress = CompactFields.readList(unpacker, BatchCodecs::readCheckpoint);
         BatchRecord recordWithAccount = readAccount(unpacker, record);
-        return new GatewayMessage.BatchHandOver(batch, revision, recordWithAccount, readVersions(unpacker, progress));
+        List<ItemCheckpoint> withVersions = readVersions(unpacker, progress);
+        return new GatewayMessage.BatchHandOver(
+                batch, revision, recordWithAccount, readErrorAnswers(unpacker, withVersions));
     }
 
     private static void writeCheckpoint(MessagePacker packer, ItemCheckpoint checkpoint) throws IOException {
@@ -143,6 +146,26 @@
         return complete;
     }
 
+    /** Writes the failed attempts of checkpoints at the end of a message, where earlier versions do not look for them. */
+    private static void writeErrorAnswers(MessagePacker packer, List<ItemCheckpoint> checkpoints) throws IOException {
+        for (ItemCheckpoint checkpoint : checkpoints) {
+            packer.packInt(checkpoint.errorAnswers());
+        }
+    }
+
+    /** Reads the failed attempts of checkpoints at the end of a message; earlier versions do not write them. */
+    private static List<ItemCheckpoint> readErrorAnswers(MessageUnpacker unpacker, List<ItemCheckpoint> checkpoints)
+            throws IOException {
+        if (!unpacker.hasNext()) {
+            return checkpoints;
+        }
+        List<ItemCheckpoint> complete = new ArrayList<>();
+        for (ItemCheckpoint checkpoint : checkpoints) {
+            complete.add(checkpoint.withErrorAnswers(unpacker.unpackInt()));
+        }
+        return complete;
+    }
+
     /** Writes the account of a record at the end of a message, where earlier versions do not look for it. */
     static void writeAccount(MessagePacker packer, BatchRecord record) throws IOException {
         CompactFields.writeOptional(packer, record.account(), MessagePacker::packString);
--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -195,7 +195,8 @@
             ObjectNode entry = json.addObject()
                     .put("id", checkpoint.id())
                     .put("lastEventId", checkpoint.lastEventId())
-                    .put("text", checkpoint.text());
+                    .put("text", checkpoint.text())
+                    .put("errorAnswers", checkpoint.errorAnswers());
             checkpoint.generatedBy().ifPresent(version -> putVersion(entry, version));
         }
         return Json.bytes(json);
@@ -210,7 +211,8 @@
                         JsonFields.text(checkpoint, "id"),
                         JsonFields.longNumber(checkpoint, "lastEventId"),
                         JsonFields.text(checkpoint, "text"),
-                        checkpoint.has("service") ? Optional.of(readVersion(checkpoint)) : Optional.empty()));
+                        checkpoint.has("service") ? Optional.of(readVersion(checkpoint)) : Optional.empty(),
+                        checkpoint.has("errorAnswers") ? JsonFields.intNumber(checkpoint, "errorAnswers") : 0));
             }
             return checkpoints;
         });
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/OwnedBatchTest.java
@@ -220,12 +220,12 @@
         BatchFixture.events(item, 2);
         assertThat(batch.hasUnsavedProgress()).isTrue();
 
-        long written = batch.eventCount();
+        long written = batch.progressCount();
         BatchFixture.events(item, 1);
         batch.progressSaved(written);
         assertThat(batch.hasUnsavedProgress()).isTrue();
 
-        batch.progressSaved(batch.eventCount());
+        batch.progressSaved(batch.progressCount());
         assertThat(batch.hasUnsavedProgress()).isFalse();
     }
 
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/SaveTimingTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/SaveTimingTest.java
@@ -78,7 +78,7 @@
             if (timing.isDue(batch, false, FAR_FROM_DUE, at(millis))) {
                 saves++;
                 timing.resetDelays(batch.id());
-                batch.progressSaved(batch.eventCount());
+                batch.progressSaved(batch.progressCount());
             }
         }
 
--- a/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
+++ b/src/test/java/org/gooseberryhill/peer/PeerCodecTest.java
@@ -129,7 +129,7 @@
                                 "h", "/t", "hash", "o", "s", 1, 1, 9, false, List.of(0, 4), 6, Optional.empty()),
                         List.of(
                                 new ItemCheckpoint("i", 3, "so far", Optional.of(new ServiceVersion("s", "v1"))),
-                                new ItemCheckpoint("j", 4, "so far", Optional.empty()))),
+                                new ItemCheckpoint("j", 4, "so far", Optional.empty(), 2))),
                 new GatewayMessage.StreamOriginNotice(List.of(new StreamOrigin("r", new ServiceVersion("s", "v1")))),
                 new GatewayMessage.StreamOriginRequest(Optional.of("r"), Optional.empty()),
                 new GatewayMessage.StreamOriginRequest(Optional.empty(), Optional.of("s")),
--- a/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
+++ b/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
@@ -37,7 +37,7 @@
                 new ItemResult("i", ItemState.DONE, "a\nb \u00e4 \"c\""), new ItemResult("j", ItemState.GIVEN_UP, ""));
         List<ItemCheckpoint> checkpoints = List.of(
                 new ItemCheckpoint("i", 1L << 33, "so far", Optional.of(new ServiceVersion("s", "v1"))),
-                new ItemCheckpoint("j", 1, "so far", Optional.empty()));
+                new ItemCheckpoint("j", 1, "so far", Optional.empty(), 2));
 
         VersionRecord versions = new VersionRecord(
                 1L << 40,
@@ -126,7 +126,8 @@
         Optional<ServiceVersion> version = Optional.of(new ServiceVersion("service-\u0639", "v\"1\""));
         for (String text : List.of("", "a", "\u0639", "\u8a9e", "\ud83d\ude00", "\n\"\u0001")) {
             ItemResult result = new ItemResult("item-" + text, ItemState.GIVEN_UP, text.repeat(100));
-            ItemCheckpoint checkpoint = new ItemCheckpoint("item-" + text, Long.MAX_VALUE, text.repeat(100), version);
+            ItemCheckpoint checkpoint =
+                    new ItemCheckpoint("item-" + text, Long.MAX_VALUE, text.repeat(100), version, Integer.MAX_VALUE);
 
             assertThat(StoredValueCodec.writeResults(List.of(result, result)).length)
                     .isLessThanOrEqualTo(2 * result.encodedBytes());
