--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -268,7 +268,7 @@
         context.loop().execute(() -> stop.requestStop(requestedNanos));
     }
 
-    /** Returns a future that completes when the planned stop is over. */
+    /** Returns a future that completes when the planned stop is over, exceptionally if the control thread has failed. */
     public CompletableFuture<Void> ended() {
         return stop.ended();
     }
--- a/src/main/java/org/gooseberryhill/gateway/StopSequence.java
+++ b/src/main/java/org/gooseberryhill/gateway/StopSequence.java
@@ -46,6 +46,7 @@
         this.registration = registration;
         this.callers = callers;
         this.onRequested = onRequested;
+        context.loop().failWith(ended);
     }
 
     /** Starts the stop that was requested at the given time; a second call changes nothing. */
@@ -68,7 +69,7 @@
         context.loop().every(CHECK_PERIOD_MILLIS, this::advance);
     }
 
-    /** Returns a future that completes when the stop is over. */
+    /** Returns a future that completes when the stop is over, exceptionally if the control thread has failed. */
     CompletableFuture<Void> ended() {
         return ended;
     }
--- a/src/main/java/org/gooseberryhill/outbox/OutboxProcess.java
+++ b/src/main/java/org/gooseberryhill/outbox/OutboxProcess.java
@@ -62,6 +62,7 @@
         String name = settings.self().id().value();
         PollingKeyValueStore store = storeFactory.create(http);
         this.loop = new ControlLoop(name);
+        loop.failWith(ended);
         this.timeline = new Timeline(name, clock, log);
         this.registration =
                 new HostRegistration(loop, store, timeline, () -> new ListedHost(settings.self(), processStart));
@@ -106,7 +107,7 @@
         });
     }
 
-    /** Returns a future that completes at the end of the planned stop. */
+    /** Returns a future that completes at the end of the planned stop, exceptionally if the control thread has failed. */
     public CompletableFuture<Void> ended() {
         return ended;
     }
--- a/src/main/java/org/gooseberryhill/process/HostProcess.java
+++ b/src/main/java/org/gooseberryhill/process/HostProcess.java
@@ -100,6 +100,7 @@
                 .orElseGet(StandardOutputSink::new);
         this.timeline = new Timeline(self.value(), clock, sink);
         this.loop = new ControlLoop(self.value());
+        loop.failWith(ended);
         this.http = new HttpClient(eventLoopGroup);
         this.peerClient = new PeerClient(eventLoopGroup, self, clock);
         this.keyValue = new EtcdKeyValueStore(http, settings.keyValueAddress(), settings.platformTimeoutMillis());
@@ -194,7 +195,10 @@
         }
     }
 
-    /** Returns a future that completes when the planned stop is over or the process is closed. */
+    /**
+     * Returns a future that completes when the planned stop is over or the process is closed, and exceptionally if the
+     * control thread has failed.
+     */
     public CompletableFuture<Void> ended() {
         return ended;
     }
