Keep the log thread running after a batch that can't be written

An error or exception while one batch of lines was formatted or written ended the log thread: no further event was written, and each planned stop waited its whole time limit for a batch that counted as unwritten.

Such a batch is dropped and its lines are counted in gooseberry_lines_dropped; the failure of the log itself can't be logged. A closed stream (IOException) ends the thread as before.

Evidence: without the guard, batchesAfterOneThatCouldNotBeWrittenAreWritten failed, and the log thread ended with the uncaught error.

--- a/src/main/java/org/gooseberryhill/logging/AsyncLineWriter.java
+++ b/src/main/java/org/gooseberryhill/logging/AsyncLineWriter.java
@@ -19,7 +19,8 @@
  * directly would block. Only the writer thread blocks on the stream; batches that do not fit into the bounded queue are
  * dropped and their lines counted.
  *
- * <p>Invariant: lines are written whole and in the order in which they were queued.
+ * <p>Invariants: lines are written whole and in the order in which they were queued; a batch that can't be written is
+ * dropped and does not keep later ones from being written.
  */
 final class AsyncLineWriter {
     /** The number of batches of lines that the queue holds. */
@@ -79,8 +80,7 @@
         try {
             while (true) {
                 List<TimelineEvent> events = queue.take();
-                stream.write(TimelineLineFormat.formatUtf8(events));
-                stream.flush();
+                writeOrDrop(events);
                 unwrittenBatches.decrementAndGet();
             }
         } catch (IOException e) {
@@ -90,4 +90,14 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    private void writeOrDrop(List<TimelineEvent> events) throws IOException {
+        try {
+            stream.write(TimelineLineFormat.formatUtf8(events));
+            stream.flush();
+        } catch (RuntimeException | Error e) {
+            // The failure of the log can't be logged; it shows in the number of dropped lines.
+            droppedLines.add(events.size());
+        }
+    }
 }
--- a/src/test/java/org/gooseberryhill/logging/AsyncLineWriterTest.java
+++ b/src/test/java/org/gooseberryhill/logging/AsyncLineWriterTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.gooseberryhill.link.HybridTimestamp;
 import org.gooseberryhill.timeline.TimelineEvent;
 import org.junit.jupiter.api.Test;
@@ -67,6 +68,32 @@
         assertThat(writer.isAllWritten()).isTrue();
     }
 
+    /** An error while one batch is written would end the log of the process, and each planned stop would wait for it. */
+    @Test
+    void batchesAfterOneThatCouldNotBeWrittenAreWritten() {
+        AtomicInteger writes = new AtomicInteger();
+        AsyncLineWriter writer = new AsyncLineWriter(new OutputStream() {
+            @Override
+            public void write(int next) {
+                write(new byte[] {(byte) next}, 0, 1);
+            }
+
+            @Override
+            public void write(byte[] bytes, int offset, int length) {
+                if (writes.incrementAndGet() == 1) {
+                    throw new OutOfMemoryError("expected failure of the stream");
+                }
+            }
+        });
+
+        writer.enqueue(List.of(EVENT, EVENT));
+        writer.enqueue(List.of(EVENT));
+        writer.awaitWritten(10_000);
+
+        assertThat(writes).hasValue(2);
+        assertThat(writer.droppedLines()).isEqualTo(2);
+    }
+
     /** A queue that returns a removed batch only after it is released. */
     private static final class PausedQueue extends ArrayBlockingQueue<List<TimelineEvent>> {
         private final transient CountDownLatch takeCalled = new CountDownLatch(1);
