Answer a scrape while the control thread stands still

Gauges read control state, so the metrics were read by a task of the control thread only: a gateway whose control thread was blocked did not answer just when its metrics were needed.

If the control thread has not answered within a second, the traffic thread answers with gooseberry_control_thread_delay_seconds, the time since the control thread last took a task or a timer.

Evidence: without the answer of the traffic thread, theDelayOfAStandingControlThreadIsServed failed with "SILENT: no byte for 10000 ms". ControlLoop.delayNanos costs one reading of the clock and one volatile write for each task; no load was measured.

--- a/src/main/java/org/gooseberryhill/control/ControlLoop.java
+++ b/src/main/java/org/gooseberryhill/control/ControlLoop.java
@@ -50,6 +50,7 @@
     private final List<CompletableFuture<?>> failingFutures = new CopyOnWriteArrayList<>();
     private volatile boolean closed;
     private volatile Throwable failure;
+    private volatile long lastTakenNanos = nowNanos();
 
     /** Starts a loop; the name is the prefix of its thread's name. */
     public ControlLoop(String name) {
@@ -109,6 +110,14 @@
         return failedTasks.sum();
     }
 
+    /**
+     * Returns the time in nanoseconds since the loop last took a task or a timer, or woke up for one. It grows while a
+     * task blocks, and after the loop has failed.
+     */
+    public long delayNanos() {
+        return nowNanos() - lastTakenNanos;
+    }
+
     /** Completes a future exceptionally if an {@link Error} ends the loop or has ended it. */
     public void failWith(CompletableFuture<?> future) {
         failingFutures.add(future);
@@ -151,6 +160,7 @@
     }
 
     private void runLoggingExceptions(Runnable task) {
+        lastTakenNanos = nowNanos();
         try {
             task.run();
         } catch (RuntimeException e) {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -299,7 +299,7 @@
         views.addGauges();
         rejectedConnectionsLog.addGauges(this::callersServer);
         new ProcessGauges(context, log).add(runner, handOver);
-        metricsServer = Optional.of(new MetricsServer(group, context, address));
+        metricsServer = Optional.of(new MetricsServer(group, context.loop(), metrics.all(), address));
     }
 
     private void startOnControlThread() {
