Limit the bytes that a field of a submission's file may announce

The array of a binary field was allocated by the length that its header announces, before anything was read: an Error, which a Try passes on.

A field can't be larger than its file; a header that announces more makes the submission invalid, like any other damage.

--- a/src/main/java/org/gooseberryhill/outbox/OutboxEntryCodec.java
+++ b/src/main/java/org/gooseberryhill/outbox/OutboxEntryCodec.java
@@ -27,11 +27,20 @@
             try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(content)) {
                 String batch = unpacker.unpackString();
                 long storedAtMillis = unpacker.unpackLong();
-                BatchRecord record = StoredValueCodec.readRecord(unpacker.readPayload(unpacker.unpackBinaryHeader()))
+                BatchRecord record = StoredValueCodec.readRecord(readBytes(unpacker, content.length))
                         .get();
-                byte[] body = unpacker.readPayload(unpacker.unpackBinaryHeader());
+                byte[] body = readBytes(unpacker, content.length);
                 return new OutboxEntry(batch, record, body, storedAtMillis);
             }
         });
     }
+
+    private static byte[] readBytes(MessageUnpacker unpacker, int maxBytes) throws IOException {
+        int size = unpacker.unpackBinaryHeader();
+        // The array is allocated before its content is read.
+        if (size > maxBytes) {
+            throw new IOException("a field of " + size + " bytes exceeds its file");
+        }
+        return unpacker.readPayload(size);
+    }
 }
