Guess a stream's version only from registrations that are read anew

Callers got a stream whose rest came from a runner of another software version: a gateway out of step (cut off, or standing still while runners of a new version joined) took up a stream that had begun on one of these runners through another gateway, and continued it at the old version.

Cause: whether a host knows all versions was only a matter of how long it had run. A view of the registrations that was seconds old counted like a current one, and hosts with the same old view confirmed each other; hosts that seemed to have ended were counted out. The host that knew of the new version had not reached the others, and was gone.

Now a recorded origin still decides. Otherwise the host that takes the stream up reads the changes of the registrations from the store after the stream has arrived, so that its history includes each version at which the stream can have begun, and continues it only if there was a single one. Waiting callers share a query, and none is sent while two versions are known. A report is complete only up to a view that is at most two seconds old (calm views are read each half second, or each 0.9 to 1.1 seconds when a host is lost). Versions that come and go among the changes read at once are seen; after a listing, which can't show these, the history begins anew. A host whose own history is not complete up to now tells keepers of all its streams, so that they go on while the store is out. The messages between hosts are the same.

The tests of OriginInquiry and VersionHistory that expect a version now say that the registrations were read and how old the view is; those that expect none keep that although the registrations were read.

--- a/src/main/java/org/gooseberryhill/decision/continuation/RegisteredVersions.java
+++ b/src/main/java/org/gooseberryhill/decision/continuation/RegisteredVersions.java
@@ -8,7 +8,7 @@
  * again. Immutable.
  *
  * @param versions the versions
- * @param complete whether the host knows the registrations of that whole time
+ * @param complete whether the host knows the registrations of that whole time, but for the last {@link VersionHistory#MAX_AGE_NANOS}
  */
 public record RegisteredVersions(Set<String> versions, boolean complete) {
     /** What a host knows that has seen no registration. */
--- a/src/main/java/org/gooseberryhill/decision/continuation/StreamOriginLog.java
+++ b/src/main/java/org/gooseberryhill/decision/continuation/StreamOriginLog.java
@@ -42,10 +42,16 @@
 
     /** Returns the origins at a service that were recorded at most the given time ago. */
     public Set<StreamOrigin> recent(String service, long maxAgeNanos, long nowNanos) {
+        Set<StreamOrigin> recent = recent(maxAgeNanos, nowNanos);
+        recent.removeIf(origin -> !origin.beganAt().service().equals(service));
+        return recent;
+    }
+
+    /** Returns the origins that were recorded at most the given time ago. */
+    public Set<StreamOrigin> recent(long maxAgeNanos, long nowNanos) {
         Set<StreamOrigin> recent = new HashSet<>();
         recordings.stream()
                 .filter(recording -> nowNanos - recording.nanos <= maxAgeNanos)
-                .filter(recording -> recording.origin.beganAt().service().equals(service))
                 .forEach(recording -> recent.add(recording.origin));
         return recent;
     }
--- a/src/main/java/org/gooseberryhill/decision/continuation/VersionHistory.java
+++ b/src/main/java/org/gooseberryhill/decision/continuation/VersionHistory.java
@@ -19,9 +19,15 @@
  * thread-safe.
  *
  * <p>Invariant: a version that was registered at any moment of that time is known, from the first directory of this host on, or from
- * the time on that the record of the hosts before it covers.
+ * the time on that the record of the hosts before it covers; after changes that this host has missed, from then on.
  */
 public final class VersionHistory {
+    /**
+     * Age of the directory up to which it counts as current: longer than between two readings of the registrations by any of the
+     * hosts whose turn it may be.
+     */
+    public static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /** Time between the first event of a stream and its last resumption at most, while no route sets a timeout. */
     static final long DEFAULT_STREAM_AGE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
@@ -55,11 +61,21 @@
 
     /** Replaces the directory; returns the services that have more than one version from now on. */
     public Set<String> update(Collection<EndpointEntry> entries, long nowNanos) {
+        return update(entries, Set.of(), nowNanos);
+    }
+
+    /**
+     * Replaces the directory; returns the services that have more than one version from now on.
+     *
+     * @param passed endpoints that were registered since the directory before and no longer are
+     */
+    public Set<String> update(Collection<EndpointEntry> entries, Collection<EndpointEntry> passed, long nowNanos) {
         Set<String> mixedBefore = mixedServices(nowNanos);
         if (knownSinceNanos.isEmpty() && !entries.isEmpty()) {
             knownSinceNanos = Optional.of(nowNanos);
         }
         registered.forEach(version -> lastSeenNanos.put(version, nowNanos));
+        passed.forEach(entry -> lastSeenNanos.put(entry.serviceVersion(), nowNanos));
         registered = entries.stream().map(EndpointEntry::serviceVersion).collect(Collectors.toSet());
         registered.forEach(version -> lastSeenNanos.put(version, nowNanos));
         long keptNanos = Math.max(DEFAULT_STREAM_AGE_NANOS, maxStreamAgeNanos);
@@ -74,12 +90,28 @@
         return versionsOf(service, nowNanos).size() > 1;
     }
 
-    /** Returns the versions of a service that were registered lately. */
-    public RegisteredVersions registeredOf(String service, long nowNanos) {
-        boolean complete = knownSinceNanos
-                .map(sinceNanos -> nowNanos - sinceNanos >= maxStreamAgeNanos)
-                .orElse(false);
-        return new RegisteredVersions(versionsOf(service, nowNanos), complete);
+    /** Records that versions may have come and gone that this host has not seen: it knows all from now on only. */
+    public void changesMissed(long nowNanos) {
+        knownSinceNanos = knownSinceNanos.map(sinceNanos -> nowNanos);
+    }
+
+    /**
+     * Returns the versions of a service that were registered lately.
+     *
+     * @param ageNanos time since the directory was certainly current
+     */
+    public RegisteredVersions registeredOf(String service, long ageNanos, long nowNanos) {
+        return new RegisteredVersions(versionsOf(service, nowNanos), isComplete(ageNanos, nowNanos));
+    }
+
+    /** Returns whether all versions are known that were registered lately, with a directory of the given age. */
+    public boolean isComplete(long ageNanos, long nowNanos) {
+        return ageNanos <= MAX_AGE_NANOS && isKnownFor(maxStreamAgeNanos, nowNanos);
+    }
+
+    /** Returns whether this host has followed the registrations for so long that complete reports of others reach to there. */
+    public boolean joinsOtherReports(long nowNanos) {
+        return isKnownFor(MAX_AGE_NANOS, nowNanos);
     }
 
     /** Returns the record to write for hosts that start; empty before the first directory. */
@@ -113,6 +145,12 @@
         });
     }
 
+    private boolean isKnownFor(long durationNanos, long nowNanos) {
+        return knownSinceNanos
+                .map(sinceNanos -> nowNanos - sinceNanos >= durationNanos)
+                .orElse(false);
+    }
+
     private Set<String> mixedServices(long nowNanos) {
         return lastSeenNanos.keySet().stream()
                 .map(ServiceVersion::service)
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -201,6 +201,7 @@
                 storeReachability::isReachable,
                 this::configure,
                 this::endpointsChanged,
+                traffic.streamOrigins()::followRegistrations,
                 traffic.recordReceivers());
     }
 
@@ -336,9 +337,9 @@
         readiness.update(canRoute, context.stop().phase() != PlannedStop.Phase.SERVING);
     }
 
-    private void endpointsChanged(Collection<EndpointEntry> entries) {
+    private void endpointsChanged(Collection<EndpointEntry> entries, Collection<EndpointEntry> passed) {
         context.fleet().updateDirectory(entries);
-        traffic.streamOrigins().endpointsChanged(entries);
+        traffic.streamOrigins().endpointsChanged(entries, passed);
         traffic.promptParts().endpointsChanged(entries);
         assignment.endpointsChanged(entries);
         updateReadiness();
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -46,7 +47,7 @@
     private final PeerLinks links;
     private final BooleanSupplier storeReached;
     private final Consumer<RouteConfiguration> onConfiguration;
-    private final Consumer<Collection<EndpointEntry>> onEndpointsChanged;
+    private final BiConsumer<Collection<EndpointEntry>, Collection<EndpointEntry>> onEndpointsChanged;
     private final Map<String, Consumer<KeyChange>> onRecordByKey;
     private final EvacuationReporter evacuationReporter;
     private final ViewUpdater registrations;
@@ -63,6 +64,8 @@
      * Creates views that were not loaded yet.
      *
      * @param storeReached whether the store answers this host
+     * @param onEndpointsChanged receives all endpoints, and the entries that were replaced or removed since the last time
+     * @param onRegistrationsFollowed receives the view of the registrations, before it is loaded
      * @param onRecordByKey receivers of the records that are kept beside the list of hosts, by key
      */
     GatewayViews(
@@ -70,7 +73,8 @@
             PeerLinks links,
             BooleanSupplier storeReached,
             Consumer<RouteConfiguration> onConfiguration,
-            Consumer<Collection<EndpointEntry>> onEndpointsChanged,
+            BiConsumer<Collection<EndpointEntry>, Collection<EndpointEntry>> onEndpointsChanged,
+            Consumer<ViewUpdater> onRegistrationsFollowed,
             Map<String, Consumer<KeyChange>> onRecordByKey) {
         this.context = context;
         this.links = links;
@@ -89,6 +93,7 @@
                 ViewRefreshPolicy.REGISTRATIONS,
                 this::endpointsChanged,
                 registeredEndpoints::withoutHeartbeats);
+        onRegistrationsFollowed.accept(registrations);
         this.operators = new ViewUpdater(
                 context,
                 links,
@@ -179,7 +184,7 @@
         if (registeredEndpoints.apply(changes)) {
             Collection<EndpointEntry> entries = registeredEndpoints.entries();
             logDirectoryChanges(entries);
-            onEndpointsChanged.accept(entries);
+            onEndpointsChanged.accept(entries, registeredEndpoints.passedEntries());
         }
     }
 
--- a/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
+++ b/src/main/java/org/gooseberryhill/gateway/RegisteredEndpoints.java
@@ -27,6 +27,7 @@
     private final Timeline timeline;
     private final Map<String, EndpointEntry> byKey = new TreeMap<>();
     private final Map<String, byte[]> loggedInvalidValues = new HashMap<>();
+    private final List<EndpointEntry> passed = new ArrayList<>();
 
     RegisteredEndpoints(DirectoryDialect dialect, Timeline timeline) {
         this.dialect = dialect;
@@ -36,6 +37,7 @@
     /** Applies written and deleted registrations; returns whether they add, change or remove an endpoint. */
     boolean apply(List<KeyChange> changes) {
         boolean changed = false;
+        passed.clear();
         for (KeyChange registration : changes) {
             changed |= apply(registration);
         }
@@ -70,6 +72,11 @@
         return List.copyOf(byKey.values());
     }
 
+    /** Returns the entries of endpoints that the changes applied last have replaced or removed, even if they brought them. */
+    Collection<EndpointEntry> passedEntries() {
+        return List.copyOf(passed);
+    }
+
     /** Returns the number of registrations that name no endpoint. */
     int invalidCount() {
         return loggedInvalidValues.size();
@@ -78,15 +85,22 @@
     private boolean apply(KeyChange registration) {
         if (registration.value().isEmpty()) {
             loggedInvalidValues.remove(registration.key());
-            return byKey.remove(registration.key()) != null;
+            return remove(registration.key());
         }
         Optional<EndpointEntry> entry = parse(registration);
         if (entry.isEmpty()) {
-            return byKey.remove(registration.key()) != null;
+            return remove(registration.key());
         }
         loggedInvalidValues.remove(registration.key());
-        EndpointEntry before = byKey.put(registration.key(), entry.get());
-        return !entry.get().equals(before);
+        Optional<EndpointEntry> before = Optional.ofNullable(byKey.put(registration.key(), entry.get()));
+        before.ifPresent(passed::add);
+        return !before.equals(entry);
+    }
+
+    private boolean remove(String key) {
+        Optional<EndpointEntry> before = Optional.ofNullable(byKey.remove(key));
+        before.ifPresent(passed::add);
+        return before.isPresent();
     }
 
     private Optional<EndpointEntry> parse(KeyChange registration) {
--- a/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
+++ b/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
@@ -30,8 +30,9 @@
  * Remembers at which versions streams began, tells some other hosts, and finds out for streams that callers take up again. Confined
  * to the control thread.
  *
- * <p>Invariant: other hosts are told of a stream while more than one version of its service is registered, or was so lately. Where
- * there is only one, a stream of which no host knows can't have begun at another.
+ * <p>Invariant: other hosts are told of a stream while more than one version of its service is registered, or was so lately, and
+ * while this host can't be sure that there is only one. Where there is only one, a stream of which no host knows can't have begun at
+ * another.
  */
 final class StreamOrigins {
     /** Several round trips between availability zones: after this time the answers of most hosts are enough. */
@@ -53,6 +54,8 @@
     private final VersionHistory history = new VersionHistory();
     private final OriginKeepers keepers = new OriginKeepers();
     private final VersionRecordWriter recordWriter;
+    private Optional<ViewUpdater> registrations = Optional.empty();
+    private boolean toldOfAll;
     private long keepersUpdatedNanos;
 
     StreamOrigins(GatewayContext context, PeerLinks links) {
@@ -67,9 +70,20 @@
         recordWriter.recordRead(entry);
     }
 
-    /** Keeps the record of software versions up to date; called periodically. */
+    /** Reads the registrations through the given view from now on. */
+    void followRegistrations(ViewUpdater view) {
+        registrations = Optional.of(view);
+        view.setOnChangesMissed(() -> history.changesMissed(context.nowNanos()));
+    }
+
+    /** Keeps the record of software versions up to date, and others informed of streams; called periodically. */
     void tick() {
         recordWriter.tick();
+        boolean tellOfAll = !history.isComplete(registrationsAgeNanos(), context.nowNanos());
+        if (tellOfAll && !toldOfAll) {
+            tell(log.recent(history.maxStreamAgeNanos(), context.nowNanos()));
+        }
+        toldOfAll = tellOfAll;
     }
 
     /** Applies a new configuration. */
@@ -78,8 +92,8 @@
     }
 
     /** Applies a new directory: streams that have begun are made known before their service has several versions for long. */
-    void endpointsChanged(Collection<EndpointEntry> entries) {
-        Set<String> mixed = history.update(entries, context.nowNanos());
+    void endpointsChanged(Collection<EndpointEntry> entries, Collection<EndpointEntry> passed) {
+        Set<String> mixed = history.update(entries, passed, context.nowNanos());
         mixed.forEach(service -> tell(log.recent(service, history.maxStreamAgeNanos(), context.nowNanos())));
     }
 
@@ -90,7 +104,7 @@
      */
     void streamBegan(StreamOrigin origin, boolean ambiguousService) {
         log.record(origin, context.nowNanos());
-        if (ambiguousService || history.isMixed(origin.beganAt().service(), context.nowNanos())) {
+        if (toldOfAll || ambiguousService || history.isMixed(origin.beganAt().service(), context.nowNanos())) {
             tell(Set.of(origin));
         }
     }
@@ -120,10 +134,16 @@
         return new OriginReport(
                 request.firstRequestId().map(id -> log.find(id, nowNanos)).orElse(Set.of()),
                 request.service()
-                        .map(service -> history.registeredOf(service, nowNanos))
+                        .map(service -> history.registeredOf(service, registrationsAgeNanos(), nowNanos))
                         .orElse(RegisteredVersions.NONE));
     }
 
+    private long registrationsAgeNanos() {
+        return registrations
+                .map(view -> TimeUnit.MILLISECONDS.toNanos(view.ageMillis()))
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** The live hosts change rarely, and to list them takes time in a large fleet. */
     private OriginKeepers currentKeepers() {
         long nowNanos = context.nowNanos();
@@ -151,6 +171,8 @@
         private final OriginInquiry inquiry;
         private final Iterator<Host> candidates;
         private boolean majorityIsEnough;
+        private boolean readPending;
+        private boolean timeIsOver;
         private boolean finished;
 
         Inquiry(
@@ -176,7 +198,7 @@
             finishIfDecided();
             if (!finished) {
                 context.loop().after(MAJORITY_DELAY_MILLIS, this::acceptMajority);
-                context.loop().after(INQUIRY_TIMEOUT_MILLIS, this::finish);
+                context.loop().after(INQUIRY_TIMEOUT_MILLIS, this::timeIsOver);
             }
         }
 
@@ -205,12 +227,37 @@
             finishIfDecided();
         }
 
+        private void timeIsOver() {
+            timeIsOver = true;
+            finishIfDecided();
+        }
+
+        /** The registrations are read last, since each reading is a call of the store that a recorded origin makes needless. */
         private void finishIfDecided() {
-            if (inquiry.isDecided() || (majorityIsEnough && inquiry.beganAt().isPresent())) {
+            if (finished) {
+                return;
+            }
+            boolean answersAreEnough = inquiry.haveAllAnswered() || majorityIsEnough || timeIsOver;
+            if (answersAreEnough && inquiry.needsRegistrations() && !readPending && registrations.isPresent()) {
+                readPending = true;
+                registrations.get().readNow(this::registrationsRead);
+            } else if (inquiry.isDecided()
+                    || (majorityIsEnough && inquiry.beganAt().isPresent())
+                    || (timeIsOver && !readPending)) {
                 finish();
             }
         }
 
+        private void registrationsRead(boolean succeeded) {
+            readPending = false;
+            if (succeeded) {
+                inquiry.registrationsRead(report(request), history.joinsOtherReports(context.nowNanos()));
+            } else {
+                inquiry.registrationsNotRead();
+            }
+            finishIfDecided();
+        }
+
         private void finish() {
             if (finished) {
                 return;
--- a/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
+++ b/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,9 @@
      */
     private static final int MAX_FAILED_CHANGES_QUERIES = 3;
 
+    /** The store answers at once, even without a change. */
+    private static final long NO_WAIT_MILLIS = 1;
+
     private final GatewayContext context;
     private final PeerLinks links;
     private final String prefix;
@@ -38,6 +42,9 @@
     private final Consumer<List<KeyChange>> onChanges;
     private final UnaryOperator<List<KeyChange>> forwardFilter;
     private final KeyView view = new KeyView();
+    private final List<Consumer<Boolean>> awaitingRead = new ArrayList<>();
+    private Runnable onChangesMissed = () -> {};
+    private boolean readPending;
     private boolean queryPending;
     private int failedChangesQueries;
     private long currentAsOfNanos;
@@ -88,6 +95,11 @@
                         view::revision);
     }
 
+    /** Sets what is called when changes may be missing: entries may have come and gone between two listings. */
+    void setOnChangesMissed(Runnable action) {
+        onChangesMissed = action;
+    }
+
     /**
      * Returns the time since the last moment at which the view was certainly up to date, in milliseconds. Later changes
      * in the store may be missing from it. Before the first listing it is an hour or more.
@@ -115,6 +127,19 @@
         }
     }
 
+    /**
+     * Queries the store for the changes up to now, whichever host's turn it is. All that ask while a query is on its way share the
+     * next one.
+     *
+     * @param receiver receives whether the view contains all changes that were made before this call
+     */
+    void readNow(Consumer<Boolean> receiver) {
+        awaitingRead.add(receiver);
+        if (!readPending) {
+            readForAwaiting();
+        }
+    }
+
     /**
      * Applies changes that another host forwarded. Returns false if this host lacks the changes before them; it then
      * needs a listing of all entries in the other host's view.
@@ -131,7 +156,7 @@
     void applyListing(GatewayMessage.ViewListing listing) {
         if (listing.revision() > 0) {
             long readNanos = context.nowNanos() - TimeUnit.MILLISECONDS.toNanos(listing.ageMillis());
-            viewRefreshed(readNanos, view.applyListing(listing.revision(), listing.entries()));
+            viewRefreshed(readNanos, replaceView(listing.revision(), listing.entries()));
         }
     }
 
@@ -156,7 +181,7 @@
 
     private void applyStoreListing(KeyValueStore.Listing listing, long sentNanos) {
         long before = view.revision();
-        List<KeyChange> newChanges = view.applyListing(listing.revision(), listing.entries());
+        List<KeyChange> newChanges = replaceView(listing.revision(), listing.entries());
         context.timeline()
                 .event(EventKind.VIEW_LISTED)
                 .with("prefix", prefix)
@@ -166,6 +191,36 @@
         viewRefreshed(sentNanos, newChanges);
     }
 
+    private List<KeyChange> replaceView(long revision, List<KeyChange> entries) {
+        if (isLoaded() && revision > view.revision()) {
+            onChangesMissed.run();
+        }
+        return view.applyListing(revision, entries);
+    }
+
+    private void readForAwaiting() {
+        List<Consumer<Boolean>> receivers = List.copyOf(awaitingRead);
+        awaitingRead.clear();
+        if (!isLoaded()) {
+            receivers.forEach(receiver -> receiver.accept(false));
+            return;
+        }
+        readPending = true;
+        long from = view.revision();
+        context.onLoop(context.store().changesAfter(prefix, from, NO_WAIT_MILLIS), (changes, failure) -> {
+            readPending = false;
+            if (failure == null) {
+                applyStoreChanges(from, changes);
+            } else {
+                changesQueryFailed(failure);
+            }
+            receivers.forEach(receiver -> receiver.accept(failure == null));
+            if (!readPending && !awaitingRead.isEmpty()) {
+                readForAwaiting();
+            }
+        });
+    }
+
     private void queryChanges() {
         queryPending = true;
         long from = view.revision();
--- a/src/test/java/org/gooseberryhill/decision/continuation/OriginInquiryTest.java
+++ b/src/test/java/org/gooseberryhill/decision/continuation/OriginInquiryTest.java
@@ -46,6 +46,7 @@
     @Test
     void anUnknownStreamIsNotContinuedWhileTwoVersionsServe() {
         OriginInquiry inquiry = asking(1, unknown(BOTH));
+        inquiry.registrationsRead(unknown(BOTH), true);
 
         inquiry.answered(unknown(BOTH));
 
@@ -59,6 +60,7 @@
 
         inquiry.answered(unknown(ONLY_V1));
         inquiry.answered(unknown(V1_SINCE_START));
+        inquiry.registrationsRead(unknown(ONLY_V1), true);
 
         assertThat(inquiry.beganAt()).contains(V1);
     }
@@ -70,6 +72,7 @@
 
         inquiry.answered(unknown(ONLY_V1));
         inquiry.answered(unknown(BOTH));
+        inquiry.registrationsRead(unknown(ONLY_V1), true);
 
         assertThat(inquiry.beganAt()).isEmpty();
     }
@@ -78,6 +81,7 @@
     @Test
     void anUnknownStreamIsNotContinuedWithoutTheAnswersOfMostHosts() {
         OriginInquiry inquiry = asking(3, unknown(ONLY_V1));
+        inquiry.registrationsRead(unknown(ONLY_V1), true);
 
         inquiry.answered(unknown(ONLY_V1));
 
@@ -92,15 +96,65 @@
         inquiry.hostEnded();
         inquiry.hostEnded();
         inquiry.answered(unknown(ONLY_V1));
+        inquiry.registrationsRead(unknown(ONLY_V1), true);
 
         assertThat(inquiry.isDecided()).isTrue();
         assertThat(inquiry.beganAt()).contains(V1);
     }
 
+    /** Guards against hosts out of step that confirm each other, while a version joins of which they do not know. */
+    @Test
+    void theOnlyVersionCountsNotBeforeTheRegistrationsAreReadAnew() {
+        OriginInquiry inquiry = asking(3, unknown(ONLY_V1));
+        inquiry.hostEnded();
+        inquiry.hostEnded();
+        inquiry.answered(unknown(ONLY_V1));
+
+        assertThat(inquiry.beganAt()).isEmpty();
+        assertThat(inquiry.isDecided()).isFalse();
+        assertThat(inquiry.needsRegistrations()).isTrue();
+
+        inquiry.registrationsRead(unknown(BOTH), true);
+
+        assertThat(inquiry.isDecided()).isTrue();
+        assertThat(inquiry.beganAt()).isEmpty();
+    }
+
+    /** Guards against a host that is cut off from all others, which it takes for ended, and from the registrations. */
+    @Test
+    void theOnlyVersionDoesNotCountWhileTheRegistrationsCanNotBeRead() {
+        OriginInquiry inquiry = inquiry(unknown(ONLY_V1));
+        inquiry.registrationsNotRead();
+
+        assertThat(inquiry.isDecided()).isTrue();
+        assertThat(inquiry.beganAt()).isEmpty();
+    }
+
+    /** Guards against a version that came after the reports of others end and went before those of this host begin. */
+    @Test
+    void reportsOfOthersDoNotCountBeforeThisHostHasFollowedTheRegistrationsItself() {
+        OriginInquiry inquiry = asking(1, unknown(V1_SINCE_START));
+        inquiry.answered(unknown(ONLY_V1));
+        inquiry.registrationsRead(unknown(V1_SINCE_START), false);
+
+        assertThat(inquiry.beganAt()).isEmpty();
+    }
+
+    @Test
+    void aRecordedVersionNeedsNoRegistrations() {
+        OriginInquiry inquiry = asking(1, unknown(ONLY_V1));
+        inquiry.registrationsNotRead();
+
+        inquiry.answered(known(V1, ONLY_V1));
+
+        assertThat(inquiry.beganAt()).contains(V1);
+    }
+
     /** Guards against a host that is cut off and takes its lost connections for hosts that have ended. */
     @Test
     void anUnknownStreamIsNotContinuedWhenAllAskedHostsSeemToHaveEnded() {
         OriginInquiry inquiry = asking(2, unknown(ONLY_V1));
+        inquiry.registrationsRead(unknown(ONLY_V1), true);
 
         inquiry.hostEnded();
         inquiry.hostEnded();
@@ -113,6 +167,7 @@
     @Test
     void anUnknownStreamIsNotContinuedWhileNoHostKnowsTheWholeTime() {
         OriginInquiry inquiry = asking(1, unknown(V1_SINCE_START));
+        inquiry.registrationsRead(unknown(V1_SINCE_START), true);
 
         inquiry.answered(unknown(V1_SINCE_START));
 
@@ -121,13 +176,19 @@
 
     @Test
     void aHostWithoutOthersDecidesByWhatItKnows() {
-        assertThat(inquiry(unknown(ONLY_V1)).beganAt()).contains(V1);
-        assertThat(inquiry(unknown(V1_SINCE_START)).beganAt()).isEmpty();
+        OriginInquiry inquiry = inquiry(unknown(ONLY_V1));
+        inquiry.registrationsRead(unknown(ONLY_V1), true);
+        OriginInquiry afterStart = inquiry(unknown(V1_SINCE_START));
+        afterStart.registrationsRead(unknown(V1_SINCE_START), true);
+
+        assertThat(inquiry.beganAt()).contains(V1);
+        assertThat(afterStart.beganAt()).isEmpty();
     }
 
     @Test
     void anUnknownStreamOfARouteToSeveralServicesIsNotContinued() {
         OriginInquiry inquiry = new OriginInquiry(Optional.empty(), unknown(RegisteredVersions.NONE));
+        inquiry.registrationsRead(unknown(ONLY_V1), true);
 
         assertThat(inquiry.beganAt()).isEmpty();
     }
--- a/src/test/java/org/gooseberryhill/decision/continuation/VersionHistoryTest.java
+++ b/src/test/java/org/gooseberryhill/decision/continuation/VersionHistoryTest.java
@@ -39,21 +39,61 @@
         history.update(List.of(entry("e0", "v1"), entry("e1", "v2")), 0);
         history.update(List.of(entry("e1", "v2")), 100);
 
-        assertThat(history.registeredOf("s", 100 + WHOLE_TIME_NANOS).versions()).containsOnly("v1", "v2");
-        assertThat(history.registeredOf("s", 101 + WHOLE_TIME_NANOS).versions()).containsOnly("v2");
+        assertThat(history.registeredOf("s", 0, 100 + WHOLE_TIME_NANOS).versions())
+                .containsOnly("v1", "v2");
+        assertThat(history.registeredOf("s", 0, 101 + WHOLE_TIME_NANOS).versions())
+                .containsOnly("v2");
         assertThat(history.isMixed("s", 101 + WHOLE_TIME_NANOS)).isFalse();
     }
 
     /** Guards against a host that has just started and takes the versions that it finds for all that there were. */
     @Test
     void theHistoryIsCompleteOnlyAfterTheWholeTime() {
-        assertThat(history.registeredOf("s", 0)).isEqualTo(RegisteredVersions.NONE);
+        assertThat(history.registeredOf("s", 0, 0)).isEqualTo(RegisteredVersions.NONE);
 
         history.update(List.of(entry("e0", "v1")), 0);
 
-        assertThat(history.registeredOf("s", WHOLE_TIME_NANOS - 1))
+        assertThat(history.registeredOf("s", 0, WHOLE_TIME_NANOS - 1))
                 .isEqualTo(new RegisteredVersions(Set.of("v1"), false));
-        assertThat(history.registeredOf("s", WHOLE_TIME_NANOS)).isEqualTo(new RegisteredVersions(Set.of("v1"), true));
+        assertThat(history.registeredOf("s", 0, WHOLE_TIME_NANOS))
+                .isEqualTo(new RegisteredVersions(Set.of("v1"), true));
+    }
+
+    /** Guards against a host that is cut off or stands still, and takes the versions of its old directory for all that there are. */
+    @Test
+    void theHistoryIsCompleteOnlyWithACurrentDirectory() {
+        history.update(List.of(entry("e0", "v1")), 0);
+
+        assertThat(history.registeredOf("s", VersionHistory.MAX_AGE_NANOS, WHOLE_TIME_NANOS)
+                        .complete())
+                .isTrue();
+        assertThat(history.registeredOf("s", VersionHistory.MAX_AGE_NANOS + 1, WHOLE_TIME_NANOS)
+                        .complete())
+                .isFalse();
+    }
+
+    /** Guards against a version that came and went between two listings of a host that was out of step. */
+    @Test
+    void missedChangesBeginTheHistoryAnew() {
+        history.update(List.of(entry("e0", "v1")), 0);
+        history.changesMissed(WHOLE_TIME_NANOS);
+
+        assertThat(history.joinsOtherReports(WHOLE_TIME_NANOS + VersionHistory.MAX_AGE_NANOS - 1))
+                .isFalse();
+        assertThat(history.joinsOtherReports(WHOLE_TIME_NANOS + VersionHistory.MAX_AGE_NANOS))
+                .isTrue();
+        assertThat(history.isComplete(0, 2 * WHOLE_TIME_NANOS - 1)).isFalse();
+        assertThat(history.isComplete(0, 2 * WHOLE_TIME_NANOS)).isTrue();
+    }
+
+    /** Guards against a version that came and went between two readings, whose streams would go on at the other one. */
+    @Test
+    void aVersionThatCameAndWentAtOnceCounts() {
+        history.update(List.of(entry("e0", "v1")), 0);
+
+        assertThat(history.update(List.of(entry("e0", "v1")), List.of(entry("e1", "v2")), 1))
+                .containsOnly("s");
+        assertThat(history.registeredOf("s", 0, 2).versions()).containsOnly("v1", "v2");
     }
 
     /** Guards against streams that are refused since all hosts have started anew, although there was one version all along. */
@@ -65,7 +105,7 @@
 
         VersionHistory started = started(record, START_MILLIS);
 
-        assertThat(started.registeredOf("s", 0)).isEqualTo(new RegisteredVersions(Set.of("v1"), true));
+        assertThat(started.registeredOf("s", 0, 0)).isEqualTo(new RegisteredVersions(Set.of("v1"), true));
     }
 
     /** Guards against a stream of a version that went shortly before all hosts were lost. */
@@ -90,7 +130,7 @@
                 history.toRecord(START_MILLIS, TOLERANT_TIME_NANOS).orElseThrow();
 
         assertThat(started(record, START_MILLIS)
-                        .registeredOf("s", WHOLE_TIME_NANOS)
+                        .registeredOf("s", 0, WHOLE_TIME_NANOS)
                         .versions())
                 .containsOnly("v1", "v2");
     }
--- a/src/test/java/org/gooseberryhill/gateway/RegisteredEndpointsTest.java
+++ b/src/test/java/org/gooseberryhill/gateway/RegisteredEndpointsTest.java
@@ -51,6 +51,18 @@
                 .containsExactly("endpoint-2");
     }
 
+    /** Guards against a version that is overlooked since its endpoint came and went between two queries. */
+    @Test
+    void anEndpointThatComesAndGoesAmongTheChangesIsNamed() {
+        RegisteredEndpoints readable = readable();
+
+        assertThat(readable.apply(List.of(written(KEY, 1), KeyChange.deleted(KEY, 2))))
+                .isTrue();
+
+        assertThat(readable.passedEntries()).hasSize(1);
+        assertThat(readable.entries()).isEmpty();
+    }
+
     /**
      * Guards against endpoints that stay unknown to other hosts: their registrations lapsed in an outage of the store and came
      * back unchanged, and a host that read both at once forwarded only the end of the first ones.
