Answer inquiries that wait for the registrations if these can't be applied

A failure while the changes are applied would have left the streams that wait for this reading without an answer until their deadlines: they are answered in any case now.

--- a/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
+++ b/src/main/java/org/gooseberryhill/gateway/ViewUpdater.java
@@ -209,14 +209,17 @@
         long from = view.revision();
         context.onLoop(context.store().changesAfter(prefix, from, NO_WAIT_MILLIS), (changes, failure) -> {
             readPending = false;
-            if (failure == null) {
-                applyStoreChanges(from, changes);
-            } else {
-                changesQueryFailed(failure);
-            }
-            receivers.forEach(receiver -> receiver.accept(failure == null));
-            if (!readPending && !awaitingRead.isEmpty()) {
-                readForAwaiting();
+            try {
+                if (failure == null) {
+                    applyStoreChanges(from, changes);
+                } else {
+                    changesQueryFailed(failure);
+                }
+            } finally {
+                receivers.forEach(receiver -> receiver.accept(failure == null));
+                if (!readPending && !awaitingRead.isEmpty()) {
+                    readForAwaiting();
+                }
             }
         });
     }
