Limit the delay of a timer so that its due time does not wrap

A route with a timeout close to the largest number was accepted, and each of its requests failed at once with deadline-exceeded: the due time of the timer wrapped to the past.

Evidence: a small program in the review ran a timer of 9.2e12 ms at once; both cases of aTimerOfAnyLengthDoesNotRunAtOnce pass now.

--- a/src/main/java/org/gooseberryhill/control/ControlLoop.java
+++ b/src/main/java/org/gooseberryhill/control/ControlLoop.java
@@ -36,6 +36,9 @@
     private static final int RING_BUFFER_SIZE = 1 << 14;
 
     private static final long SHUTDOWN_TIMEOUT_SECONDS = 2;
+    /** Longer than any process runs; a due time must not wrap. */
+    private static final long MAX_DELAY_MILLIS = TimeUnit.DAYS.toMillis(10_000);
+
     private static final long FULL_RING_PAUSE_NANOS = 1_000;
     private static final long NO_MEMORY_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final Lazy<Logger> LOG = LazyLoggers.of(ControlLoop.class);
@@ -91,9 +94,9 @@
         }
     }
 
-    /** Runs a task on the loop's thread after a delay in milliseconds. */
+    /** Runs a task on the loop's thread after a delay in milliseconds, which may be of any length. */
     public void after(long delayMillis, Runnable task) {
-        long dueNanos = nowNanos() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+        long dueNanos = nowNanos() + TimeUnit.MILLISECONDS.toNanos(Math.min(delayMillis, MAX_DELAY_MILLIS));
         execute(() -> timers.add(dueNanos, task));
     }
 
--- a/src/test/java/org/gooseberryhill/control/ControlLoopTest.java
+++ b/src/test/java/org/gooseberryhill/control/ControlLoopTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ControlLoopTest {
     private static final long TIMEOUT_SECONDS = 120;
@@ -44,6 +46,16 @@
         assertThat(take(1)).containsExactly("second");
     }
 
+    /** Guards against requests that fail at once because the timeout of their route is larger than a time can be. */
+    @ParameterizedTest
+    @ValueSource(longs = {Long.MAX_VALUE, Long.MAX_VALUE / 1_000_000})
+    void aTimerOfAnyLengthDoesNotRunAtOnce(long delayMillis) throws InterruptedException {
+        loop.after(delayMillis, () -> executed.add("timer"));
+        loop.after(20, () -> executed.add("sooner"));
+
+        assertThat(executed.poll(5, TimeUnit.SECONDS)).isEqualTo("sooner");
+    }
+
     @Test
     void anEarlierTimerDoesNotWaitForALaterOneAddedBefore() throws InterruptedException {
         loop.execute(() -> {
