Skip a byte order mark before JSON

Since the encoding is no longer guessed, a text with a byte order mark was refused: settings, configurations and bodies of callers that were read before. The mark is skipped; other encodings stay refused.

--- a/src/main/java/org/gooseberryhill/link/Json.java
+++ b/src/main/java/org/gooseberryhill/link/Json.java
@@ -65,7 +65,8 @@
 
     /** Reads a value; a failure tells where parsing failed and why. */
     public static <T> Try<T> read(byte[] json, Class<T> type) {
-        return Try.of(() -> mapper().readValue(json, type));
+        int start = JsonTrees.startOf(json);
+        return Try.of(() -> mapper().readValue(json, start, json.length - start, type));
     }
 
     /** Reads a tree; a failure tells where parsing failed and why. */
--- a/src/main/java/org/gooseberryhill/link/JsonTrees.java
+++ b/src/main/java/org/gooseberryhill/link/JsonTrees.java
@@ -15,6 +15,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.Map;
 
@@ -32,6 +33,7 @@
     static final int MAX_NESTING_DEPTH = 200;
 
     private static final JsonFactory FACTORY = newFactory();
+    private static final byte[] BYTE_ORDER_MARK = {(byte) 0xef, (byte) 0xbb, (byte) 0xbf};
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTrees() {}
@@ -46,9 +48,10 @@
                 .build();
     }
 
-    /** Reads the first value of a UTF-8 text; ignores what follows it. */
+    /** Reads the first value of a UTF-8 text, which may begin with a byte order mark; ignores what follows it. */
     static JsonNode read(byte[] json) throws IOException {
-        try (JsonParser parser = FACTORY.createParser(json)) {
+        int start = startOf(json);
+        try (JsonParser parser = FACTORY.createParser(json, start, json.length - start)) {
             JsonToken token = parser.nextToken();
             if (token == null) {
                 throw new IOException("empty");
@@ -57,6 +60,13 @@
         }
     }
 
+    /** Returns the position of the first byte behind a byte order mark. */
+    static int startOf(byte[] json) {
+        int length = Math.min(json.length, BYTE_ORDER_MARK.length);
+        boolean marked = Arrays.equals(json, 0, length, BYTE_ORDER_MARK, 0, BYTE_ORDER_MARK.length);
+        return marked ? length : 0;
+    }
+
     /** Writes a tree as UTF-8 JSON. */
     static byte[] write(JsonNode node) {
         ByteArrayOutputStream buffer = new ByteArrayOutputStream();
--- a/src/test/java/org/gooseberryhill/link/JsonTreesTest.java
+++ b/src/test/java/org/gooseberryhill/link/JsonTreesTest.java
@@ -79,6 +79,15 @@
                 .isTrue();
     }
 
+    /** Guards against settings and entries that are refused because their editor marks the encoding. */
+    @Test
+    void aByteOrderMarkIsSkipped() {
+        byte[] marked = "\ufeff{\"a\":1}".getBytes(StandardCharsets.UTF_8);
+
+        assertThat(Json.tree(marked).get().path("a").asInt()).isEqualTo(1);
+        assertThat(Json.read(marked, JsonNode.class).isSuccess()).isTrue();
+    }
+
     @Test
     void textInAnotherEncodingThanUtf8IsRejected() {
         assertThat(Json.tree("{}".getBytes(StandardCharsets.UTF_16BE)).isFailure())
