Give up items at once whose attempts earlier owners have used up

An owner that was lost between giving an item up and committing this left a saved count at the limit. Each next owner ran the item once more before it gave it up again. The items are given up before any item of the batch is chosen to start.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
@@ -196,6 +196,7 @@
         List<DueItem> items = new ArrayList<>();
         for (OwnedBatch batch : batches) {
             routes.of(batch).ifPresent(route -> {
+                batch.giveUpExhausted(route.maxAttempts());
                 long untilDueMillis = BatchRoutes.dueAtMillis(batch, route) - nowMillis;
                 batch.startableItems(nowNanos)
                         .forEach(item -> items.add(new DueItem(batch, item, timing(item, untilDueMillis))));
--- a/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/OwnedBatch.java
@@ -201,6 +201,17 @@
         }
     }
 
+    /**
+     * Gives up the items that have used up their attempts at earlier owners, the last of which was lost before it committed this.
+     *
+     * @param maxAttempts the number of error answers after which an item is given up
+     */
+    public void giveUpExhausted(int maxAttempts) {
+        items.values().stream()
+                .filter(item -> item.result().isEmpty() && !item.isRunning() && item.errorAnswerCount() >= maxAttempts)
+                .forEach(item -> uncommitted.add(item.giveUp()));
+    }
+
     /** Gives up all open items, since the batch is older than the retention period of its route. */
     public void giveUpAll() {
         items.values().stream().filter(item -> item.result().isEmpty()).forEach(item -> uncommitted.add(item.giveUp()));
--- a/src/test/java/org/gooseberryhill/decision/requestbatch/FailedAttemptsTest.java
+++ b/src/test/java/org/gooseberryhill/decision/requestbatch/FailedAttemptsTest.java
@@ -34,6 +34,19 @@
         assertThat(item.errorAnswerCount()).isEqualTo(MAX_ATTEMPTS);
     }
 
+    /** Guards against a further run at each owner of an item that was given up where the owner was lost before it committed this. */
+    @Test
+    void anItemThatWasGivenUpIsNotRunAgain() {
+        batch.restore(List.of(ItemCheckpoint.withoutOutput("i0", MAX_ATTEMPTS)));
+
+        batch.giveUpExhausted(MAX_ATTEMPTS);
+
+        assertThat(batch.startableItems(NOW_NANOS))
+                .extracting(startable -> startable.item().id())
+                .containsExactly("i1", "i2");
+        assertThat(batch.beginCommit(NO_LIMIT)).extracting(ItemResult::state).containsExactly(ItemState.GIVEN_UP);
+    }
+
     /** Guards against attempts that are forgotten because the item's output does not fit beside them. */
     @Test
     void failedAttemptsAreSavedWithoutOutputThatDoesNotFit() {
