Refuse a late answer without an id on a reused connection

A caller could get the answer to another request: an endpoint that answers twice, the second time when the next request on the connection is waiting, and without the id of its request, was taken at its word. Late answers with another id are skipped.

A connection remembers that an answer on it has stated the id of its request. A success that states none is malformed from then on: the exchange fails and the connection is closed. Endpoints that never state ids, and refusals and errors without one, are treated as before.

Evidence: of the six cases of aSecondAnswerIsNotTakenForThatToTheNextRequest (before, with and after the next request; with the first request's id or none), the one with the next request and without an id failed before: "late" was taken for the answer.

--- a/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
@@ -17,6 +17,11 @@
         return dialect.requestId(answer).map(id::equals).orElse(true);
     }
 
+    @Override
+    public boolean statesRequest(HttpHeaders answer) {
+        return dialect.requestId(answer).isPresent();
+    }
+
     @Override
     public List<String> singleFields() {
         return dialect.singleAnswerFields();
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -21,6 +21,7 @@
     private boolean keepAlive;
     private boolean skippingResponse;
     private boolean connectionFailed;
+    private boolean responsesStateRequests;
 
     void attach(ClientExchange newExchange) {
         exchange = newExchange;
@@ -123,6 +124,12 @@
             skippingResponse = true;
             return true;
         }
+        if (isOfUnknownRequest(response)) {
+            exchange.failWith(
+                    ExchangeFailure.Kind.MALFORMED,
+                    "the answer does not state its request, as earlier ones on the connection did");
+            return false;
+        }
         boolean framed = BodyFraming.of(response.status().code(), response.headers()) != BodyFraming.CONNECTION_CLOSE;
         if (!framed && !exchange.acceptsUnframed()) {
             // A response that ends with its connection can't be distinguished from a truncated one,
@@ -135,6 +142,18 @@
         return true;
     }
 
+    /**
+     * Returns whether a success may be a late response to an earlier request: it does not state its request, and an earlier
+     * response on the connection did.
+     */
+    private boolean isOfUnknownRequest(HttpResponse response) {
+        if (exchange.statesRequest(response.headers())) {
+            responsesStateRequests = true;
+            return false;
+        }
+        return responsesStateRequests && response.status().codeClass() == HttpStatusClass.SUCCESS;
+    }
+
     private void failExchange(String detail) {
         ClientExchange current = exchange;
         exchange = null;
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -87,6 +87,11 @@
         return request.options().responseMatcher().matches(headers);
     }
 
+    /** Returns whether a response with these headers states to which request it belongs. */
+    boolean statesRequest(HttpHeaders headers) {
+        return request.options().responseMatcher().statesRequest(headers);
+    }
+
     /** Returns the names of fields that a response bears at most once, in addition to those of HTTP. */
     List<String> singleFields() {
         return request.options().responseMatcher().singleFields();
--- a/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
+++ b/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
@@ -17,6 +17,11 @@
     /** Returns whether the response with these headers belongs to the request; any other response is skipped. */
     boolean matches(HttpHeaders headers);
 
+    /** Returns whether the response with these headers states to which request it belongs. */
+    default boolean statesRequest(HttpHeaders headers) {
+        return false;
+    }
+
     /** Returns the names of fields that a response bears at most once, in addition to those of HTTP. */
     default List<String> singleFields() {
         return List.of();
--- /dev/null
+++ b/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
@@ -0,0 +1,111 @@
+package org.gooseberryhill.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.gooseberryhill.http.RawEndpoint.ascii;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.gooseberryhill.Loopback;
+import org.gooseberryhill.link.Address;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests a second answer to a request that arrives when its connection is used again. */
+class LateAnswerTest {
+    /** Far longer than any response takes; ends a test that would otherwise hang. */
+    private static final int SILENCE_MILLIS = 60_000;
+
+    private static final int REQUESTS = 3;
+
+    private final EventLoopGroup group = Loopback.newEventLoopGroup();
+    private final HttpClient client = new HttpClient(group);
+
+    @AfterEach
+    void close() {
+        client.close();
+        group.shutdownGracefully();
+    }
+
+    /** Guards against the answer to one request that is taken for the answer to the next one on the same connection. */
+    @ParameterizedTest
+    @CsvSource({"'',before", "'',with", "'',after", "'x-id: 0\r\n',before", "'x-id: 0\r\n',with", "'x-id: 0\r\n',after"
+    })
+    void aSecondAnswerIsNotTakenForThatToTheNextRequest(String idField, String when) throws IOException {
+        String late = answer(idField, "late");
+        String[] answers = new String[REQUESTS];
+        for (int i = 0; i < REQUESTS; i++) {
+            answers[i] = answer("x-id: " + i + "\r\n", Integer.toString(i));
+        }
+        switch (when) {
+            case "before" -> answers[0] += late;
+            case "with" -> answers[1] = late + answers[1];
+            default -> answers[1] += late;
+        }
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread server = new Thread(() -> serve(listener, answers), "late-answers");
+            server.setDaemon(true);
+            server.start();
+            for (int i = 0; i < REQUESTS; i++) {
+                assertThat(call(listener, Integer.toString(i))).isIn(Integer.toString(i), "MALFORMED");
+            }
+        }
+    }
+
+    private String call(ServerSocket listener, String id) {
+        ExchangeOptions options = new ExchangeOptions(
+                SILENCE_MILLIS,
+                ExchangeOptions.DEFAULT_CONNECT_TIMEOUT_MILLIS,
+                Integer.MAX_VALUE,
+                false,
+                new IdMatcher(id),
+                0);
+        Address address = new Address("127.0.0.1", listener.getLocalPort());
+        ExchangeRequest request = new ExchangeRequest(
+                address, "GET", "/" + id, Map.<String, String>of().entrySet(), new byte[0], options);
+        try {
+            return new String(client.call(request, 100).join().body(), StandardCharsets.US_ASCII);
+        } catch (CompletionException e) {
+            return ((ExchangeException) e.getCause()).failure().kind().name();
+        }
+    }
+
+    private static String answer(String idField, String body) {
+        return "HTTP/1.1 200 OK\r\n" + idField + "content-length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Answers each request by the number in its target, on as many connections as the client opens. */
+    private static void serve(ServerSocket listener, String[] answers) {
+        while (!listener.isClosed()) {
+            try (Socket socket = listener.accept()) {
+                String head = RawEndpoint.readHead(socket.getInputStream());
+                while (!head.isEmpty()) {
+                    socket.getOutputStream().write(ascii(answers[head.charAt("GET /".length()) - '0']));
+                    head = RawEndpoint.readHead(socket.getInputStream());
+                }
+            } catch (IOException e) {
+                // The client closed this connection, or the test has ended: accept the next one.
+                continue;
+            }
+        }
+    }
+
+    private record IdMatcher(String id) implements ResponseMatcher {
+        @Override
+        public boolean matches(HttpHeaders headers) {
+            return id.equals(headers.get("x-id", id));
+        }
+
+        @Override
+        public boolean statesRequest(HttpHeaders headers) {
+            return headers.contains("x-id");
+        }
+    }
+}
--- a/src/test/java/org/gooseberryhill/http/RawEndpoint.java
+++ b/src/test/java/org/gooseberryhill/http/RawEndpoint.java
@@ -56,16 +56,18 @@
         }
     }
 
-    private static void readHead(InputStream input) throws IOException {
+    /** Reads the head of a request; empty if the connection ends before its end. */
+    static String readHead(InputStream input) throws IOException {
         StringBuilder head = new StringBuilder();
         int next = input.read();
         while (next >= 0) {
             head.append((char) next);
             if (head.toString().endsWith("\r\n\r\n")) {
-                return;
+                return head.toString();
             }
             next = input.read();
         }
+        return "";
     }
 
     static byte[] ascii(String text) {
