Keep the blocks of prompt parts when their record can't be read

A record of blocked parts that can't be read was taken for an empty one, which is what an operator's deletion means: all blocks were lifted, and the parts crashed endpoints again.

Such a record lifts nothing. It counts as different from what the host knows, so that the responsible host replaces it.

Evidence: aPartStaysRefusedWhenItsRecordIsReplacedByOneThatCantBeRead failed before: 24 requests with the part had run instead of at most 8.

--- a/src/main/java/org/gooseberryhill/gateway/QuarantineRecordWriter.java
+++ b/src/main/java/org/gooseberryhill/gateway/QuarantineRecordWriter.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.gateway;
 
+import io.vavr.control.Try;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.gooseberryhill.decision.promptpart.BlockChange;
@@ -52,18 +53,22 @@
         this.notBeforeNanos = context.nowNanos();
     }
 
-    /** Applies the record as read from the key-value store; an entry without a value was deleted by an operator. */
+    /**
+     * Applies the record as read from the key-value store. An entry without a value was deleted by an operator, to lift all blocks;
+     * one that can't be read lifts none, and is replaced.
+     */
     void recordRead(KeyChange entry) {
         if (entry.revision() <= knownRevision) {
             return;
         }
         knownRevision = entry.revision();
         expectedRevision = entry.value().isPresent() ? entry.revision() : 0;
-        known = entry.value()
-                .flatMap(value -> QuarantineRecordCodec.read(value)
-                        .onFailure(this::logInvalid)
-                        .toJavaOptional())
-                .orElse(QuarantineRecord.EMPTY);
+        Try<QuarantineRecord> record =
+                entry.value().map(QuarantineRecordCodec::read).orElse(Try.success(QuarantineRecord.EMPTY));
+        known = record.onFailure(this::logInvalid).getOrElse(QuarantineRecord.EMPTY);
+        if (record.isFailure()) {
+            return;
+        }
         quarantine
                 .restore(known, System.currentTimeMillis(), context.nowNanos())
                 .forEach(onChange);
