Repeat the parts of a change that throw until they are done

What followed from a change of the endpoints, of the hosts or of the configuration was done step by step. A step that threw kept the later ones from being done, and none of them was repeated: the view offers a change once, and the version of the configuration had moved on. Endpoints were missing, or a configuration was in force in some parts only, until the next change.

LatestValueDelivery passes the latest value to each part by itself, and again each half second to those that threw; the first failure with a value is logged. A configuration is logged as in force when all parts have taken it. The steps of a configuration move to ConfigurationInForce, out of GatewayProcess.

Evidence: by reading; no value is known with which one of the steps throws.

--- a/src/main/java/org/gooseberryhill/gateway/GatewayContext.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayContext.java
@@ -1,6 +1,8 @@
 package org.gooseberryhill.gateway;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.gooseberryhill.control.ControlLoop;
 import org.gooseberryhill.decision.dispatch.DispatchCore;
@@ -41,6 +43,8 @@
         PlannedStop stop,
         Timeline timeline,
         GatewayMetrics metrics) {
+    private static final long DELIVERY_REPEAT_MILLIS = 500;
+
     /** Returns the settings in force; a reload may change some of them. */
     GatewaySettings settings() {
         return settingsInForce.get();
@@ -55,6 +59,16 @@
         future.whenComplete((result, failure) -> loop.execute(() -> completion.completed(result, failure)));
     }
 
+    /**
+     * Creates a delivery that is repeated on the control thread to the receivers that throw.
+     *
+     * @param onDelivered gets each value that all receivers have taken
+     */
+    <T> LatestValueDelivery<T> newDelivery(String name, List<Consumer<T>> receivers, Consumer<T> onDelivered) {
+        return new LatestValueDelivery<>(
+                name, timeline, task -> loop.after(DELIVERY_REPEAT_MILLIS, task), receivers, onDelivered);
+    }
+
     /** Callback for the completion of a future: one of its two arguments is null. */
     @FunctionalInterface
     interface Completion<T> {
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -4,7 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.Closeable;
-import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -22,7 +22,6 @@
 import org.gooseberryhill.decision.quarantine.CrashSuspects;
 import org.gooseberryhill.decision.requestbatch.BatchRoutes;
 import org.gooseberryhill.dialect.Dialects;
-import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.external.KeyValueStoreFactory;
 import org.gooseberryhill.http.HttpClient;
 import org.gooseberryhill.http.HttpLimits;
@@ -37,8 +36,6 @@
 import org.gooseberryhill.peer.PeerServer;
 import org.gooseberryhill.registration.HostRegistration;
 import org.gooseberryhill.registration.ProcessStartIds;
-import org.gooseberryhill.route.RouteConfiguration;
-import org.gooseberryhill.route.RouteTable;
 import org.gooseberryhill.stored.BatchStore;
 import org.gooseberryhill.timeline.EventKind;
 import org.gooseberryhill.timeline.Timeline;
@@ -84,6 +81,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final Fleet fleet = new Fleet();
     private final StoreReachability storeReachability = new StoreReachability();
     private final RelayingKeyValueStore store;
     private final GatewayContext context;
@@ -119,14 +117,13 @@
     private Optional<HttpServer> readinessServer = Optional.empty();
     private Optional<PeerServer> peerServer = Optional.empty();
     private Optional<MetricsServer> metricsServer = Optional.empty();
-    private volatile RouteTable table = RouteTable.EMPTY;
+    private final ConfigurationInForce configuration;
 
     /** Creates a process that is not started yet; the factory creates the store with the HTTP client of the process. */
     public GatewayProcess(GatewaySettings settings, Dialects dialects, KeyValueStoreFactory storeFactory, long seed) {
         this.settings = settings;
         Random random = new Random(seed);
         HttpClient http = new HttpClient(group, HeldBytesGuard.newCounts(settings));
-        Fleet fleet = new Fleet();
         this.routing = new GroupRouting(settings.self(), settings.groupPartition());
         CountedKeyValueStore directStore = CountedKeyValueStore.create(storeFactory.create(http), dialects, metrics);
         this.store = new RelayingKeyValueStore(
@@ -141,7 +138,7 @@
                 this.store,
                 dialects,
                 fleet,
-                createCore(http, policies, fleet),
+                createCore(http, policies),
                 new PlannedStop(STOP_GRACE_MILLIS, settings.stopBoundMillis()),
                 new Timeline(settings.self().id().value(), clock, log),
                 metrics);
@@ -171,6 +168,7 @@
         BatchSubmissionHandler submissionHandler =
                 new BatchSubmissionHandler(context, refusals, links, registry, batchStore, committer, runner, takeover);
         this.handOver = new BatchHandOver(context, links, registry, committer);
+        this.configuration = createConfiguration();
         this.views = createViews();
         StartGate gate = new StartGate(context.nowNanos());
         this.readiness = new Readiness(context, gate);
@@ -183,7 +181,7 @@
         this.requestRouter = new RequestRouter(context, traffic, submissionHandler, batchApiHandler, gate, random);
     }
 
-    private DispatchCore createCore(HttpClient http, DispatchPolicies policies, Fleet fleet) {
+    private DispatchCore createCore(HttpClient http, DispatchPolicies policies) {
         return new DispatchCore(
                 settings.self().zone(),
                 policies,
@@ -199,12 +197,35 @@
                 context,
                 links,
                 storeReachability::isReachable,
-                this::configure,
-                this::endpointsChanged,
+                configuration::configure,
+                List.of(
+                        update -> fleet.updateDirectory(update.entries()),
+                        traffic.streamOrigins()::endpointsChanged,
+                        update -> traffic.promptParts().endpointsChanged(update.entries()),
+                        update -> assignment.endpointsChanged(update.entries()),
+                        update -> updateReadiness(),
+                        update -> runner.schedule()),
                 traffic.streamOrigins()::followRegistrations,
                 traffic.recordReceivers());
     }
 
+    private ConfigurationInForce createConfiguration() {
+        return new ConfigurationInForce(
+                context,
+                List.of(
+                        table -> requestRouter.configure(table),
+                        batchRoutes::configure,
+                        table -> traffic.streamOrigins().configure(table.configuration()),
+                        table -> assignment
+                                .exchange()
+                                .admissions()
+                                .configure(table.configuration().accounts()),
+                        table -> traffic.setConfigurationVersion(
+                                table.configuration().version()),
+                        table -> updateReadiness(),
+                        table -> runner.schedule()));
+    }
+
     private ListedHost listedSelf() {
         return new ListedHost(settings.self(), context.processStart());
     }
@@ -333,39 +354,11 @@
     }
 
     private void updateReadiness() {
-        boolean canRoute = views.areLoaded() && !table.configuration().isEmpty();
+        boolean canRoute =
+                views.areLoaded() && !configuration.table().configuration().isEmpty();
         readiness.update(canRoute, context.stop().phase() != PlannedStop.Phase.SERVING);
     }
 
-    private void endpointsChanged(Collection<EndpointEntry> entries, Collection<EndpointEntry> passed) {
-        context.fleet().updateDirectory(entries);
-        traffic.streamOrigins().endpointsChanged(entries, passed);
-        traffic.promptParts().endpointsChanged(entries);
-        assignment.endpointsChanged(entries);
-        updateReadiness();
-        runner.schedule();
-    }
-
-    private void configure(RouteConfiguration configuration) {
-        if (configuration.version() <= table.configuration().version()) {
-            return;
-        }
-        table = new RouteTable(configuration);
-        requestRouter.configure(table);
-        batchRoutes.configure(table);
-        traffic.streamOrigins().configure(configuration);
-        assignment.exchange().admissions().configure(configuration.accounts());
-        traffic.setConfigurationVersion(configuration.version());
-        context.timeline()
-                .event(EventKind.CONFIGURATION_IN_FORCE)
-                .with("version", configuration.version())
-                .with("routes", configuration.routes().size())
-                .with("accounts", configuration.accounts().size())
-                .write();
-        updateReadiness();
-        runner.schedule();
-    }
-
     /** Logs that the store was lost or regained; may be called from any thread. */
     private void storeReachabilityChanged(boolean reachable, String reason) {
         context.timeline()
@@ -394,6 +387,6 @@
 
     private HttpLimits limits() {
         HeldBytesPolicy heldBytes = context.http().heldBytes().policy();
-        return CallerLimits.of(table.configuration().limits(), settings.connectionLimits(), heldBytes);
+        return CallerLimits.of(configuration.table().configuration().limits(), settings.connectionLimits(), heldBytes);
     }
 }
--- a/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayViews.java
@@ -1,5 +1,6 @@
 package org.gooseberryhill.gateway;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -9,7 +10,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -47,7 +47,8 @@
     private final PeerLinks links;
     private final BooleanSupplier storeReached;
     private final Consumer<RouteConfiguration> onConfiguration;
-    private final BiConsumer<Collection<EndpointEntry>, Collection<EndpointEntry>> onEndpointsChanged;
+    private final LatestValueDelivery<DirectoryUpdate> endpointDelivery;
+    private final LatestValueDelivery<Collection<ListedHost>> hostDelivery;
     private final Map<String, Consumer<KeyChange>> onRecordByKey;
     private final EvacuationReporter evacuationReporter;
     private final ViewUpdater registrations;
@@ -64,7 +65,7 @@
      * Creates views that were not loaded yet.
      *
      * @param storeReached whether the store answers this host
-     * @param onEndpointsChanged receives all endpoints, and the entries that were replaced or removed since the last time
+     * @param directoryReceivers get each change of the endpoints
      * @param onRegistrationsFollowed receives the view of the registrations, before it is loaded
      * @param onRecordByKey receivers of the records that are kept beside the list of hosts, by key
      */
@@ -73,14 +74,17 @@
             PeerLinks links,
             BooleanSupplier storeReached,
             Consumer<RouteConfiguration> onConfiguration,
-            BiConsumer<Collection<EndpointEntry>, Collection<EndpointEntry>> onEndpointsChanged,
+            List<Consumer<DirectoryUpdate>> directoryReceivers,
             Consumer<ViewUpdater> onRegistrationsFollowed,
             Map<String, Consumer<KeyChange>> onRecordByKey) {
         this.context = context;
         this.links = links;
         this.storeReached = storeReached;
         this.onConfiguration = onConfiguration;
-        this.onEndpointsChanged = onEndpointsChanged;
+        List<Consumer<DirectoryUpdate>> receivers = new ArrayList<>(directoryReceivers);
+        receivers.add(0, update -> logDirectoryChanges(update.entries()));
+        this.endpointDelivery = context.newDelivery("endpoints", receivers, update -> {});
+        this.hostDelivery = context.newDelivery("hosts", List.of(links::updateListedHosts), listed -> {});
         this.onRecordByKey = onRecordByKey;
         this.rankUpdatedNanos = context.nowNanos() - RANK_UPDATE_PERIOD_NANOS;
         this.evacuationReporter = new EvacuationReporter(context, links);
@@ -182,9 +186,8 @@
 
     private void endpointsChanged(List<KeyChange> changes) {
         if (registeredEndpoints.apply(changes)) {
-            Collection<EndpointEntry> entries = registeredEndpoints.entries();
-            logDirectoryChanges(entries);
-            onEndpointsChanged.accept(entries, registeredEndpoints.passedEntries());
+            endpointDelivery.deliver(
+                    new DirectoryUpdate(registeredEndpoints.entries(), registeredEndpoints.passedEntries()));
         }
     }
 
@@ -250,7 +253,7 @@
 
     private void hostsChanged(List<KeyChange> changes) {
         changeApplier.applyEach(changes, this::applyHostEntry);
-        links.updateListedHosts(listedHosts.values());
+        hostDelivery.deliver(List.copyOf(listedHosts.values()));
     }
 
     private void applyHostEntry(KeyChange entry) {
--- a/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
+++ b/src/main/java/org/gooseberryhill/gateway/StreamOrigins.java
@@ -17,7 +17,6 @@
 import org.gooseberryhill.decision.continuation.StreamOrigin;
 import org.gooseberryhill.decision.continuation.StreamOriginLog;
 import org.gooseberryhill.decision.continuation.VersionHistory;
-import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.external.KeyChange;
 import org.gooseberryhill.host.Host;
@@ -92,8 +91,8 @@
     }
 
     /** Applies a new directory: streams that have begun are made known before their service has several versions for long. */
-    void endpointsChanged(Collection<EndpointEntry> entries, Collection<EndpointEntry> passed) {
-        Set<String> mixed = history.update(entries, passed, context.nowNanos());
+    void endpointsChanged(DirectoryUpdate update) {
+        Set<String> mixed = history.update(update.entries(), update.passed(), context.nowNanos());
         mixed.forEach(service -> tell(log.recent(service, history.maxStreamAgeNanos(), context.nowNanos())));
     }
 
