Pass on no head to an exchange that has failed

A listener got the head of another answer after it was told that its exchange had failed: an attempt that was given up could take the other answer's status and reset what its request had collected.

Closing a connection does not discard what was read with the malformed answer, and the head of an answer was passed on regardless of the exchange's end, unlike its body and its end.

Evidence: anotherAnswerBehindAMalformedOneIsNotPassedOn failed before: the listener got MALFORMED, then the head with status 200.

--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -102,6 +102,9 @@
     }
 
     void onHead(int status, HttpHeaders headers) {
+        if (ended) {
+            return;
+        }
         recordActivity();
         IdleConnectionPool.recordIdleTimeout(channel, headers);
         if (!cancelled) {
--- a/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
@@ -9,9 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.Loopback;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -104,6 +108,22 @@
                 .isEqualTo("200");
     }
 
+    /** Guards against a listener that gets the head of another answer after it was told of the failure. */
+    @Test
+    void anotherAnswerBehindAMalformedOneIsNotPassedOn() throws IOException {
+        BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        String whole = "HTTP/1.1 200 OK\r\n" + LENGTH;
+        try (RawEndpoint endpoint = new RawEndpoint(ascii("HTTP/1.1 200 O" + whole + whole), false)) {
+            client.start(
+                    new ExchangeRequest(endpoint.address(), "GET", "/", Map.of(), new byte[0], SILENCE_MILLIS, true),
+                    new RecordingListener(events));
+            Loopback.await("the failure", () -> !events.isEmpty());
+        }
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+
+        assertThat(events).containsExactly("MALFORMED");
+    }
+
     /** Returns the status of the answer, or how the exchange failed. */
     private String result(String answers, ResponseMatcher matcher) throws IOException {
         ExchangeOptions options = new ExchangeOptions(
@@ -117,4 +137,26 @@
             return ((ExchangeException) e.getCause()).failure().kind().name();
         }
     }
+
+    private record RecordingListener(BlockingQueue<String> events) implements ExchangeListener {
+        @Override
+        public void onHead(int status, HttpHeaders headers) {
+            events.add("head " + status);
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            events.add("bytes");
+        }
+
+        @Override
+        public void onEnd() {
+            events.add("end");
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            events.add(failure.kind().name());
+        }
+    }
 }
