Check that a frame is complete before it is mapped

The mapper that decodes the rarer messages allocates what the header of a binary value announces before it reads the value: a damaged frame asked for 2 GB, an Error on a traffic thread.

The values of such a frame are counted first, without allocations; a frame that ends within a value is refused.

Evidence: PeerCodecProperties changes bytes of a frame of each message, 200 times, and expects the frame after it to be read. It ended the process of the tests before, with "Requested array size exceeds VM limit" in MessagePackParser.nextToken; it passes now in 6 s.

--- a/src/main/java/org/gooseberryhill/peer/PeerCodec.java
+++ b/src/main/java/org/gooseberryhill/peer/PeerCodec.java
@@ -75,7 +75,27 @@
      */
     static PeerFrame decode(byte[] bytes) throws IOException {
         boolean compact = bytes.length > 0 && MessagePack.Code.isPosFixInt(bytes[0]);
-        return compact ? decodeCompact(bytes) : MAPPER.get().readValue(bytes, PeerFrame.class);
+        if (compact) {
+            return decodeCompact(bytes);
+        }
+        requireComplete(bytes);
+        return MAPPER.get().readValue(bytes, PeerFrame.class);
+    }
+
+    /**
+     * Throws an exception if a frame ends within a value. The mapper allocates what the header of a value announces before it
+     * reads the value.
+     */
+    private static void requireComplete(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            for (long values = 1; values > 0; values--) {
+                switch (unpacker.getNextFormat().getValueType()) {
+                    case ARRAY -> values += unpacker.unpackArrayHeader();
+                    case MAP -> values += 2L * unpacker.unpackMapHeader();
+                    default -> unpacker.skipValue();
+                }
+            }
+        }
     }
 
     private static byte[] encode(PeerFrame frame, CompactCodec<?> codec) throws IOException {
