Test that a body is not completed by another answer

An endpoint that stops within a body with a length and sends another answer on the same connection has its body completed by that answer's bytes: the caller gets status 200 and a body of both.

--- a/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
@@ -70,6 +70,15 @@
         assertThat(passed).as("cuts that were not refused").isEmpty();
     }
 
+    /** Guards against a response whose body is completed by the bytes of another response. */
+    @Test
+    void aBodyThatStopsIsNotCompletedByTheNextAnswer() throws IOException {
+        String cut = "HTTP/1.1 200 OK\r\n" + FIELDS + "content-length: 80\r\n\r\n" + "a".repeat(40);
+
+        assertThat(result(cut + "HTTP/1.1 500 Error\r\n" + FIELDS + LENGTH, ResponseMatcher.NONE))
+                .isEqualTo("MALFORMED");
+    }
+
     /** Guards against two responses that are skipped as one, after which the exchange waits for an answer that has come. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 103 Ea", "HTTP/1.1 200 OK\r\nx-id: 6"})
