Write the record of versions again after it was deleted

A record of versions that had been deleted was never written again: the write was on condition that the key still had the revision of its deletion, and a key that does not exist has revision 0. A host that started after all others were lost did not learn which versions had been registered.

The condition after a deletion is that the key does not exist, as with the record of blocked parts.

Evidence: aDeletedRecordOfVersionsIsWrittenAgain failed before, after 120 s: "not observed in time: the record once more".

--- a/src/main/java/org/gooseberryhill/gateway/VersionRecordWriter.java
+++ b/src/main/java/org/gooseberryhill/gateway/VersionRecordWriter.java
@@ -30,6 +30,7 @@
     private final VersionHistory history;
     private Optional<VersionRecord> known = Optional.empty();
     private long knownRevision;
+    private long expectedRevision;
     private long notBeforeNanos;
 
     VersionRecordWriter(GatewayContext context, PeerLinks links, VersionHistory history) {
@@ -39,12 +40,13 @@
         this.notBeforeNanos = context.nowNanos() + FIRST_WRITE_NANOS;
     }
 
-    /** Applies the record as read from the key-value store. */
+    /** Applies the record as read from the key-value store; one that was deleted or can't be read is written again. */
     void recordRead(KeyChange entry) {
         if (entry.revision() <= knownRevision) {
             return;
         }
         knownRevision = entry.revision();
+        expectedRevision = entry.value().isPresent() ? entry.revision() : 0;
         known = entry.value()
                 .flatMap(value -> StoredValueCodec.readVersions(value)
                         .onFailure(this::logInvalid)
@@ -65,7 +67,7 @@
 
     private void write(VersionRecord record) {
         Transaction put = Transaction.builder()
-                .ifRevisionIs(StoredKeys.VERSIONS, knownRevision)
+                .ifRevisionIs(StoredKeys.VERSIONS, expectedRevision)
                 .put(StoredKeys.VERSIONS, StoredValueCodec.write(record))
                 .build();
         context.onLoop(context.store().write(put), this::onWritten);
