Refuse records of batches with more parts than can be listed

A finished record is deleted with the keys of its parts, which are listed first: one with parts would take more memory than the process has, on the control thread.

A record with fewer than 0 or more than 10,000 parts is refused, as other records that can't be read.

Evidence: the two new cases of aRecordWithAValueOfAnotherTypeOrRangeIsRejected failed before: the record was taken. The deletion of such a record was not run.

--- a/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
+++ b/src/main/java/org/gooseberryhill/stored/StoredValueCodec.java
@@ -33,6 +33,9 @@
  * is unreadable, except for fields that earlier versions did not write; unknown fields are ignored.
  */
 public final class StoredValueCodec {
+    /** Far more values than the items of a batch are split into; each of them is listed by its key when a batch is deleted. */
+    private static final int MAX_BODY_PARTS = 10_000;
+
     private StoredValueCodec() {}
 
     /** Encodes the entry of a live host. */
@@ -133,6 +136,10 @@
     /** Decodes a batch's record. */
     public static Try<BatchRecord> readRecord(byte[] value) {
         return Json.tree(value).mapTry(json -> {
+            int bodyParts = JsonFields.intNumber(json, "bodyParts");
+            if (bodyParts < 0 || bodyParts > MAX_BODY_PARTS) {
+                throw new IllegalArgumentException("bodyParts is out of range");
+            }
             List<Integer> chunks = new ArrayList<>();
             JsonFields.list(json, "chunks").forEach(chunk -> chunks.add(JsonFields.intNumber(chunk)));
             return new BatchRecord(
@@ -142,7 +149,7 @@
                     JsonFields.text(json, "owner"),
                     JsonFields.text(json, "ownerStart"),
                     JsonFields.longNumber(json, "acceptedAtMillis"),
-                    JsonFields.intNumber(json, "bodyParts"),
+                    bodyParts,
                     JsonFields.intNumber(json, "items"),
                     JsonFields.flag(json, "ended"),
                     List.copyOf(chunks),
--- a/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
+++ b/src/test/java/org/gooseberryhill/stored/StoredValueCodecTest.java
@@ -105,6 +105,8 @@
         "owner, 7",
         "host, null",
         "items, 4294967301",
+        "bodyParts, 2147483647",
+        "bodyParts, -1",
         "acceptedAtMillis, 18446744073709551621",
         "ended, 1",
         "chunks, {}",
