Keep the control thread after a task threw an undeclared checked exception

Try.get() and Netty's syncUninterruptibly throw checked exceptions that their methods do not declare.

A task that throws one counts as failed and is logged, and the next one runs.

--- a/src/main/java/org/gooseberryhill/control/ControlLoop.java
+++ b/src/main/java/org/gooseberryhill/control/ControlLoop.java
@@ -166,7 +166,8 @@
         lastTakenNanos = nowNanos();
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (Exception e) {
+            // A task may throw a checked exception that the compiler does not know of, as Try.get() does.
             failedTasks.increment();
             LOG.get().error("control task failed", e);
         } catch (Error e) {
--- a/src/test/java/org/gooseberryhill/control/ControlLoopTest.java
+++ b/src/test/java/org/gooseberryhill/control/ControlLoopTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vavr.control.Try;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -79,6 +81,17 @@
         assertThat(take(3)).containsExactly("run", "run", "run");
     }
 
+    /** A checked exception that its method does not declare would end the control thread. */
+    @Test
+    void aTaskRunsAfterOneThatThrewAnUndeclaredCheckedException() throws InterruptedException {
+        loop.execute(() ->
+                Try.failure(new IOException("expected failure of the task")).get());
+        loop.execute(() -> executed.add("next"));
+
+        assertThat(take(1)).containsExactly("next");
+        assertThat(loop.failedTasks()).isEqualTo(1);
+    }
+
     /** A task of the loop adds more tasks than the ring holds: blocking until slots are free would be a deadlock. */
     @Test
     void aTaskOfTheLoopMayAddAnyNumberOfTasks() throws InterruptedException {
