Show that late answers without an id make requests run twice

An endpoint that keeps its connections and sends an answer without an id before the one that is due: 421, or 429 and 503 that say that the request was not run, are taken for the next request's, which is sent to a second endpoint while the first runs it. A failure without an id reaches the caller of another request. An answer without a signature ends the attempt, and its connection is kept for reuse, so that the endpoint is not told before the request goes on elsewhere.

--- a/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
@@ -12,11 +12,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
+import java.util.stream.Stream;
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.link.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests a second answer to a request that arrives when its connection is used again. */
 class LateAnswerTest {
@@ -24,6 +26,7 @@
     private static final int SILENCE_MILLIS = 60_000;
 
     private static final int REQUESTS = 3;
+    private static final String OK = "200 OK";
 
     private final EventLoopGroup group = Loopback.newEventLoopGroup();
     private final HttpClient client = new HttpClient(group);
@@ -36,13 +39,13 @@
 
     /** Guards against the answer to one request that is taken for the answer to the next one on the same connection. */
     @ParameterizedTest
-    @CsvSource({"'',before", "'',with", "'',after", "'x-id: 0\r\n',before", "'x-id: 0\r\n',with", "'x-id: 0\r\n',after"
-    })
-    void aSecondAnswerIsNotTakenForThatToTheNextRequest(String idField, String when) throws IOException {
-        String late = answer(idField, "late");
+    @MethodSource("lateAnswers")
+    void aSecondAnswerIsNotTakenForThatToTheNextRequest(String statusLine, String idField, String when)
+            throws IOException {
+        String late = answer(statusLine, idField, "late");
         String[] answers = new String[REQUESTS];
         for (int i = 0; i < REQUESTS; i++) {
-            answers[i] = answer("x-id: " + i + "\r\n", Integer.toString(i));
+            answers[i] = answer(OK, "x-id: " + i + "\r\n", Integer.toString(i));
         }
         switch (when) {
             case "before" -> answers[0] += late;
@@ -77,8 +80,15 @@
         }
     }
 
-    private static String answer(String idField, String body) {
-        return "HTTP/1.1 200 OK\r\n" + idField + "content-length: " + body.length() + "\r\n\r\n" + body;
+    static Stream<Arguments> lateAnswers() {
+        return Stream.of(OK, "421 Misdirected Request", "429 Too Many Requests", "500 Error", "503 Unavailable")
+                .flatMap(status -> Stream.of("", "x-id: 0\r\n")
+                        .flatMap(idField ->
+                                Stream.of("before", "with", "after").map(when -> Arguments.of(status, idField, when))));
+    }
+
+    private static String answer(String statusLine, String idField, String body) {
+        return "HTTP/1.1 " + statusLine + "\r\n" + idField + "content-length: " + body.length() + "\r\n\r\n" + body;
     }
 
     /** Answers each request by the number in its target, on as many connections as the client opens. */
