Believe no late answer that does not state its request

What callers saw: a request that must run once ran at two or three endpoints (TWICE), or a caller got the failure of another request (MIXED), where an endpoint answers twice, the second time late and without the id of the request.

Cause: since a success without an id is refused on a connection whose answers state ids; failures and promises were not looked at. A safeguard written for the status that was seen let the same bytes pass under another one.

Now such an answer is malformed whatever its status: its connection is closed and the request may have run. Where an endpoint never states ids, a promise (421, not executed) counts only as the first answer of its connection, since only that can't be another's. Answers that were skipped count as well.

New: a promise without an id on a reused connection.

--- a/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.Optional;
 import org.gooseberryhill.dialect.TrafficDialect;
 import org.gooseberryhill.http.ResponseMatcher;
 
@@ -22,6 +23,16 @@
         return dialect.requestId(answer).isPresent();
     }
 
+    @Override
+    public boolean promisesNotRun(int status, HttpHeaders answer) {
+        return dialect.isNotRun(status, answer);
+    }
+
+    @Override
+    public Optional<String> requestId() {
+        return Optional.of(id);
+    }
+
     @Override
     public List<String> singleFields() {
         return dialect.singleAnswerFields();
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -21,6 +21,7 @@
     private boolean keepAlive;
     private boolean skippingResponse;
     private boolean connectionFailed;
+    private boolean responsesBefore;
     private boolean responsesStateRequests;
 
     void attach(ClientExchange newExchange) {
@@ -111,23 +112,27 @@
 
     /** Handles the head of a response; returns false if the exchange failed because of it. */
     private boolean handleHead(HttpResponse response) {
-        Optional<String> fault = AnswerHeadCheck.fault(response, exchange.singleFields());
+        Optional<String> fault =
+                AnswerHeadCheck.fault(response, exchange.responseMatcher().singleFields());
         if (fault.isPresent()) {
             exchange.failWith(ExchangeFailure.Kind.MALFORMED, fault.get());
             return false;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            responsesBefore = true;
             skippingResponse = true;
             return true;
         }
-        if (!exchange.matches(response.headers())) {
+        boolean mayBeOfAnotherRequest = mayBeOfAnotherRequest(response);
+        responsesBefore = true;
+        if (!exchange.responseMatcher().matches(response.headers())) {
             skippingResponse = true;
             return true;
         }
-        if (isOfUnknownRequest(response)) {
+        if (mayBeOfAnotherRequest) {
             exchange.failWith(
                     ExchangeFailure.Kind.MALFORMED,
-                    "the answer does not state its request, as earlier ones on the connection did");
+                    "the answer does not state its request, and the connection has carried others");
             return false;
         }
         boolean framed = BodyFraming.of(response.status().code(), response.headers()) != BodyFraming.CONNECTION_CLOSE;
@@ -143,15 +148,17 @@
     }
 
     /**
-     * Returns whether a success may be a late response to an earlier request: it does not state its request, and an earlier
-     * response on the connection did.
+     * Returns whether a response may be a late one to an earlier request: it states no request, and earlier responses on the connection
+     * did, or it would have its request sent again.
      */
-    private boolean isOfUnknownRequest(HttpResponse response) {
-        if (exchange.statesRequest(response.headers())) {
+    private boolean mayBeOfAnotherRequest(HttpResponse response) {
+        ResponseMatcher matcher = exchange.responseMatcher();
+        if (matcher.statesRequest(response.headers())) {
             responsesStateRequests = true;
             return false;
         }
-        return responsesStateRequests && response.status().codeClass() == HttpStatusClass.SUCCESS;
+        return responsesStateRequests
+                || responsesBefore && matcher.promisesNotRun(response.status().code(), response.headers());
     }
 
     private void failExchange(String detail) {
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -82,19 +81,9 @@
         connection.eventLoop().execute(() -> send(connection, pooled));
     }
 
-    /** Returns whether a response with these headers belongs to this exchange. */
-    boolean matches(HttpHeaders headers) {
-        return request.options().responseMatcher().matches(headers);
-    }
-
-    /** Returns whether a response with these headers states to which request it belongs. */
-    boolean statesRequest(HttpHeaders headers) {
-        return request.options().responseMatcher().statesRequest(headers);
-    }
-
-    /** Returns the names of fields that a response bears at most once, in addition to those of HTTP. */
-    List<String> singleFields() {
-        return request.options().responseMatcher().singleFields();
+    /** Returns the decision on which responses belong to this exchange. */
+    ResponseMatcher responseMatcher() {
+        return request.options().responseMatcher();
     }
 
     boolean acceptsUnframed() {
--- a/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
+++ b/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
@@ -2,12 +2,14 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Decides by its headers whether a response belongs to the request in progress; called by one event loop thread.
  *
  * <p>Guards against a faulty server that sends a second, late response when the response to the next request on the same
- * connection is expected: the caller would receive the response to another request.
+ * connection is expected: the caller would receive the response to another request, or a request that runs would be taken for
+ * one that has not run.
  */
 @FunctionalInterface
 public interface ResponseMatcher {
@@ -22,6 +24,16 @@
         return false;
     }
 
+    /** Returns whether a response promises that its request has not run, so that the request may be sent again. */
+    default boolean promisesNotRun(int status, HttpHeaders headers) {
+        return false;
+    }
+
+    /** Returns the id that responses state; empty if they need not state any. */
+    default Optional<String> requestId() {
+        return Optional.empty();
+    }
+
     /** Returns the names of fields that a response bears at most once, in addition to those of HTTP. */
     default List<String> singleFields() {
         return List.of();
--- a/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
@@ -16,6 +16,7 @@
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.link.Address;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -27,6 +28,8 @@
 
     private static final int REQUESTS = 3;
     private static final String OK = "200 OK";
+    private static final String MISDIRECTED = "421 Misdirected Request";
+    private static final int MISDIRECTED_STATUS = 421;
 
     private final EventLoopGroup group = Loopback.newEventLoopGroup();
     private final HttpClient client = new HttpClient(group);
@@ -53,15 +56,34 @@
             default -> answers[1] += late;
         }
         try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            Thread server = new Thread(() -> serve(listener, answers), "late-answers");
-            server.setDaemon(true);
-            server.start();
+            serveInBackground(listener, answers);
             for (int i = 0; i < REQUESTS; i++) {
                 assertThat(call(listener, Integer.toString(i))).isIn(Integer.toString(i), "MALFORMED");
             }
         }
     }
 
+    /** Guards against a request that is sent again while it runs, at an endpoint whose answers never state their requests. */
+    @Test
+    void aPromiseThatStatesNoRequestCountsOnlyAsTheFirstAnswerOfItsConnection() throws IOException {
+        String[] answers = {answer(MISDIRECTED, "", "first"), answer(MISDIRECTED, "", "second"), answer(OK, "", "third")
+        };
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            serveInBackground(listener, answers);
+
+            assertThat(call(listener, "0")).isEqualTo("first");
+            assertThat(call(listener, "1")).isEqualTo("MALFORMED");
+            assertThat(call(listener, "1")).isEqualTo("second");
+            assertThat(call(listener, "2")).isEqualTo("third");
+        }
+    }
+
+    private void serveInBackground(ServerSocket listener, String[] answers) {
+        Thread server = new Thread(() -> serve(listener, answers), "late-answers");
+        server.setDaemon(true);
+        server.start();
+    }
+
     private String call(ServerSocket listener, String id) {
         ExchangeOptions options = new ExchangeOptions(
                 SILENCE_MILLIS,
@@ -81,7 +103,7 @@
     }
 
     static Stream<Arguments> lateAnswers() {
-        return Stream.of(OK, "421 Misdirected Request", "429 Too Many Requests", "500 Error", "503 Unavailable")
+        return Stream.of(OK, MISDIRECTED, "429 Too Many Requests", "500 Error", "503 Unavailable")
                 .flatMap(status -> Stream.of("", "x-id: 0\r\n")
                         .flatMap(idField ->
                                 Stream.of("before", "with", "after").map(when -> Arguments.of(status, idField, when))));
@@ -113,6 +135,11 @@
             return id.equals(headers.get("x-id", id));
         }
 
+        @Override
+        public boolean promisesNotRun(int status, HttpHeaders headers) {
+            return status == MISDIRECTED_STATUS;
+        }
+
         @Override
         public boolean statesRequest(HttpHeaders headers) {
             return headers.contains("x-id");
