Close the connection of an answer that does not prove the end of its run

Cause: an attempt ended as soon as its answer was complete in form, and its connection was kept for reuse: an answer without a signature, a stream whose chunks end inside an event, a failure that does not state its request. The endpoint was not told that the request was given up, and it went on elsewhere.

Now the listener says whether the complete answer proves that the endpoint has ended; if not, the connection is closed before the attempt ends, for requests and for items.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -8,6 +8,7 @@
 import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.decision.dispatch.AttemptEnd;
 import org.gooseberryhill.decision.dispatch.EventPace;
+import org.gooseberryhill.dialect.TrafficDialect;
 import org.gooseberryhill.directory.ServiceVersion;
 import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.EventSplitter;
@@ -30,21 +31,24 @@
  */
 final class AnswerRelay {
     private static final int OK = 200;
+    private static final int FIRST_NON_SUCCESS = 300;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int MISDIRECTED = 421;
     private static final ByteArrayOutputStream NOTHING_COLLECTED = new ByteArrayOutputStream(0);
 
     private final HttpCall call;
     private final Route route;
+    private final TrafficDialect dialect;
     private final HeldBytes heldBytes;
     private long countedBytes;
     private volatile Optional<Long> lastEventId;
     private volatile boolean started;
 
-    AnswerRelay(HttpCall call, Route route, Optional<Long> lastEventId, HeldBytes heldBytes) {
+    AnswerRelay(HttpCall call, Route route, TrafficDialect dialect, Optional<Long> lastEventId, HeldBytes heldBytes) {
         this.heldBytes = heldBytes;
         this.call = call;
         this.route = route;
+        this.dialect = dialect;
         this.lastEventId = lastEventId;
     }
 
@@ -97,7 +101,7 @@
             status = newStatus;
             headers = newHeaders;
             countCollected(0);
-            fromEndpoint = routedCall.isFromEndpoint(status, headers);
+            fromEndpoint = dialect.isFromEndpoint(status, headers);
             streamed = fromEndpoint && route.kind() == RouteKind.STREAM && status == OK;
         }
 
@@ -130,6 +134,15 @@
             }
         }
 
+        @Override
+        public boolean provesEndOfRun() {
+            if (streamed) {
+                return !eventSplitter.isInsideEvent();
+            }
+            boolean success = status < FIRST_NON_SUCCESS;
+            return success ? fromEndpoint : dialect.requestId(headers).isPresent();
+        }
+
         @Override
         public void onEnd() {
             if (streamed) {
@@ -170,7 +183,7 @@
         private void endBuffered() {
             RoutedCall.CompleteAnswer answer =
                     new RoutedCall.CompleteAnswer(status, ForwardedHeaders.ofAnswer(headers), buffer.toByteArray());
-            if (routedCall.isNotRun(status, headers)) {
+            if (dialect.isNotRun(status, headers)) {
                 AttemptEnd end = status == MISDIRECTED ? AttemptEnd.OTHER_ENDPOINT : AttemptEnd.BUSY;
                 attemptFailed(end, "status " + status, Optional.empty());
             } else if (!fromEndpoint) {
@@ -255,7 +268,7 @@
         }
 
         private boolean isFinal() {
-            return fromEndpoint && status < FIRST_SERVER_ERROR && !routedCall.isNotRun(status, headers);
+            return fromEndpoint && status < FIRST_SERVER_ERROR && !dialect.isNotRun(status, headers);
         }
 
         private AttemptEnd attemptEnd(ExchangeFailure failure) {
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -33,6 +33,7 @@
  */
 final class ItemRun implements ExchangeListener {
     private static final int OK = 200;
+    private static final int FIRST_NON_SUCCESS = 300;
     private static final int MISDIRECTED = 421;
     private static final int UNPROCESSABLE = 422;
     private static final int SERVER_ERROR = 500;
@@ -139,6 +140,14 @@
         }
     }
 
+    @Override
+    public boolean provesEndOfRun() {
+        boolean success = status < FIRST_NON_SUCCESS;
+        return success
+                ? fromEndpoint && !eventSplitter.isInsideEvent()
+                : context.dialects().traffic().requestId(headers).isPresent();
+    }
+
     @Override
     public void onEnd() {
         boolean notRun = context.dialects().traffic().isNotRun(status, headers);
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -1,6 +1,5 @@
 package org.gooseberryhill.gateway;
 
-import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +71,7 @@
         this.relay = new AnswerRelay(
                 call,
                 requestInfo.route(),
+                context.dialects().traffic(),
                 metadata.lastEventId(),
                 context.http().heldBytes());
         this.admission = new RequestAdmission(traffic.slots(), request);
@@ -84,16 +84,6 @@
         context.loop().execute(this::startOnControlThread);
     }
 
-    /** Returns whether an answer states that its endpoint did not run the request. May be called from any thread. */
-    boolean isNotRun(int status, HttpHeaders headers) {
-        return context.dialects().traffic().isNotRun(status, headers);
-    }
-
-    /** Returns whether the endpoint itself produced an answer. May be called from any thread. */
-    boolean isFromEndpoint(int status, HttpHeaders headers) {
-        return context.dialects().traffic().isFromEndpoint(status, headers);
-    }
-
     private void startOnControlThread() {
         traffic.requestStarted();
         call.onDisconnect(() -> context.loop().execute(this::callerDisconnected));
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -131,7 +131,7 @@
         connection.pipeline().get(ClientConnectionHandler.class).detach();
         // An endpoint may answer before it has read the body, which would then be held for as long as the connection is
         // idle.
-        if (keepAlive && !cancelled && unsentBytes == 0) {
+        if (keepAlive && !cancelled && unsentBytes == 0 && listener.provesEndOfRun()) {
             client.keepForReuse(request.address(), connection);
         } else {
             connection.close();
--- a/src/main/java/org/gooseberryhill/http/ExchangeListener.java
+++ b/src/main/java/org/gooseberryhill/http/ExchangeListener.java
@@ -18,6 +18,14 @@
      */
     void onBytes(byte[] bytes);
 
+    /**
+     * Returns whether a complete response proves that the endpoint no longer works on the request; called before {@link #onEnd}. If
+     * it does not, the connection is closed first, which tells the endpoint that the request was given up.
+     */
+    default boolean provesEndOfRun() {
+        return true;
+    }
+
     /** Called when the response is complete: all bytes of its announced length, or its last chunk, were received. */
     void onEnd();
 
