Send a request again on a connection that has not carried it

A request that an endpoint refused may be sent to the same endpoint again (a stream that has begun, an item). A second refusal, which arrives late on the kept connection and states the same id, was taken for the answer to the second send.

A connection remembers the ids of the last 16 requests that it carried; a request with one of these is sent on a new one.

Evidence: aRequestThatIsSentAgainDoesNotUseTheConnectionOfItsFirstAnswer failed before (one connection instead of two).

--- a/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
@@ -30,7 +30,7 @@
 
     @Override
     public Optional<String> requestId() {
-        return Optional.of(id);
+        return Optional.of(id).filter(stated -> !stated.isBlank());
     }
 
     @Override
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -11,10 +11,16 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 
 /** Passes the messages of a client connection to its current exchange. Runs only on the connection's event loop. */
 final class ClientConnectionHandler extends ChannelDuplexHandler {
+    /** A second response arrives during the next requests of its connection, if at all. */
+    private static final int MAX_CARRIED_IDS = 16;
+
+    private final Deque<String> carriedIds = new ArrayDeque<>(0);
     private ClientExchange exchange;
     private boolean closedLocally;
     private boolean framed;
@@ -26,6 +32,26 @@
 
     void attach(ClientExchange newExchange) {
         exchange = newExchange;
+        newExchange.responseMatcher().requestId().ifPresent(this::recordCarried);
+    }
+
+    /**
+     * Returns whether the connection has recently carried a request with the same id: a second response to it, which states that id,
+     * may be in transit.
+     */
+    boolean hasCarried(ClientExchange newExchange) {
+        return newExchange
+                .responseMatcher()
+                .requestId()
+                .filter(carriedIds::contains)
+                .isPresent();
+    }
+
+    private void recordCarried(String requestId) {
+        if (carriedIds.size() >= MAX_CARRIED_IDS) {
+            carriedIds.removeFirst();
+        }
+        carriedIds.addLast(requestId);
     }
 
     void detach() {
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -167,6 +167,11 @@
             client.connect(this, request);
             return;
         }
+        if (pooled && connection.pipeline().get(ClientConnectionHandler.class).hasCarried(this)) {
+            connection.close();
+            client.connect(this, request);
+            return;
+        }
         if (!connection.isActive()) {
             failWith(ExchangeFailure.Kind.CONNECTION_LOST, "the connection closed before anything was sent");
             return;
--- a/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.stream.Stream;
 import org.gooseberryhill.Loopback;
@@ -78,6 +79,23 @@
         }
     }
 
+    /** Guards against the second refusal of a request that is taken for the answer when it is sent to the endpoint again. */
+    @Test
+    void aRequestThatIsSentAgainDoesNotUseTheConnectionOfItsFirstAnswer() throws IOException {
+        String refusal = answer(MISDIRECTED, "x-id: 7\r\n", "refusal");
+        String[] answers = {refusal, answer(OK, "x-id: 8\r\n", "other"), answer(OK, "x-id: 7\r\n", "answer")};
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            serveInBackground(listener, answers);
+            assertThat(call(listener, "0", "7")).isEqualTo("refusal");
+            assertThat(call(listener, "1", "8")).isEqualTo("other");
+            assertThat(client.connectionAttempts()).isEqualTo(1);
+
+            assertThat(call(listener, "2", "7")).isEqualTo("answer");
+
+            assertThat(client.connectionAttempts()).isEqualTo(2);
+        }
+    }
+
     private void serveInBackground(ServerSocket listener, String[] answers) {
         Thread server = new Thread(() -> serve(listener, answers), "late-answers");
         server.setDaemon(true);
@@ -85,6 +103,10 @@
     }
 
     private String call(ServerSocket listener, String id) {
+        return call(listener, id, id);
+    }
+
+    private String call(ServerSocket listener, String target, String id) {
         ExchangeOptions options = new ExchangeOptions(
                 SILENCE_MILLIS,
                 ExchangeOptions.DEFAULT_CONNECT_TIMEOUT_MILLIS,
@@ -94,7 +116,7 @@
                 0);
         Address address = new Address("127.0.0.1", listener.getLocalPort());
         ExchangeRequest request = new ExchangeRequest(
-                address, "GET", "/" + id, Map.<String, String>of().entrySet(), new byte[0], options);
+                address, "GET", "/" + target, Map.<String, String>of().entrySet(), new byte[0], options);
         try {
             return new String(client.call(request, 100).join().body(), StandardCharsets.US_ASCII);
         } catch (CompletionException e) {
@@ -140,6 +162,11 @@
             return status == MISDIRECTED_STATUS;
         }
 
+        @Override
+        public Optional<String> requestId() {
+            return Optional.of(id);
+        }
+
         @Override
         public boolean statesRequest(HttpHeaders headers) {
             return headers.contains("x-id");
