Cancel the attempt of a caller that has gone on its traffic thread

A caller that closes its connection takes its stream up at another host at once.

Cause: the close went from the traffic thread to the control thread and back before the endpoint's connection was closed. With the control thread behind, the run went on for as long; a host with a part of a processor is hundreds of milliseconds behind at times.

Now the traffic thread cancels the attempt itself; an attempt that the control thread starts at that moment is cancelled as well. What is counted stays with the control thread.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -181,8 +181,8 @@
         }
 
         private void endBuffered() {
-            RoutedCall.CompleteAnswer answer =
-                    new RoutedCall.CompleteAnswer(status, ForwardedHeaders.ofAnswer(headers), buffer.toByteArray());
+            CompleteAnswer answer =
+                    new CompleteAnswer(status, ForwardedHeaders.ofAnswer(headers), buffer.toByteArray());
             if (dialect.isNotRun(status, headers)) {
                 AttemptEnd end = status == MISDIRECTED ? AttemptEnd.OTHER_ENDPOINT : AttemptEnd.BUSY;
                 attemptFailed(end, "status " + status, Optional.empty());
@@ -203,7 +203,7 @@
             routedCall.attemptSucceeded(attemptNumber, status, progress());
         }
 
-        private void attemptFailed(AttemptEnd end, String detail, Optional<RoutedCall.CompleteAnswer> answer) {
+        private void attemptFailed(AttemptEnd end, String detail, Optional<CompleteAnswer> answer) {
             routedCall.attemptFailed(attemptNumber, end, detail, progress(), answer);
         }
 
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -1,6 +1,5 @@
 package org.gooseberryhill.gateway;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.gooseberryhill.contract.ErrorCode;
@@ -49,8 +48,10 @@
     private final RequestAdmission admission;
     private final RoutedCallLog log;
     private final AttemptRequests attemptRequests;
-    /** Present while an attempt is in progress. */
-    private Optional<Exchange> exchange = Optional.empty();
+    /** Present while an attempt is in progress; written on the control thread only. */
+    private volatile Optional<Exchange> exchange = Optional.empty();
+
+    private volatile boolean callerGone;
 
     private final CancellableTask deadlineTask = new CancellableTask(this::deadlineExceeded);
     private boolean finished;
@@ -86,7 +87,7 @@
 
     private void startOnControlThread() {
         traffic.requestStarted();
-        call.onDisconnect(() -> context.loop().execute(this::callerDisconnected));
+        call.onDisconnect(this::cancelForDisconnect);
         long remainingNanos = request.info().deadlineNanos() - context.nowNanos();
         long remainingMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
         context.loop().after(remainingMillis, deadlineTask);
@@ -166,6 +167,9 @@
         Exchange started = context.http()
                 .start(exchangeRequest, relay.newAttemptListener(this, attemptNumber, endpoint.serviceVersion()));
         exchange = Optional.of(started);
+        if (callerGone) {
+            started.cancel();
+        }
         if (request.info().route().kind() == RouteKind.STREAM) {
             new SilenceWatch(context, started, () -> isInProgress(started), this::canFailOver).start();
         }
@@ -331,6 +335,16 @@
         finish(refusal.code().wireName(), event);
     }
 
+    /**
+     * Cancels the attempt of a caller that has gone. Called on a traffic thread: the caller may continue its stream at another host
+     * before the control thread, which may be behind, gets to it.
+     */
+    private void cancelForDisconnect() {
+        callerGone = true;
+        exchange.ifPresent(Exchange::cancel);
+        context.loop().execute(this::callerDisconnected);
+    }
+
     private void callerDisconnected() {
         if (!finished) {
             abandonAttempt();
@@ -374,13 +388,4 @@
         context.metrics().requestEnded(request.info().route().name(), end);
         log.ended(end, event, relay.isStarted());
     }
-
-    /**
-     * Complete answer of an endpoint. Immutable except for its array, which is not changed.
-     *
-     * @param status status code
-     * @param headers headers for the caller
-     * @param body body
-     */
-    record CompleteAnswer(int status, Iterable<Map.Entry<String, String>> headers, byte[] body) {}
 }
