--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -185,9 +185,9 @@
                     new CompleteAnswer(status, ForwardedHeaders.ofAnswer(headers), buffer.toByteArray());
             if (dialect.isNotRun(status, headers)) {
                 AttemptEnd end = status == MISDIRECTED ? AttemptEnd.OTHER_ENDPOINT : AttemptEnd.BUSY;
-                attemptFailed(end, "status " + status, Optional.empty());
+                attemptFailed(end, "status " + status + unstated(), Optional.empty());
             } else if (!fromEndpoint) {
-                attemptFailed(AttemptEnd.MALFORMED, "not signed, status " + status, Optional.empty());
+                attemptFailed(AttemptEnd.MALFORMED, "not signed, status " + status + unstated(), Optional.empty());
             } else if (started) {
                 // The caller has received a part of a stream that this endpoint did not continue.
                 attemptFailed(AttemptEnd.MALFORMED, "status " + status, Optional.empty());
@@ -207,6 +207,11 @@
             routedCall.attemptFailed(attemptNumber, end, detail, progress(), answer);
         }
 
+        /** Returns what logs add if the answer does not state its request. */
+        private String unstated() {
+            return dialect.requestId(headers).isPresent() ? "" : " without a request id";
+        }
+
         private BodyFraming framing() {
             return BodyFraming.of(status, headers);
         }
