Answer what is unanswered before a planned stop ends

Callers whose requests came in the grace period of a planned stop, or waited since before it, were cut off without a byte when the stop reached its bound. This concerned streams and plain requests of a silent endpoint, those that must not be repeated among them, reads that wait for results of a batch, submissions and ends of batches while the key-value store is silent, requests whose body was incomplete, and requests that a starting host held.

Cause: the stop waited for requests until its bound and then ended the process; nothing gave a final answer.

In the last part of the stop, in which no request is accepted, the host now gives each open call its final answer. The control thread decides it: 503 and "not run" only if the request was never sent, else 502 (504 for a submission whose storing is given up), after its attempt was cancelled. From then on nothing starts a request, so that one that is refused as not run does not run later. A stream that has begun goes on until the bound and is broken off there, since the silence of an endpoint is no reason to end it sooner.

All requests are still accepted in the announced phase. Refusing at once those whose deadline lies beyond the bound was considered and not done: a deadline says how long a request may take, not how long it will, and most take a fraction of theirs. Until the load balancer has learned of the stop it sends a refused request to the same host again, and a caller with a short deadline cannot come back in time. The guarantee of a final answer holds for each of them. Deciding by observed run times would be wrong for the case at hand, an endpoint that falls silent.

PlannedStopTest: requests are accepted late if they end before the final answers are due, not before the bound, since a request whose deadline lies between the two would be accepted and then given up.

--- a/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
+++ b/src/main/java/org/gooseberryhill/decision/drain/PlannedStop.java
@@ -12,8 +12,9 @@
  *
  * <p>The stop begins with a grace period in which all requests are still accepted, because the load balancer and the
  * peers need time to learn of the stop; it takes at most half of the bound. After it, only requests that are certain to
- * end before the bound are accepted. Shortly before the bound the process stops accepting requests altogether, so that
- * no caller is left connected with an unanswered request when the process ends.
+ * end before the bound are accepted. Shortly before the bound the process stops accepting requests altogether and gives
+ * those that are still unanswered their final answer, so that no caller is left connected with an unanswered request when
+ * the process ends.
  */
 public final class PlannedStop {
     /** The phases of a planned stop, in order. */
@@ -30,7 +31,10 @@
         ENDED
     }
 
-    /** Time before the bound in which no request is accepted; those that still arrive are refused in that time. */
+    /**
+     * Time before the bound in which no request is accepted. The refusals of those that still arrive, and the final answers
+     * of those that are unanswered, are sent in that time.
+     */
     private static final long CLOSING_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Divisor of the bound that limits {@link #CLOSING_WINDOW_NANOS} if the bound is short. */
@@ -82,7 +86,7 @@
         if (phase == Phase.ANNOUNCED && elapsedNanos >= Math.min(graceNanos, boundNanos / 2)) {
             phase = Phase.DRAINING;
         }
-        boolean boundIsNear = elapsedNanos >= boundNanos - Math.min(CLOSING_WINDOW_NANOS, boundNanos / CLOSING_DIVISOR);
+        boolean boundIsNear = elapsedNanos >= answerBoundNanos();
         if (phase == Phase.DRAINING && (inProgress == 0 || boundIsNear)) {
             phase = Phase.CLOSING;
         }
@@ -100,10 +104,20 @@
      * @param maxDurationMillis the longest time that the request may take
      */
     public boolean acceptsRequest(long maxDurationMillis, long nowNanos) {
-        long remainingNanos = boundNanos - (nowNanos - requestedNanos);
+        long remainingNanos = answerBoundNanos() - (nowNanos - requestedNanos);
         return acceptsAllRequests() || remainingNanos >= TimeUnit.MILLISECONDS.toNanos(maxDurationMillis);
     }
 
+    /** Returns whether the process is about to end, so that each request needs its final answer now. */
+    public boolean endsSoon(long nowNanos) {
+        return phase != Phase.SERVING && nowNanos - requestedNanos >= answerBoundNanos();
+    }
+
+    /** Returns the time after the stop request at which requests have to be answered. */
+    private long answerBoundNanos() {
+        return boundNanos - Math.min(CLOSING_WINDOW_NANOS, boundNanos / CLOSING_DIVISOR);
+    }
+
     /** Returns the phase as of the last call of {@link #advance}. */
     public Phase phase() {
         return phase;
--- a/src/main/java/org/gooseberryhill/gateway/BatchEnder.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchEnder.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.decision.access.BatchAccess;
 import org.gooseberryhill.decision.requestbatch.BatchRecord;
@@ -70,6 +71,11 @@
 
     /** Ends a batch, whichever host owns it. */
     void end(HttpCall call, String id, BatchAccess access) {
+        if (context.stop().endsSoon(context.nowNanos())) {
+            refusals.refuse(call, id, GatewayTraffic.STOPPING_REFUSAL);
+            return;
+        }
+        call.setLastAnswer(() -> refusals.refuse(call, id, GatewayTraffic.refusalAtEnd(Outcome.MAY_HAVE_RUN)));
         if (registry.find(id, access).isPresent()) {
             EndReply reply = new EndReply(call, id);
             endOwned(id, access, reply::send);
--- a/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchSubmissionHandler.java
@@ -114,6 +114,7 @@
             return;
         }
         RecordWriter.PendingWrite pending = writeRecord(submission);
+        submission.call.setLastAnswer(() -> giveUp(submission, pending));
         long spentMillis = TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - submission.arrivedNanos);
         long copiesAfterMillis = BatchAcceptance.copiesAfterMillis(submission.route.targetLatencyMillis());
         context.loop().after(Math.max(0, copiesAfterMillis - spentMillis), () -> requestCopies(submission));
--- a/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayTraffic.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.gooseberryhill.contract.ErrorCode;
+import org.gooseberryhill.contract.Outcome;
 import org.gooseberryhill.contract.Refusal;
 import org.gooseberryhill.decision.dispatch.ServiceState;
 import org.gooseberryhill.decision.promptpart.PromptPartQuarantine;
@@ -26,6 +27,9 @@
     static final Refusal STOPPING_REFUSAL =
             Refusal.notRun(ErrorCode.STOPPING, "this host is about to end", STOPPING_RETRY_AFTER_MILLIS);
 
+    private static final Refusal CUT_SHORT =
+            Refusal.mayHaveRun(ErrorCode.STOPPING, "this host ends before the request has its answer");
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final GatewayContext context;
@@ -135,6 +139,11 @@
         return streamOrigins;
     }
 
+    /** Returns the final answer to a request that is unanswered when this host ends. */
+    static Refusal refusalAtEnd(Outcome outcome) {
+        return outcome == Outcome.NOT_RUN ? STOPPING_REFUSAL : CUT_SHORT;
+    }
+
     /** Sends a refusal to a caller; may be called from any thread. */
     void refuse(HttpCall call, String requestId, Refusal refusal) {
         Map<String, String> headers = new HashMap<>();
--- a/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestRouter.java
@@ -80,6 +80,7 @@
     RequestBodyHandler route(HttpCall call) {
         long arrivedNanos = context.nowNanos();
         RouteTable current = table;
+        call.setLastAnswer(() -> refuse(call, requestId(call), GatewayTraffic.STOPPING_REFUSAL));
         int maxBytes = current.configuration().limits().maxBodyBytes();
         Optional<BatchApiCall> batchApiCall = context.dialects().batches().parseCall(call);
         AnswerKind answerKind =
@@ -218,8 +219,7 @@
 
     /** Refuses a request at once; without a body, its end has to be read first, so that the connection stays open. */
     private RequestBodyHandler refuseUnread(HttpCall call, Refusal refusal) {
-        String id =
-                context.dialects().traffic().parseRequest(call.headers()).id().orElse("");
+        String id = requestId(call);
         boolean hasBody = HeldBytesGuard.bodyBytes(call.headers()).orElse(1) > 0;
         if (hasBody) {
             refuse(call, id, refusal);
@@ -227,6 +227,10 @@
         return new BodyCollector(0, body -> refuse(call, id, refusal), () -> {});
     }
 
+    private String requestId(HttpCall call) {
+        return context.dialects().traffic().parseRequest(call.headers()).id().orElse("");
+    }
+
     private static boolean readsBatch(BatchApiCall batchApiCall) {
         return batchApiCall instanceof BatchApiCall.ReadResults || batchApiCall instanceof BatchApiCall.ReadItem;
     }
--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -15,6 +15,7 @@
 import org.gooseberryhill.decision.dispatch.PlacementFacts;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
+import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.promptpart.PermitAnswer;
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.EndpointEntry;
@@ -86,6 +87,7 @@
 
     private void startOnControlThread() {
         traffic.requestStarted();
+        call.setLastAnswer(this::hostEnds);
         call.onDisconnect(() -> context.loop().execute(this::callerDisconnected));
         long remainingNanos = request.info().deadlineNanos() - context.nowNanos();
         long remainingMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
@@ -350,6 +352,15 @@
         }
     }
 
+    /** Gives the final answer before this host ends; a stream that has begun goes on until the host's time is over. */
+    private void hostEnds() {
+        boolean mayGoOn = relay.isStarted() && context.stop().phase() != PlannedStop.Phase.ENDED;
+        if (!finished && !mayGoOn) {
+            abandonAttempt();
+            refuse(GatewayTraffic.refusalAtEnd(request.outcome()), Optional.empty());
+        }
+    }
+
     private String deadlineExceededReason() {
         long timeoutMillis = request.info().route().timeoutMillis();
         long allowedMillis = log.allowedMillis();
--- a/src/main/java/org/gooseberryhill/gateway/StopSequence.java
+++ b/src/main/java/org/gooseberryhill/gateway/StopSequence.java
@@ -83,6 +83,10 @@
         HttpServer server = callers.get();
         PlannedStop.Phase phase = context.stop().advance(inProgress, !server.isDrained(), context.nowNanos());
         ServerShutdown.applyPhase(server, phase);
+        if (context.stop().endsSoon(context.nowNanos())) {
+            // The control thread decides, since it may be about to start the request or may have sent it on already.
+            server.forEachOpenCall(call -> context.loop().execute(call::giveLastAnswer));
+        }
         if (phase == PlannedStop.Phase.ENDED) {
             runner.cancelAllRuns();
             registration.remove(() -> complete(inProgress));
--- a/src/main/java/org/gooseberryhill/http/HttpCall.java
+++ b/src/main/java/org/gooseberryhill/http/HttpCall.java
@@ -78,6 +78,12 @@
      */
     void setBufferedAnswerBytes(long bytes);
 
+    /** Sets the action that gives the final answer if the process ends before there is another one; there is no default. */
+    void setLastAnswer(Runnable action);
+
+    /** Runs the action of {@link #setLastAnswer}. */
+    void giveLastAnswer();
+
     /** Sets a callback that runs once if the caller's connection ends before the response is complete. */
     void onDisconnect(Runnable callback);
 }
--- a/src/main/java/org/gooseberryhill/http/HttpServer.java
+++ b/src/main/java/org/gooseberryhill/http/HttpServer.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.gooseberryhill.link.Address;
 
@@ -140,6 +141,16 @@
         }
     }
 
+    /** Runs an action with each call that has no complete response, on the event loop of its connection. */
+    public void forEachOpenCall(Consumer<HttpCall> action) {
+        for (Channel connection : connections) {
+            ServerConnectionHandler handler = connection.pipeline().get(ServerConnectionHandler.class);
+            if (handler != null) {
+                connection.eventLoop().execute(() -> handler.openCall().ifPresent(action));
+            }
+        }
+    }
+
     /** Returns the number of open connections. */
     public int openConnections() {
         return connections.size();
--- a/src/main/java/org/gooseberryhill/http/ServerCall.java
+++ b/src/main/java/org/gooseberryhill/http/ServerCall.java
@@ -38,6 +38,7 @@
     private final HttpHeaders headers;
     private final boolean keepAliveRequested;
     private boolean keepAlive;
+    private volatile Runnable lastAnswer = () -> {};
     private Runnable disconnectCallback;
     private boolean disconnected;
     private boolean responseBegun;
@@ -184,6 +185,16 @@
         });
     }
 
+    @Override
+    public void setLastAnswer(Runnable action) {
+        lastAnswer = action;
+    }
+
+    @Override
+    public void giveLastAnswer() {
+        lastAnswer.run();
+    }
+
     @Override
     public void onDisconnect(Runnable callback) {
         runOnEventLoop(() -> {
--- a/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ServerConnectionHandler.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vavr.Lazy;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
@@ -167,6 +168,11 @@
         }
     }
 
+    /** Returns the request in progress; called on the event loop. */
+    Optional<HttpCall> openCall() {
+        return Optional.ofNullable(call);
+    }
+
     /** Returns whether the body of the current request has not arrived completely. */
     boolean hasUnreadBody() {
         return !bodyComplete;
--- a/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
+++ b/src/test/java/org/gooseberryhill/decision/drain/PlannedStopTest.java
@@ -38,17 +38,29 @@
 
     /** Guards against a request that is accepted after the grace period and cut off at the bound. */
     @Test
-    void afterTheGracePeriodOnlyRequestsThatEndBeforeTheBoundAreAccepted() {
+    void afterTheGracePeriodOnlyRequestsThatEndBeforeTheFinalAnswersAreAccepted() {
         stop.request(0);
         stop.advance(1, true, 400 * NANOS_PER_MILLI);
         assertThat(stop.acceptsRequest(60_000, 400 * NANOS_PER_MILLI)).isTrue();
 
         stop.advance(1, true, 600 * NANOS_PER_MILLI);
-        assertThat(stop.acceptsRequest(9400, 600 * NANOS_PER_MILLI)).isTrue();
-        assertThat(stop.acceptsRequest(9401, 600 * NANOS_PER_MILLI)).isFalse();
+        assertThat(stop.acceptsRequest(8900, 600 * NANOS_PER_MILLI)).isTrue();
+        assertThat(stop.acceptsRequest(8901, 600 * NANOS_PER_MILLI)).isFalse();
+        assertThat(stop.acceptsRequest(1, 9500 * NANOS_PER_MILLI)).isFalse();
         assertThat(stop.acceptsRequest(1, 10_000 * NANOS_PER_MILLI)).isFalse();
     }
 
+    /** Guards against requests that are still unanswered when the process ends. */
+    @Test
+    void theFinalAnswersAreDueShortlyBeforeTheBound() {
+        assertThat(stop.endsSoon(20_000 * NANOS_PER_MILLI)).isFalse();
+
+        stop.request(0);
+
+        assertThat(stop.endsSoon(9_499 * NANOS_PER_MILLI)).isFalse();
+        assertThat(stop.endsSoon(9_500 * NANOS_PER_MILLI)).isTrue();
+    }
+
     /** Guards against a bound before the end of the grace period, which would cut off all accepted requests. */
     @Test
     void theGracePeriodTakesAtMostHalfOfTheBound() {
@@ -57,7 +69,7 @@
 
         assertThat(shortStop.advance(1, true, 999 * NANOS_PER_MILLI)).isEqualTo(Phase.ANNOUNCED);
         assertThat(shortStop.advance(1, true, 1000 * NANOS_PER_MILLI)).isEqualTo(Phase.DRAINING);
-        assertThat(shortStop.acceptsRequest(1001, 1000 * NANOS_PER_MILLI)).isFalse();
+        assertThat(shortStop.acceptsRequest(801, 1000 * NANOS_PER_MILLI)).isFalse();
     }
 
     /** A caller that does not close its connection must not keep the process running forever. */
