--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -14,6 +14,7 @@
 import org.gooseberryhill.decision.dispatch.PlacementFacts;
 import org.gooseberryhill.decision.dispatch.RoutedRequest;
 import org.gooseberryhill.decision.dispatch.RoutedRequestInfo;
+import org.gooseberryhill.decision.drain.PlannedStop;
 import org.gooseberryhill.decision.promptpart.PermitAnswer;
 import org.gooseberryhill.dialect.RequestMetadata;
 import org.gooseberryhill.directory.EndpointEntry;
@@ -87,6 +88,7 @@
 
     private void startOnControlThread() {
         traffic.requestStarted();
+        call.setLastAnswer(this::hostEnds);
         call.onDisconnect(this::cancelForDisconnect);
         long remainingNanos = request.info().deadlineNanos() - context.nowNanos();
         long remainingMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
@@ -359,17 +361,21 @@
             abandonAttempt();
             refuse(
                     new Refusal(
-                            ErrorCode.DEADLINE_EXCEEDED, request.outcome(), deadlineExceededReason(), Optional.empty()),
+                            ErrorCode.DEADLINE_EXCEEDED,
+                            request.outcome(),
+                            log.deadlineExceededReason(relay.isStarted()),
+                            Optional.empty()),
                     Optional.empty());
         }
     }
 
-    private String deadlineExceededReason() {
-        long timeoutMillis = request.info().route().timeoutMillis();
-        long allowedMillis = log.allowedMillis();
-        String bound = allowedMillis >= timeoutMillis ? "the route's timeout" : "the caller's deadline";
-        return bound + " of " + allowedMillis + " ms was over before the " + (relay.isStarted() ? "end of the " : "")
-                + "answer";
+    /** Gives the final answer before this host ends; a stream that has begun goes on until the host's time is over. */
+    private void hostEnds() {
+        boolean mayGoOn = relay.isStarted() && context.stop().phase() != PlannedStop.Phase.ENDED;
+        if (!finished && !mayGoOn) {
+            abandonAttempt();
+            refuse(GatewayTraffic.refusalAtEnd(request.outcome()), Optional.empty());
+        }
     }
 
     private void abandonAttempt() {
