End an answer that is relayed only as a whole at 256 KB

Callers saw: while endpoints answer streams with errors or unsigned answers whose bodies never end, other requests at that gateway get 503, and the gateway runs out of memory. A batch item answered so did not end its run.

Cause: AnswerRelay collected such an answer until its end, whatever its size, since only an answer that may be final is relayed as it arrives.

Why it works: the limit ends the attempt as malformed, which closes the connection; the request goes on elsewhere or gets its answer at once.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -17,6 +17,7 @@
 import org.gooseberryhill.http.ForwardedHeaders;
 import org.gooseberryhill.http.HeldBytes;
 import org.gooseberryhill.http.HttpCall;
+import org.gooseberryhill.http.MalformedAnswerException;
 import org.gooseberryhill.http.StreamEvent;
 import org.gooseberryhill.route.Route;
 import org.gooseberryhill.route.RouteKind;
@@ -34,6 +35,10 @@
     private static final int FIRST_NON_SUCCESS = 300;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int MISDIRECTED = 421;
+
+    /** An error and what is no answer of an endpoint are short, and are relayed only as a whole or not at all. */
+    private static final int MAX_WHOLE_ANSWER_BYTES = 256 * 1024;
+
     private static final ByteArrayOutputStream NOTHING_COLLECTED = new ByteArrayOutputStream(0);
 
     private final HttpCall call;
@@ -122,6 +127,10 @@
          * sent the answer of another attempt.
          */
         private void collect(byte[] bytes) {
+            if (!isFinal() && buffer.size() + bytes.length > MAX_WHOLE_ANSWER_BYTES) {
+                throw new MalformedAnswerException(
+                        "status " + status + " with more than " + MAX_WHOLE_ANSWER_BYTES + " bytes");
+            }
             buffer.writeBytes(bytes);
             countCollected(buffer.size());
             if (buffer.size() > heldBytes.policy().maxBufferedAnswerBytes(heldBytes.bytes()) && isFinal()) {
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -23,6 +23,7 @@
 import org.gooseberryhill.http.ExchangeListener;
 import org.gooseberryhill.http.ExchangeOptions;
 import org.gooseberryhill.http.ExchangeRequest;
+import org.gooseberryhill.http.MalformedAnswerException;
 import org.gooseberryhill.http.StreamEvent;
 
 /**
@@ -41,6 +42,9 @@
     /** Longer than any pause of a working endpoint that has many requests queued ahead of this one. */
     private static final int SILENCE_TIMEOUT_MILLIS = 3000;
 
+    /** An answer that is no output ends the run by its status; sound ones are short. */
+    private static final int MAX_DISCARDED_BYTES = 256 * 1024;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     /** Nobody waits for a single event of an item; its end is noticed half of this later on average. */
@@ -57,6 +61,7 @@
     private int status;
     private HttpHeaders headers;
     private boolean fromEndpoint;
+    private int discardedBytes;
 
     ItemRun(GatewayContext context, BatchRunner runner, PlacedItem placed) {
         this.context = context;
@@ -137,6 +142,12 @@
     public void onBytes(byte[] bytes) {
         if (fromEndpoint && status == OK) {
             eventSplitter.read(bytes).stream().filter(StreamEvent::hasContent).forEach(queuedEvents::add);
+            return;
+        }
+        discardedBytes += bytes.length;
+        if (discardedBytes > MAX_DISCARDED_BYTES) {
+            throw new MalformedAnswerException(
+                    "status " + status + " with more than " + MAX_DISCARDED_BYTES + " bytes");
         }
     }
 
