--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -20,12 +20,14 @@
     private boolean framed;
     private boolean keepAlive;
     private boolean skippingResponse;
+    private SkippedResponses skippedResponses = new SkippedResponses();
     private boolean connectionFailed;
     private boolean responsesBefore;
     private boolean responsesStateRequests;
 
     void attach(ClientExchange newExchange) {
         exchange = newExchange;
+        skippedResponses = new SkippedResponses();
     }
 
     void detach() {
@@ -71,9 +73,7 @@
             return;
         }
         if (skippingResponse) {
-            // The response to be skipped, an interim response or the response to another request, ends with
-            // LastHttpContent as well.
-            skippingResponse = !(message instanceof LastHttpContent);
+            skip(message);
             return;
         }
         if (message instanceof HttpContent content) {
@@ -86,6 +86,20 @@
         }
     }
 
+    /** Skips a part of an interim response or the response to another request, which ends with LastHttpContent as well. */
+    private void skip(HttpObject message) {
+        if (message instanceof HttpResponse) {
+            skippedResponses.addResponse();
+        }
+        if (message instanceof HttpContent content) {
+            skippedResponses.addBodyBytes(content.content().readableBytes());
+        }
+        skippingResponse = !(message instanceof LastHttpContent);
+        if (skippedResponses.tooMany()) {
+            exchange.failWith(ExchangeFailure.Kind.MALFORMED, "too many answers that belong to no request");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         failExchange(
