Close the connection of a collected answer that is too large

Callers saw: nothing by themselves. A call that had failed since its answer was too large went on reading the answer until its server stopped, and kept what it had collected of it, up to 48 MB for a call of the key-value store.

Cause: the listener that collects an answer completed its future, but did not end its exchange.

Why it works: the listener throws MalformedAnswerException, which ends the exchange and closes its connection.

--- a/src/main/java/org/gooseberryhill/http/HttpClient.java
+++ b/src/main/java/org/gooseberryhill/http/HttpClient.java
@@ -175,9 +175,7 @@
         @Override
         public void onBytes(byte[] bytes) {
             if (body.size() + bytes.length > maxBytes) {
-                onFailure(new ExchangeFailure(
-                        ExchangeFailure.Kind.MALFORMED, Outcome.MAY_HAVE_RUN, "the answer is too large"));
-                return;
+                throw new MalformedAnswerException("the answer is too large");
             }
             body.writeBytes(bytes);
         }
--- a/src/test/java/org/gooseberryhill/http/HttpClientTest.java
+++ b/src/test/java/org/gooseberryhill/http/HttpClientTest.java
@@ -1,13 +1,19 @@
 package org.gooseberryhill.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.gooseberryhill.http.RawEndpoint.ascii;
 
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.gooseberryhill.Loopback;
 import org.gooseberryhill.contract.Outcome;
@@ -21,6 +27,9 @@
     /** Far longer than any response takes; ends a test that would otherwise hang. */
     private static final int LONG_SILENCE_MILLIS = 60_000;
 
+    /** Far longer than a close takes, and shorter than the silence after which the client closes anyway. */
+    private static final int END_TIMEOUT_MILLIS = 20_000;
+
     private static final int SHORT_SILENCE_MILLIS = 300;
     private static final String LENGTH_ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
     private static final String CHUNKED_ANSWER =
@@ -66,6 +75,24 @@
         }
     }
 
+    /** Guards against a connection that is read, and an answer that is kept, for as long as its server sends. */
+    @Test
+    void theConnectionOfAnAnswerThatIsTooLargeIsClosed() throws IOException {
+        try (ServerSocket listener = new ServerSocket(0)) {
+            Address address = new Address("127.0.0.1", listener.getLocalPort());
+            CompletableFuture<HttpResult> answer = client.call(request(address, LONG_SILENCE_MILLIS), 100);
+            try (Socket connection = listener.accept()) {
+                OutputStream out = connection.getOutputStream();
+                out.write(ascii("HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n"));
+                out.write(new byte[101]);
+
+                assertThatThrownBy(answer::join).hasMessageContaining("too large");
+                // What the client has not read ends the connection by a reset.
+                assertThat(endsFromOtherSide(connection)).isTrue();
+            }
+        }
+    }
+
     @Test
     void anEndpointThatCannotBeReachedDidNotRunTheRequest() {
         ExchangeFailure failure = failure(Loopback.freeAddress(), LONG_SILENCE_MILLIS);
@@ -137,4 +164,17 @@
     private static ExchangeRequest request(Address address, int silenceMillis) {
         return new ExchangeRequest(address, "GET", "/", Map.of(), new byte[0], silenceMillis, false);
     }
+
+    /** Reads until the connection ends; a connection that does not end within the timeout stays open. */
+    private static boolean endsFromOtherSide(Socket connection) throws IOException {
+        connection.setSoTimeout(END_TIMEOUT_MILLIS);
+        try {
+            connection.getInputStream().readAllBytes();
+            return true;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
 }
