End the output of a batch item at 2 MB

Callers saw: nothing by themselves. An item whose endpoint sends complete events without end ran until its retention, and its output grew in the heap of its gateway.

Cause: ItemRun queued each event, and ItemProgress appended it, whatever the item had already.

Why it works: the run ends as malformed before the event that exceeds the limit is queued, which closes its connection. The limit counts what earlier runs of the item have generated.

--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -45,6 +45,9 @@
     /** An answer that is no output ends the run by its status; sound ones are short. */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
+    /** Maximum size of the events of an item, which are kept in memory until its result is stored. */
+    private static final int MAX_OUTPUT_BYTES = 2 * 1024 * 1024;
+
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     /** Nobody waits for a single event of an item; its end is noticed half of this later on average. */
@@ -62,6 +65,7 @@
     private HttpHeaders headers;
     private boolean fromEndpoint;
     private int discardedBytes;
+    private int outputBytes;
 
     ItemRun(GatewayContext context, BatchRunner runner, PlacedItem placed) {
         this.context = context;
@@ -72,6 +76,7 @@
 
     /** Starts the run. Called on the control thread. */
     void start() {
+        outputBytes = item.characterCount();
         HttpHeaders request = submittedHeaders(item.item());
         request.set(HttpHeaderNames.HOST, placed.batch().record().host());
         AttemptMetadata metadata = new AttemptMetadata(
@@ -141,7 +146,7 @@
     @Override
     public void onBytes(byte[] bytes) {
         if (fromEndpoint && status == OK) {
-            eventSplitter.read(bytes).stream().filter(StreamEvent::hasContent).forEach(queuedEvents::add);
+            eventSplitter.read(bytes).stream().filter(StreamEvent::hasContent).forEach(this::queue);
             return;
         }
         discardedBytes += bytes.length;
@@ -151,6 +156,14 @@
         }
     }
 
+    private void queue(StreamEvent event) {
+        outputBytes += event.raw().length;
+        if (outputBytes > MAX_OUTPUT_BYTES) {
+            throw new MalformedAnswerException("output of more than " + MAX_OUTPUT_BYTES + " bytes");
+        }
+        queuedEvents.add(event);
+    }
+
     @Override
     public boolean provesEndOfRun() {
         boolean success = status < FIRST_NON_SUCCESS;
