Pass no error on as a part of a stream that has begun

Callers saw: the bytes of an error inside a stream. A stream that had begun was continued at another endpoint, which answered with a signed error below 500 of more than a megabyte (64 KB when memory is short).

Cause: AnswerRelay relays a large final answer as it arrives, and did not ask whether a stream had begun; smaller ones failed at their end.

Evidence: GatewayContinuedStreamTest failed on the code before (the stream contained the error's body; the test then still waited for its runners inside the checked streams). After: it passed in 0.6 s, with GatewaySlowReadersTest and GatewayTrafficTest.

Why it works: an answer that can't be final for its caller is collected up to 256 KB and ends its attempt as malformed; the next attempt or the end of the stream follows. An error without end ends there as well.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -277,7 +277,7 @@
         }
 
         private boolean isFinal() {
-            return fromEndpoint && status < FIRST_SERVER_ERROR && !dialect.isNotRun(status, headers);
+            return !started && fromEndpoint && status < FIRST_SERVER_ERROR && !dialect.isNotRun(status, headers);
         }
 
         private AttemptEnd attemptEnd(ExchangeFailure failure) {
