--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -29,12 +29,14 @@
     private boolean keepAlive;
     private boolean skippingResponse;
     private boolean endPending;
+    private SkippedResponses skippedResponses = new SkippedResponses();
     private boolean connectionFailed;
     private boolean responsesBefore;
     private boolean responsesStateRequests;
 
     void attach(ClientExchange newExchange) {
         exchange = newExchange;
+        skippedResponses = new SkippedResponses();
         newExchange.responseMatcher().requestId().ifPresent(this::recordCarried);
     }
 
@@ -108,9 +110,7 @@
             return;
         }
         if (skippingResponse) {
-            // The response to be skipped, an interim response or the response to another request, ends with
-            // LastHttpContent as well.
-            skippingResponse = !(message instanceof LastHttpContent);
+            skip(message);
             return;
         }
         if (message instanceof HttpContent content) {
@@ -144,6 +144,20 @@
         }
     }
 
+    /** Skips a part of an interim response or the response to another request, which ends with LastHttpContent as well. */
+    private void skip(HttpObject message) {
+        if (message instanceof HttpResponse) {
+            skippedResponses.addResponse();
+        }
+        if (message instanceof HttpContent content) {
+            skippedResponses.addBodyBytes(content.content().readableBytes());
+        }
+        skippingResponse = !(message instanceof LastHttpContent);
+        if (skippedResponses.tooMany()) {
+            exchange.failWith(ExchangeFailure.Kind.MALFORMED, "too many answers that belong to no request");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         endIfPending();
