Believe a promise that follows an interim answer on a new connection

What callers saw: a request that an endpoint had refused without running it was ended as one that may have run, and was not sent to another endpoint, if the endpoint states no ids and sends an interim answer (103) before the refusal.

Cause: an interim answer counted as an earlier answer of the connection. On a connection that has carried no other request it can only be to the request in progress, and so can the refusal after it. On a reused connection, the earlier final answers still count.

Evidence: aPromiseAfterAnInterimAnswerIsTheFirstAnswerOfItsConnection got MALFORMED before; it passes now, with the other cases of LateAnswerTest.

--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -145,7 +145,6 @@
             return false;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            responsesBefore = true;
             skippingResponse = true;
             return true;
         }
--- a/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/LateAnswerTest.java
@@ -79,6 +79,17 @@
         }
     }
 
+    /** Guards against a refusal that is not believed, since the endpoint sent an interim answer to the same request before. */
+    @Test
+    void aPromiseAfterAnInterimAnswerIsTheFirstAnswerOfItsConnection() throws IOException {
+        String[] answers = {"HTTP/1.1 103 Early Hints\r\n\r\n" + answer(MISDIRECTED, "", "first")};
+        try (ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            serveInBackground(listener, answers);
+
+            assertThat(call(listener, "0")).isEqualTo("first");
+        }
+    }
+
     /** Guards against the second refusal of a request that is taken for the answer when it is sent to the endpoint again. */
     @Test
     void aRequestThatIsSentAgainDoesNotUseTheConnectionOfItsFirstAnswer() throws IOException {
