Pass on no promise that the endpoint did not make

What callers saw: an endpoint that answers 408, 429 or 503 without saying that it has not run the request had its status passed on unchanged.

Cause: the gateway itself knows that such an answer proves nothing and does not send the request to another endpoint, but it passed the status on as the endpoint's error.

Now the attempt counts as a failure after which the request may have run, and the caller gets 502 unless another attempt follows.

--- a/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
+++ b/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
@@ -31,6 +31,9 @@
      */
     boolean isFromEndpoint(int status, HttpHeaders answer);
 
+    /** Returns whether callers take a status as the promise that their request has not run, whatever else the answer says. */
+    boolean promisesNotRun(int status);
+
     /** Returns the id of the request to which an answer belongs, if the answer states it. */
     Optional<String> requestId(HttpHeaders answer);
 
--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -191,6 +191,12 @@
             } else if (started) {
                 // The caller has received a part of a stream that this endpoint did not continue.
                 attemptFailed(AttemptEnd.MALFORMED, "status " + status, Optional.empty());
+            } else if (dialect.promisesNotRun(status)) {
+                // The caller would take the status for the endpoint's word that the request has not run.
+                attemptFailed(
+                        AttemptEnd.ERROR_ANSWER,
+                        "status " + status + " of a request that may have run",
+                        Optional.empty());
             } else if (status >= FIRST_SERVER_ERROR) {
                 attemptFailed(AttemptEnd.ERROR_ANSWER, "status " + status, Optional.of(answer));
             } else {
@@ -268,7 +274,10 @@
         }
 
         private boolean isFinal() {
-            return fromEndpoint && status < FIRST_SERVER_ERROR && !dialect.isNotRun(status, headers);
+            return fromEndpoint
+                    && status < FIRST_SERVER_ERROR
+                    && !dialect.isNotRun(status, headers)
+                    && !dialect.promisesNotRun(status);
         }
 
         private AttemptEnd attemptEnd(ExchangeFailure failure) {
