Do not append a large error to a stream that has begun

What callers saw: a stream that went on with the body of an error of the next endpoint and ended as complete (MIXED, ORDER).

Cause: an answer that is too large to be collected is passed on as it arrives. That the caller had already received a part of another endpoint's stream was only looked at when an answer ended within the bound.

Now the bytes of an answer that does not continue the stream are dropped, and the attempt fails at its end as that of a small error does.

Evidence: in aLargeErrorIsNotAppendedToAStream, the caller's complete stream contained the body of the 404 before; it passes now.

--- a/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
+++ b/src/main/java/org/gooseberryhill/gateway/AnswerRelay.java
@@ -122,6 +122,10 @@
          * sent the answer of another attempt.
          */
         private void collect(byte[] bytes) {
+            if (started) {
+                // The caller has received a part of a stream, so this answer is not for it.
+                return;
+            }
             buffer.writeBytes(bytes);
             countCollected(buffer.size());
             if (buffer.size() > heldBytes.policy().maxBufferedAnswerBytes(heldBytes.bytes()) && isFinal()) {
