--- a/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCallLog.java
@@ -30,8 +30,15 @@
         this.firstRequestId = firstRequestId;
     }
 
-    /** Returns the time that the request may take from its arrival at this host. */
-    long allowedMillis() {
+    /** Returns which bound the request has exceeded, for its refusal. */
+    String deadlineExceededReason(boolean answerBegun) {
+        long timeoutMillis = request.info().route().timeoutMillis();
+        String bound = allowedMillis() >= timeoutMillis ? "the route's timeout" : "the caller's deadline";
+        return bound + " of " + allowedMillis() + " ms was over before the " + (answerBegun ? "end of the " : "")
+                + "answer";
+    }
+
+    private long allowedMillis() {
         return TimeUnit.NANOSECONDS.toMillis(
                 request.info().deadlineNanos() - request.info().arrivedNanos());
     }
