Give items no output before its version is known

What callers saw: results of batches whose text joins events of two software versions.

Cause: an item's output was taken for that of the version that its host's list of endpoints showed when the run started. A host that stood still sends items by its old list as soon as it goes on, to endpoints that were replaced under their ids meanwhile, and an answer does not name its version. In one trace a host went on at 42.648 after 4.3 s, started an item at m-0 as v1 at 42.694, had it yield after one event at 42.744, learned at 42.758 that m-0 was v2, and sent the rest to m-2 as v1 at 42.760.

Now the events of a run reach its item only once the list is later than the first of them (by 300 ms, since what a host received while it stood still seems new) and has shown no other version of the endpoint; otherwise they are discarded. The slot is freed when the run ends, and the item starts nowhere until its last run is judged. Without a later list the registered version is believed after three seconds of waiting, in which time that the host stood still does not count: results are due also while the list can't be read. A result can come up to that much later.

--- a/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
+++ b/src/main/java/org/gooseberryhill/decision/requestbatch/ItemDispatch.java
@@ -30,8 +30,8 @@
  * goes on only at the version that generated it, so an item waits for a slot there, while an endpoint of the version stays and as
  * long as the {@link RestartPolicy} says.
  *
- * <p>Invariants: an item has at most one run at a time; each run that is started here is also ended here, so the count
- * of runs in flight stays correct.
+ * <p>Invariants: an item has at most one run at a time, and none while it is not known what came of the last one; each run that is
+ * started here is also ended here, so the count of runs in flight stays correct.
  */
 public final class ItemDispatch {
     /** Longest delay before an item with a blocked part is looked at again: other versions may serve it. */
@@ -177,13 +177,27 @@
         return List.copyOf(runs.values());
     }
 
-    /** Records the end of a run. */
+    /** Records the end of a run whose output is known. */
     public void runEnded(PlacedItem run, RunEnd end, AttemptEnd attemptEnd, long nowNanos) {
+        exchangeEnded(run, attemptEnd, nowNanos);
+        outputKnown(run, end, nowNanos, nowNanos);
+    }
+
+    /** Records that a run occupies its endpoint no longer; its item starts nowhere before {@link #outputKnown}. */
+    public void exchangeEnded(PlacedItem run, AttemptEnd attemptEnd, long nowNanos) {
         runs.remove(run.number());
         fleet.batchEnded(run.endpoint().key());
         fleet.attemptEnded(run.endpoint().key(), attemptEnd, nowNanos);
+    }
+
+    /**
+     * Records what came of a run that occupies its endpoint no longer.
+     *
+     * @param endedNanos when it did
+     */
+    public void outputKnown(PlacedItem run, RunEnd end, long endedNanos, long nowNanos) {
         runTimeEstimator.runEnded(
-                run.newCharacters(), (double) run.elapsedNanos(nowNanos) / TimeUnit.MILLISECONDS.toNanos(1));
+                run.newCharacters(), (double) run.elapsedNanos(endedNanos) / TimeUnit.MILLISECONDS.toNanos(1));
         int maxAttempts = routes.of(run.batch()).map(Route::maxAttempts).orElse(1);
         boolean wasDone = run.item().isDone();
         run.batch().runEnded(run.item(), end, maxAttempts, nowNanos);
--- a/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
+++ b/src/main/java/org/gooseberryhill/gateway/BatchRunner.java
@@ -140,7 +140,21 @@
 
     /** Processes the output that the running items have generated since the last call. */
     void processQueuedEvents() {
-        runs.values().forEach(ItemRun::processQueuedEvents);
+        List.copyOf(runs.values()).forEach(ItemRun::processQueuedEvents);
+    }
+
+    /** Applies a new directory. */
+    void endpointsChanged(DirectoryUpdate update) {
+        runs.values().forEach(run -> {
+            run.endpointsChanged(update.passed());
+            run.endpointsChanged(update.entries());
+        });
+        schedule();
+    }
+
+    /** Returns the last moment at which the directory was certainly up to date. */
+    long directoryNanos() {
+        return context.nowNanos() - TimeUnit.MILLISECONDS.toNanos(traffic.directoryAgeMillis());
     }
 
     /** Cancels all runs of a batch. */
@@ -160,14 +174,21 @@
                 .orElse(routes.hasAccounts() ? Attribution.ANONYMOUS : Attribution.NONE);
     }
 
-    /** Handles the end of a run. */
-    void onRunEnded(PlacedItem run, RunEnd end, AttemptEnd attemptEnd, String detail) {
-        runs.remove(run);
-        Optional<Prompt> prompt =
-                ItemRun.prompt(context.dialects().traffic(), run.item().item());
-        trackPromptParts(run, prompt, end);
-        dispatch.runEnded(run, end, attemptEnd, context.nowNanos());
+    /** Handles that a run occupies its endpoint no longer. */
+    void onExchangeEnded(PlacedItem run, RunEnd end, AttemptEnd attemptEnd) {
+        trackPromptParts(run, prompt(run), end);
+        dispatch.exchangeEnded(run, attemptEnd, context.nowNanos());
         slots.tell(run.endpoint().key(), new CoordinationMessage.ItemEnded(run.number(), attemptEnd));
+    }
+
+    /**
+     * Handles the end of a run whose output is known.
+     *
+     * @param endedNanos when it occupied its endpoint no longer
+     */
+    void onRunEnded(PlacedItem run, RunEnd end, String detail, long endedNanos) {
+        runs.remove(run);
+        dispatch.outputKnown(run, end, endedNanos, context.nowNanos());
         context.metrics().itemRunEnded(end);
         EventBuilder event = context.timeline()
                 .event(isFailure(end) ? EventKind.ITEM_RUN_FAILED : EventKind.ITEM_RUN_ENDED)
@@ -176,15 +197,19 @@
                 .endpoint(run.endpoint().id())
                 .with("end", end)
                 .with("detail", detail)
-                .with("ranMillis", TimeUnit.NANOSECONDS.toMillis(run.elapsedNanos(context.nowNanos())))
+                .with("ranMillis", TimeUnit.NANOSECONDS.toMillis(run.elapsedNanos(endedNanos)))
                 .with("characters", run.item().characterCount())
                 .with("errorAnswers", run.item().errorAnswerCount())
                 .with("givenUp", run.item().isGivenUp());
-        prompt.filter(given -> isFailure(end)).ifPresent(given -> PromptLogFields.addTo(event, given));
+        prompt(run).filter(given -> isFailure(end)).ifPresent(given -> PromptLogFields.addTo(event, given));
         event.write();
         announcer.itemsChanged();
     }
 
+    private Optional<Prompt> prompt(PlacedItem run) {
+        return ItemRun.prompt(context.dialects().traffic(), run.item().item());
+    }
+
     private void trackPromptParts(PlacedItem run, Optional<Prompt> prompt, RunEnd end) {
         long sentNanos = context.nowNanos() - run.elapsedNanos(context.nowNanos());
         Runnable release = () -> Optional.ofNullable(permits.remove(run)).ifPresent(traffic.permits()::release);
--- a/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
+++ b/src/main/java/org/gooseberryhill/gateway/GatewayProcess.java
@@ -204,7 +204,7 @@
                         update -> traffic.promptParts().endpointsChanged(update.entries()),
                         update -> assignment.endpointsChanged(update.entries()),
                         update -> updateReadiness(),
-                        update -> runner.schedule()),
+                        runner::endpointsChanged),
                 traffic.streamOrigins()::followRegistrations,
                 traffic.recordReceivers());
     }
--- a/src/main/java/org/gooseberryhill/gateway/ItemRun.java
+++ b/src/main/java/org/gooseberryhill/gateway/ItemRun.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Queue;
@@ -14,8 +15,10 @@
 import org.gooseberryhill.decision.requestbatch.ItemProgress;
 import org.gooseberryhill.decision.requestbatch.PlacedItem;
 import org.gooseberryhill.decision.requestbatch.RunEnd;
+import org.gooseberryhill.decision.requestbatch.RunVersionCheck;
 import org.gooseberryhill.dialect.AttemptMetadata;
 import org.gooseberryhill.dialect.TrafficDialect;
+import org.gooseberryhill.directory.EndpointEntry;
 import org.gooseberryhill.http.BodyFraming;
 import org.gooseberryhill.http.EventSplitter;
 import org.gooseberryhill.http.Exchange;
@@ -29,7 +32,8 @@
  * One run of an item at an endpoint. Decisions are made on the control thread; stream events arrive on a traffic thread
  * and are queued until the control thread processes them.
  *
- * <p>Invariant: the run ends once; events that arrive after its end have no effect.
+ * <p>Invariants: the run ends once; events that arrive after its end have no effect. The item gets no event while {@link RunVersionCheck}
+ * waits for its version, and none of another version than the run started at.
  */
 final class ItemRun implements ExchangeListener {
     private static final int OK = 200;
@@ -52,6 +56,8 @@
     private final ItemProgress item;
     private final EventSplitter eventSplitter = new EventSplitter();
     private final Queue<StreamEvent> queuedEvents = new ConcurrentLinkedQueue<>();
+    private final RunVersionCheck versionCheck;
+    private Optional<HeldEnd> heldEnd = Optional.empty();
     private Exchange exchange;
     private boolean ended;
     private int status;
@@ -63,6 +69,7 @@
         this.runner = runner;
         this.placed = placed;
         this.item = placed.item();
+        this.versionCheck = new RunVersionCheck(placed.endpoint());
     }
 
     /** Starts the run. Called on the control thread. */
@@ -106,11 +113,33 @@
         return headers;
     }
 
+    /** Applies registrations that hold now or held since the last call. */
+    void endpointsChanged(Collection<EndpointEntry> entries) {
+        versionCheck.endpointsChanged(entries);
+    }
+
     /**
-     * Processes the queued events. Called on the control thread, which polls because waking it for each event costs
-     * more than processing the event.
+     * Processes the queued events, and an end that was held back until their version is known. Called on the control thread,
+     * which polls because waking it for each event costs more than processing the event.
      */
     void processQueuedEvents() {
+        if (queuedEvents.isEmpty()) {
+            return;
+        }
+        versionCheck.outputSeen(context.nowNanos());
+        switch (versionCheck.finding(runner.directoryNanos(), context.nowNanos())) {
+            case SAME_VERSION -> {
+                appendQueuedEvents();
+                heldEnd.ifPresent(this::finish);
+            }
+            case OTHER_VERSION -> discardOutput();
+            default -> {
+                // The events wait for a later directory.
+            }
+        }
+    }
+
+    private void appendQueuedEvents() {
         StreamEvent event = queuedEvents.poll();
         while (event != null) {
             item.appendEvent(event.id(), event.data());
@@ -118,6 +147,17 @@
         }
     }
 
+    private void discardOutput() {
+        String reason = "the endpoint was replaced";
+        queuedEvents.clear();
+        if (heldEnd.isPresent()) {
+            finish(new HeldEnd(RunEnd.YIELDED, reason, heldEnd.get().atNanos));
+        } else {
+            exchange.cancel();
+            end(RunEnd.YIELDED, AttemptEnd.ABANDONED, reason);
+        }
+    }
+
     /** Cancels the run; its item continues later. Called on the control thread. */
     void cancel() {
         if (!ended) {
@@ -192,8 +232,21 @@
         if (ended) {
             return;
         }
-        processQueuedEvents();
         ended = true;
-        runner.onRunEnded(placed, end, attemptEnd, detail);
+        HeldEnd held = new HeldEnd(end, detail, context.nowNanos());
+        runner.onExchangeEnded(placed, end, attemptEnd);
+        if (queuedEvents.isEmpty()) {
+            finish(held);
+            return;
+        }
+        heldEnd = Optional.of(held);
+        processQueuedEvents();
     }
+
+    private void finish(HeldEnd held) {
+        runner.onRunEnded(placed, held.end, held.detail, held.atNanos);
+    }
+
+    /** The end of a run whose last events have no known version yet. */
+    private record HeldEnd(RunEnd end, String detail, long atNanos) {}
 }
