--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -164,6 +164,10 @@
         attemptNumber++;
         log.attemptSent(endpoint, attemptNumber, relay.lastEventId(), facts, assigned);
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.info().deadlineNanos() - context.nowNanos());
+        if (callerGone) {
+            // The end of the attempt is queued.
+            return;
+        }
         ExchangeRequest exchangeRequest =
                 attemptRequests.to(endpoint, request.info(), relay.lastEventId(), remainingMillis);
         Exchange started = context.http()
