--- a/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
+++ b/src/main/java/org/gooseberryhill/gateway/RoutedCall.java
@@ -165,7 +165,6 @@
         log.attemptSent(endpoint, attemptNumber, relay.lastEventId(), facts, assigned);
         long remainingMillis = TimeUnit.NANOSECONDS.toMillis(request.info().deadlineNanos() - context.nowNanos());
         if (callerGone) {
-            // The end of the attempt is queued.
             return;
         }
         ExchangeRequest exchangeRequest =
