Add review case 6: an answer is completed by another caller's answer

Cause: a body with a length is taken for whole once that many bytes have arrived; the rest of the second answer behind it holds no end of a line, so the decoder reports nothing.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,8 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-2 ] || { echo "run the build of the deploy file and review/build-2.sh first" >&2; exit 2; }
-TROUBLE="${TROUBLE:-1}" timeout -k 5 114 java -Xmx3g -cp target/review-2:target/gooseberryhill-0.1.0-all.jar \
-    review2.Main burst-of-jobs . review/6/record.txt 2>review/6/errors.log
+TROUBLE="${TROUBLE:-1}" timeout -k 5 114 java -Xmx1g -cp target/review-2:target/gooseberryhill-0.1.0-all.jar \
+    review2.Main spoiled-answers . review/6/record.txt 2>review/6/errors.log
 status=$?
 [ "$status" -le 1 ] && rm -f review/6/errors.log && exit "$status"
 exit 2
--- a/review/standin-2/Child.java
+++ b/review/standin-2/Child.java
@@ -135,37 +135,6 @@
         return 0;
     }
 
-    /** Kills the process; the platform starts it again. */
-    synchronized void kill() {
-        expectedEnd = true;
-        process.destroyForcibly();
-    }
-
-    /** Kills the process for good, as when its machine is removed. */
-    synchronized void remove() {
-        gone = true;
-        expectedEnd = true;
-        process.destroyForcibly();
-    }
-
-    /** Has the removed machine come back. */
-    synchronized void comeBack() {
-        gone = false;
-        start();
-    }
-
-    /** Sends a signal by its name. */
-    synchronized void signal(String signal) {
-        if ("TERM".equals(signal)) {
-            expectedEnd = true;
-        }
-        try {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-        } catch (IOException | InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     synchronized void stopForGood() {
         gone = true;
         expectedEnd = true;
@@ -179,26 +148,6 @@
         }
     }
 
-    /** Waits until the process that runs now has ended. */
-    void awaitEnd() throws InterruptedException {
-        Process current;
-        synchronized (this) {
-            current = process;
-        }
-        current.waitFor(12, TimeUnit.SECONDS);
-    }
-
-    /** Waits until the gateway is ready, for some seconds. */
-    void awaitReady() {
-        for (int i = 0; i < 60 && !isReady(); i++) {
-            Deployment.sleep(100);
-        }
-    }
-
-    synchronized boolean alive() {
-        return process != null && process.isAlive();
-    }
-
     synchronized int ownEnds() {
         return ownEnds;
     }
--- a/review/standin-2/Lots.java
+++ b/review/standin-2/Lots.java
@@ -63,26 +63,6 @@
                 timeoutMillis);
     }
 
-    static Answer body(Endpoint to, String lot, String item, int timeoutMillis) {
-        return Client.call(
-                to,
-                "GET",
-                "/gooseberryhill/items/" + lot + "?id=" + item,
-                Map.of("Host", Deployment.HOST),
-                new byte[0],
-                timeoutMillis);
-    }
-
-    static Answer end(Endpoint to, String lot, int timeoutMillis) {
-        return Client.call(
-                to,
-                "DELETE",
-                "/gooseberryhill/lots/" + lot,
-                Map.of("Host", Deployment.HOST),
-                new byte[0],
-                timeoutMillis);
-    }
-
     /** One result as a page lists it. */
     record Result(String id, String state, String text) {}
 
--- a/review/standin-2/Main.java
+++ b/review/standin-2/Main.java
@@ -32,6 +32,7 @@
     private static Case create(String name) {
         return switch (name) {
             case "burst-of-jobs" -> new BurstOfJobsCase();
+            case "spoiled-answers" -> new SpoiledAnswersCase();
             case "steady-readers" -> new SteadyReadersCase();
             default -> throw new IllegalArgumentException("no case " + name);
         };
