Find another answer inside the body that it completes

Streams passed on the other answer's head and events as they came.

Cause: an answer counted as whole as soon as its framing said so. What contradicted that was not looked at: bytes that follow the body and begin no answer, unless the decoder could make out the end of a line in them, and a head inside the body that states another request.

Ruled out: the pool of connections (the connection is closed afterwards, the caller has the bytes by then), the check of heads (the head is whole), and the decoder, which does what the length says.

Change: EmbeddedAnswerSearch looks for heads inside each body, in all framings, and holds back what may belong to one until that is decided. A head that states a request of this connection, or that bears a request and an endpoint's signature, ends the exchange as malformed before a byte of it is passed on; so do fields in an event stream that are not those of events. A body that ends inside an answer is taken for whole only if nothing follows within 50 ms, or if what follows is an answer. Sound bodies that quote answers are passed on. AnswerDecoder takes the place of HttpClientCodec, which does not tell what is left over; connections with such bytes are not used again.

--- a/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
+++ b/src/main/java/org/gooseberryhill/dialect/TrafficDialect.java
@@ -31,6 +31,9 @@
      */
     boolean isFromEndpoint(int status, HttpHeaders answer);
 
+    /** Returns whether an answer bears the signature of an endpoint. */
+    boolean isSigned(HttpHeaders answer);
+
     /** Returns whether callers take a status as the promise that their request has not run, whatever else the answer says. */
     boolean promisesNotRun(int status);
 
--- a/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
+++ b/src/main/java/org/gooseberryhill/gateway/RequestIdMatcher.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.gooseberryhill.dialect.TrafficDialect;
@@ -28,6 +29,12 @@
         return dialect.isNotRun(status, answer);
     }
 
+    @Override
+    public boolean provesSecondResponse(HttpHeaders answer, Collection<String> carriedIds) {
+        Optional<String> stated = dialect.requestId(answer);
+        return stated.isPresent() && (carriedIds.contains(stated.get()) || dialect.isSigned(answer));
+    }
+
     @Override
     public Optional<String> requestId() {
         return Optional.of(id).filter(stated -> !stated.isBlank());
--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -14,42 +15,60 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.gooseberryhill.http.AnswerDecoder.Following;
 
-/** Passes the messages of a client connection to its current exchange. Runs only on the connection's event loop. */
+/**
+ * Passes the messages of a client connection to its current exchange. Runs only on the connection's event loop.
+ *
+ * <p>Invariant: the end of a response is reported only if nothing that has arrived by then contradicts it. A body that stops too
+ * early may be completed by another response.
+ */
 final class ClientConnectionHandler extends ChannelDuplexHandler {
     /** A second response arrives during the next requests of its connection, if at all. */
     private static final int MAX_CARRIED_IDS = 16;
 
+    /** Time in which the rest of another response follows the part that may have completed a body. */
+    private static final int FOLLOWING_WAIT_MILLIS = 50;
+
+    private final AnswerDecoder decoder;
     private final Deque<String> carriedIds = new ArrayDeque<>(0);
     private ClientExchange exchange;
+    private EmbeddedAnswerSearch search = new EmbeddedAnswerSearch(headers -> false);
     private boolean closedLocally;
-    private final StatusLineSearch statusLineSearch = new StatusLineSearch();
     private boolean framed;
-    private boolean hasLength;
     private boolean keepAlive;
     private boolean skippingResponse;
     private boolean endPending;
+    private boolean endScheduled;
     private SkippedResponses skippedResponses = new SkippedResponses();
     private boolean connectionFailed;
     private boolean responsesBefore;
     private boolean responsesStateRequests;
 
+    ClientConnectionHandler(AnswerDecoder decoder) {
+        this.decoder = decoder;
+    }
+
     void attach(ClientExchange newExchange) {
         exchange = newExchange;
+        decoder.beginExchange(newExchange.method());
         skippedResponses = new SkippedResponses();
         newExchange.responseMatcher().requestId().ifPresent(this::recordCarried);
     }
 
     /**
-     * Returns whether the connection has recently carried a request with the same id: a second response to it, which states that id,
-     * may be in transit.
+     * Returns whether an exchange can use the connection after others: no bytes wait on it that belong to none, and it has not
+     * recently carried a request with the same id. A second response to that one, which states the id, may be in transit.
      */
-    boolean hasCarried(ClientExchange newExchange) {
-        return newExchange
+    boolean isReusableFor(ClientExchange newExchange) {
+        boolean hasCarried = newExchange
                 .responseMatcher()
                 .requestId()
                 .filter(carriedIds::contains)
                 .isPresent();
+        return !hasCarried && decoder.following() == Following.NOTHING;
     }
 
     private void recordCarried(String requestId) {
@@ -80,21 +99,19 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        endIfPending();
-        if (exchange != null) {
+        if (endPending && framed) {
+            endUnlessContradicted(context, decoder.following());
+        }
+        if (exchange != null && !endPending) {
             exchange.onReadComplete();
         }
         context.fireChannelReadComplete();
     }
 
     private void handleMessage(ChannelHandlerContext context, HttpObject message) {
-        if (endPending && message.decoderResult().isFailure() && statusLineSearch.hasBegun()) {
-            endPending = false;
-            exchange.failWith(
-                    ExchangeFailure.Kind.MALFORMED, "the answer was completed by the beginning of another one");
-            return;
+        if (endPending) {
+            end(isResponse(message) ? Following.RESPONSE : Following.NO_RESPONSE);
         }
-        endIfPending();
         if (exchange == null) {
             // Unsolicited bytes: the next exchange must never take them for its own response.
             context.close();
@@ -106,7 +123,7 @@
                     String.valueOf(message.decoderResult().cause()));
             return;
         }
-        if (message instanceof HttpResponse response && !handleHead(response)) {
+        if (message instanceof HttpResponse response && !handleHead(context, response)) {
             return;
         }
         if (skippingResponse) {
@@ -114,36 +131,90 @@
             return;
         }
         if (message instanceof HttpContent content) {
-            if (content.content().isReadable()) {
-                byte[] bytes = ByteBufUtil.getBytes(content.content());
-                if (hasLength) {
-                    statusLineSearch.read(bytes);
-                }
-                exchange.onBytes(bytes);
+            handleContent(context, content);
+        }
+    }
+
+    private void handleContent(ChannelHandlerContext context, HttpContent content) {
+        if (content.content().isReadable()) {
+            exchange.recordActivity();
+            passOn(search.read(ByteBufUtil.getBytes(content.content())));
+            if (search.hasFound()) {
+                exchange.failWith(ExchangeFailure.Kind.MALFORMED, "the body contains another answer");
+                return;
             }
-            if (content instanceof LastHttpContent && exchange != null && !isTruncated(context)) {
-                endPending = true;
-                if (!hasLength) {
-                    endIfPending();
-                }
+        }
+        if (content instanceof LastHttpContent && exchange != null && !isTruncated(context)) {
+            endPending = true;
+            if (!framed) {
+                end(Following.NOTHING);
             }
         }
     }
 
+    private void passOn(byte[] bytes) {
+        if (bytes.length > 0) {
+            exchange.onBytes(bytes);
+        }
+    }
+
     /**
-     * Ends the exchange whose response is complete by its framing. This waits until all that was read is decoded: a body that stops
-     * before its announced length is completed by the beginning of another response, whose rest is no response.
+     * Ends the exchange whose response is complete by its framing, after all that was read has been decoded. If its body ends inside
+     * another response, this waits for a short time for what follows.
      */
-    private void endIfPending() {
-        if (!endPending) {
+    private void endUnlessContradicted(ChannelHandlerContext context, Following following) {
+        boolean undecided = following == Following.NOTHING || following == Following.UNKNOWN;
+        if (search.endsInsideAnswer() && undecided) {
+            // Reading may be paused.
+            context.read();
+            scheduleEnd(context, FOLLOWING_WAIT_MILLIS, () -> {
+                Following last = decoder.following();
+                end(last == Following.UNKNOWN ? Following.NO_RESPONSE : last);
+            });
+            return;
+        }
+        end(following);
+    }
+
+    private void scheduleEnd(ChannelHandlerContext context, int delayMillis, Runnable action) {
+        if (endScheduled) {
             return;
         }
+        endScheduled = true;
+        ClientExchange current = exchange;
+        Runnable unlessEnded = () -> {
+            if (endPending && exchange == current) {
+                action.run();
+            }
+        };
+        context.channel()
+                .eventLoop()
+                .schedule(
+                        () -> AfterRead.run(context.channel().eventLoop(), unlessEnded),
+                        delayMillis,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends the exchange whose response is complete by its framing, given what follows it. */
+    private void end(Following following) {
         endPending = false;
+        if (exchange == null) {
+            return;
+        }
+        if (search.endsInsideAnswer() && following == Following.NO_RESPONSE) {
+            exchange.failWith(ExchangeFailure.Kind.MALFORMED, "the body was completed by another answer");
+            return;
+        }
+        passOn(search.takeUndecided());
         if (exchange != null) {
-            exchange.onEnd(keepAlive);
+            exchange.onEnd(keepAlive && following == Following.NOTHING);
         }
     }
 
+    private static boolean isResponse(HttpObject message) {
+        return message instanceof HttpResponse && message.decoderResult().isSuccess();
+    }
+
     /** Skips a part of an interim response or the response to another request, which ends with LastHttpContent as well. */
     private void skip(HttpObject message) {
         if (message instanceof HttpResponse) {
@@ -160,7 +231,10 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        endIfPending();
+        if (endPending && !isTruncated(context)) {
+            end(decoder.following());
+        }
+        endPending = false;
         failExchange(
                 closedLocally
                         ? "this host closed the connection inside the answer"
@@ -169,7 +243,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        endIfPending();
+        if (endPending && framed && !search.endsInsideAnswer()) {
+            end(decoder.following());
+        }
+        endPending = false;
         connectionFailed = true;
         failExchange(String.valueOf(cause));
         context.close();
@@ -185,7 +262,7 @@
     }
 
     /** Handles the head of a response; returns false if the exchange failed because of it. */
-    private boolean handleHead(HttpResponse response) {
+    private boolean handleHead(ChannelHandlerContext context, HttpResponse response) {
         Optional<String> fault =
                 AnswerHeadCheck.fault(response, exchange.responseMatcher().singleFields());
         if (fault.isPresent()) {
@@ -210,8 +287,8 @@
         }
         BodyFraming framing = BodyFraming.of(response.status().code(), response.headers());
         framed = framing != BodyFraming.CONNECTION_CLOSE;
-        hasLength = framing == BodyFraming.LENGTH;
-        statusLineSearch.reset();
+        search = new EmbeddedAnswerSearch(secondResponseCheck(response.headers()));
+        endScheduled = false;
         if (!framed && !exchange.acceptsUnframed()) {
             // A response that ends with its connection can't be distinguished from a truncated one,
             // unless the connection is reset.
@@ -223,6 +300,14 @@
         return true;
     }
 
+    /** Returns the check of headers that stand inside the body of a response. */
+    private Predicate<HttpHeaders> secondResponseCheck(HttpHeaders response) {
+        ResponseMatcher matcher = exchange.responseMatcher();
+        boolean eventStream = EventStreamFields.isEventStream(response);
+        return headers -> matcher.provesSecondResponse(headers, carriedIds)
+                || eventStream && !EventStreamFields.areEventFields(headers);
+    }
+
     /**
      * Returns whether a response may be a late one to an earlier request: it states no request, and earlier responses on the connection
      * did, or it would have its request sent again.
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -86,6 +86,11 @@
         return request.options().responseMatcher();
     }
 
+    /** Returns the method of the request. */
+    String method() {
+        return request.method();
+    }
+
     boolean acceptsUnframed() {
         return request.options().acceptsUnframed();
     }
@@ -167,7 +172,7 @@
             client.connect(this, request);
             return;
         }
-        if (pooled && connection.pipeline().get(ClientConnectionHandler.class).hasCarried(this)) {
+        if (pooled && !connection.pipeline().get(ClientConnectionHandler.class).isReusableFor(this)) {
             connection.close();
             client.connect(this, request);
             return;
@@ -222,7 +227,8 @@
         return message;
     }
 
-    private void recordActivity() {
+    /** Records that a part of the response has arrived. */
+    void recordActivity() {
         lastActivityNanos = System.nanoTime();
     }
 
--- a/src/main/java/org/gooseberryhill/http/HttpClient.java
+++ b/src/main/java/org/gooseberryhill/http/HttpClient.java
@@ -5,12 +5,13 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
@@ -47,7 +48,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(newCodec()).addLast(new ClientConnectionHandler());
+                        addHandlers(channel.pipeline());
                     }
                 });
     }
@@ -140,6 +141,12 @@
         idleConnections.add(address, channel, System.nanoTime());
     }
 
+    /** Adds the handlers of a client connection. */
+    static void addHandlers(ChannelPipeline pipeline) {
+        AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
+        pipeline.addLast(new HttpRequestEncoder()).addLast(decoder).addLast(new ClientConnectionHandler(decoder));
+    }
+
     private ChannelFuture openConnection(Address address, int connectTimeoutMillis) {
         return bootstrap
                 .clone()
@@ -147,12 +154,6 @@
                 .connect(new InetSocketAddress(address.ip(), address.port()));
     }
 
-    private static HttpClientCodec newCodec() {
-        HttpDecoderConfig decoder = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-        // Without failOnMissingResponse (true), a connection that ends inside a response looks like the response's end.
-        return new HttpClientCodec(decoder, false, true);
-    }
-
     /** Collects a response up to a maximum size. Used by one event loop thread. */
     private static final class CollectingListener implements ExchangeListener {
         private final int maxBytes;
--- a/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
+++ b/src/main/java/org/gooseberryhill/http/ResponseMatcher.java
@@ -1,6 +1,7 @@
 package org.gooseberryhill.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 
@@ -29,6 +30,16 @@
         return false;
     }
 
+    /**
+     * Returns whether the headers of a response inside the body of another one prove that the endpoint sent it; if they do not, a sound
+     * body may quote it.
+     *
+     * @param carriedIds the ids of the requests that the connection has carried of late
+     */
+    default boolean provesSecondResponse(HttpHeaders headers, Collection<String> carriedIds) {
+        return statesRequest(headers);
+    }
+
     /** Returns the id that responses state; empty if they need not state any. */
     default Optional<String> requestId() {
         return Optional.empty();
