Refuse an answer whose connection is reset behind its end

What callers saw: a 200 with a part of the body. An endpoint answers an upload at once, without a length, ends the connection and closes it with bytes of the upload unread. The end arrives first, the reset right behind.

Cause: the end of the connection was taken for the end of the answer. That the request had not been taken, which the reset shows, was not looked at: the connection was closed at once. Reading reports only the end from then on, so the reset can't be seen there either.

Ruled out: resets alone, which were refused before, and uploads of several megabytes, of which a part was still unsent.

Change: the connection of an answer without a length to a request with a body stays open for 20 ms after its end; ClientChannel then asks the operating system whether it has been reset. An end before the request is written is refused at once. Answers to requests without a body, or with a length, are not delayed.

--- a/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
+++ b/src/main/java/org/gooseberryhill/http/ClientConnectionHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -23,7 +24,7 @@
  * Passes the messages of a client connection to its current exchange. Runs only on the connection's event loop.
  *
  * <p>Invariant: the end of a response is reported only if nothing that has arrived by then contradicts it. A body that stops too
- * early may be completed by another response.
+ * early may be completed by another response, and the end of a connection may be that of a reset one.
  */
 final class ClientConnectionHandler extends ChannelDuplexHandler {
     /** A second response arrives during the next requests of its connection, if at all. */
@@ -32,6 +33,9 @@
     /** Time in which the rest of another response follows the part that may have completed a body. */
     private static final int FOLLOWING_WAIT_MILLIS = 50;
 
+    /** Time in which a reset follows the end of a connection whose endpoint has not read the whole request. */
+    private static final int RESET_WAIT_MILLIS = 20;
+
     private final AnswerDecoder decoder;
     private final Deque<String> carriedIds = new ArrayDeque<>(0);
     private ClientExchange exchange;
@@ -147,7 +151,7 @@
         if (content instanceof LastHttpContent && exchange != null && !isTruncated(context)) {
             endPending = true;
             if (!framed) {
-                end(Following.NOTHING);
+                endWithConnection(context);
             }
         }
     }
@@ -176,6 +180,30 @@
         end(following);
     }
 
+    /**
+     * Ends the exchange whose response ends with its connection. An endpoint that has not read the whole request resets the
+     * connection, in which case the response is not complete, but the reset may follow the end.
+     */
+    private void endWithConnection(ChannelHandlerContext context) {
+        if (exchange.hasUnsentBytes()) {
+            failExchange("the connection ended before the request was written");
+            return;
+        }
+        if (!(context.channel() instanceof ClientChannel channel) || !channel.isActive() || !exchange.hasBody()) {
+            end(Following.NOTHING);
+            return;
+        }
+        channel.config().setAutoRead(false);
+        scheduleEnd(context, RESET_WAIT_MILLIS, () -> {
+            if (channel.isReset()) {
+                failExchange("the connection was reset behind the end of the answer");
+                context.close();
+            } else {
+                end(Following.NOTHING);
+            }
+        });
+    }
+
     private void scheduleEnd(ChannelHandlerContext context, int delayMillis, Runnable action) {
         if (endScheduled) {
             return;
@@ -295,6 +323,10 @@
             exchange.failWith(ExchangeFailure.Kind.MALFORMED, "the answer has neither a length nor an end mark");
             return false;
         }
+        if (!framed && exchange.hasBody()) {
+            // The connection stays open at its end, to see whether a reset follows.
+            context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        }
         keepAlive = framed && HttpUtil.isKeepAlive(response);
         exchange.onHead(response.status().code(), response.headers());
         return true;
--- a/src/main/java/org/gooseberryhill/http/ClientExchange.java
+++ b/src/main/java/org/gooseberryhill/http/ClientExchange.java
@@ -91,6 +91,15 @@
         return request.method();
     }
 
+    boolean hasBody() {
+        return request.body().length > 0;
+    }
+
+    /** Returns whether the connection has not accepted all bytes of the request's body. */
+    boolean hasUnsentBytes() {
+        return unsentBytes > 0;
+    }
+
     boolean acceptsUnframed() {
         return request.options().acceptsUnframed();
     }
--- a/src/main/java/org/gooseberryhill/http/HttpClient.java
+++ b/src/main/java/org/gooseberryhill/http/HttpClient.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -43,7 +42,7 @@
         this.heldBytes = heldBytes;
         bootstrap = new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channelFactory(ClientChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
