Refuse answers whose status is none of HTTP's

What callers saw: an answer with status 000, 020 or 099 and its body, as the runner in trouble had sent it.

Cause: any number counted as a status. The codec parses it as an integer, so that signs and other lengths were taken too, and nothing asked whether it is one of HTTP's.

Change: the decoder takes three digits from 100 to 599 only; any other answer is malformed, as one that can't be decoded is.

--- a/src/main/java/org/gooseberryhill/http/AnswerDecoder.java
+++ b/src/main/java/org/gooseberryhill/http/AnswerDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the responses of a client connection and notes what follows them. Runs only on the connection's event loop.
@@ -20,6 +21,8 @@
 final class AnswerDecoder extends HttpResponseDecoder {
     private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
     private boolean answersHeadRequest;
     private boolean betweenResponses = true;
     private int followingBytes;
@@ -57,6 +60,14 @@
         }
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!STATUS.matcher(initialLine[1]).matches()) {
+            throw new IllegalArgumentException("not a status code: " + initialLine[1]);
+        }
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean interim = ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
--- a/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
+++ b/src/test/java/org/gooseberryhill/http/CutAnswerTest.java
@@ -146,6 +146,23 @@
         assertThat(result("HTTP/1.1 200 OK\r\n" + answer, SINGLE_ID)).isEqualTo("MALFORMED");
     }
 
+    /** Guards against an answer that reaches a caller with a status which HTTP does not have. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"000", "0", "1", "20", "+20", "042", "099", "600", "999", "2000", "0200", "+200", "-200", "2x0"})
+    void anAnswerWhoseStatusIsNoneOfHttpIsRefused(String status) throws IOException {
+        assertThat(result("HTTP/1.1 " + status + " Odd\r\n" + FIELDS + LENGTH, ResponseMatcher.NONE))
+                .isEqualTo("MALFORMED");
+    }
+
+    /** Guards against a request that waits for an answer which is skipped since its status looks like an interim one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099"})
+    void anAnswerToAnotherRequestWhoseStatusIsNoneOfHttpIsRefused(String status) throws IOException {
+        assertThat(result("HTTP/1.1 " + status + " Odd\r\n" + FIELDS + LENGTH, NO_RESPONSE))
+                .isEqualTo("MALFORMED");
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
