--- a/src/main/java/org/gooseberryhill/http/EmbeddedAnswerSearch.java
+++ b/src/main/java/org/gooseberryhill/http/EmbeddedAnswerSearch.java
@@ -12,9 +12,6 @@
  * none are passed on once another answer has been found.
  */
 final class EmbeddedAnswerSearch {
-    /** A longer head counts as content. */
-    private static final int MAX_HEAD_BYTES = 16 * 1024;
-
     private static final byte[] NOTHING = new byte[0];
 
     private final Predicate<HttpHeaders> isOfAnotherAnswer;
@@ -43,9 +40,8 @@
         int index = nextHead(bytes, 0);
         while (index < bytes.length) {
             EmbeddedHead.Reading reading = EmbeddedHead.read(bytes, index);
-            if (!reading.possible()
-                    || bytes.length - index > MAX_HEAD_BYTES && reading.head().isEmpty()) {
-                index = nextHead(bytes, index + 1);
+            if (!reading.possible()) {
+                index = nextHead(bytes, reading.resumeIndex());
                 continue;
             }
             if (reading.head().isEmpty()) {
@@ -58,7 +54,7 @@
                 return passOn(bytes, index);
             }
             quotedToByte = endOfQuoted(head);
-            index = nextHead(bytes, head.endIndex());
+            index = nextHead(bytes, reading.resumeIndex());
         }
         return passOn(bytes, bytes.length);
     }
--- a/src/main/java/org/gooseberryhill/http/EmbeddedHead.java
+++ b/src/main/java/org/gooseberryhill/http/EmbeddedHead.java
@@ -18,6 +18,9 @@
 
     private static final int STATUS_INDEX = "HTTP/1.0 ".length();
 
+    /** A longer head counts as content. */
+    private static final int MAX_BYTES = 16 * 1024;
+
     /** The reason phrase is a few words; a longer line is not a status line. */
     private static final int MAX_STATUS_LINE_BYTES = 256;
 
@@ -36,23 +39,26 @@
     }
 
     /**
-     * Reads the head whose status line begins at an index.
+     * Reads the head whose status line begins at an index, in time linear in what is read.
      *
-     * @return its end as {@link Reading#WHOLE}, or whether more bytes could complete it
+     * <p>A head that begins inside the lines that were read would end at the same line, so the search goes on behind them.
      */
     static Reading read(byte[] bytes, int index) {
-        int lineStart = lineEnd(bytes, index);
+        int lineStart = lineEnd(bytes, index, MAX_STATUS_LINE_BYTES);
         if (lineStart - index > MAX_STATUS_LINE_BYTES) {
-            return Reading.NO_HEAD;
+            return Reading.noHead(index + 1);
         }
         while (lineStart < bytes.length) {
-            int next = lineEnd(bytes, lineStart);
-            boolean complete = next <= bytes.length;
+            if (lineStart - index > MAX_BYTES) {
+                return Reading.noHead(lineStart);
+            }
+            int next = lineEnd(bytes, lineStart, MAX_BYTES);
+            boolean complete = next <= bytes.length && next - lineStart <= MAX_BYTES;
             if (isBlank(bytes, lineStart)) {
-                return complete ? new Reading(true, Optional.of(parse(bytes, index, next))) : Reading.INCOMPLETE;
+                return complete ? Reading.whole(parse(bytes, index, next)) : Reading.INCOMPLETE;
             }
-            if (!isField(bytes, lineStart, Math.min(next, bytes.length), complete)) {
-                return Reading.NO_HEAD;
+            if (next - lineStart > MAX_BYTES || !isField(bytes, lineStart, Math.min(next, bytes.length), complete)) {
+                return Reading.noHead(lineStart);
             }
             lineStart = next;
         }
@@ -75,10 +81,14 @@
         return expected == DIGIT ? next >= '0' && next <= '9' : next == expected;
     }
 
-    /** Returns the index behind the line feed that ends a line; beyond the end of the bytes if there is none. */
-    private static int lineEnd(byte[] bytes, int from) {
+    /**
+     * Returns the index behind the line feed that ends a line. Without one among the next {@code maxBytes}, that is beyond them; if the
+     * bytes end before one, it is beyond their end.
+     */
+    private static int lineEnd(byte[] bytes, int from, int maxBytes) {
+        int end = (int) Math.min(bytes.length, (long) from + maxBytes);
         int index = from;
-        while (index < bytes.length && bytes[index] != '\n') {
+        while (index < end && bytes[index] != '\n') {
             index++;
         }
         return index + 1;
@@ -125,9 +135,17 @@
      *
      * @param possible whether the bytes are a head or the beginning of one
      * @param head the head if it is complete
+     * @param resumeIndex where the search for another head goes on
      */
-    record Reading(boolean possible, Optional<EmbeddedHead> head) {
-        static final Reading INCOMPLETE = new Reading(true, Optional.empty());
-        static final Reading NO_HEAD = new Reading(false, Optional.empty());
+    record Reading(boolean possible, Optional<EmbeddedHead> head, int resumeIndex) {
+        private static final Reading INCOMPLETE = new Reading(true, Optional.empty(), 0);
+
+        private static Reading whole(EmbeddedHead head) {
+            return new Reading(true, Optional.of(head), head.endIndex());
+        }
+
+        private static Reading noHead(int resumeIndex) {
+            return new Reading(false, Optional.empty(), resumeIndex);
+        }
     }
 }
